--- /dev/null
+++ b/core/src/main/kotlin/io/jackdawring/core/Credential.kt
@@ -0,0 +1,27 @@
+package io.jackdawring.core
+
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+
+/** Names the scope in which a [SubmissionId] is unique. */
+@Serializable
+sealed interface Credential {
+    /** The caller on whose behalf the submission runs. */
+    val callerId: CallerId
+
+    /** A submission in a session; only the owner of the session starts it. */
+    @Serializable
+    @SerialName("session")
+    data class Session(
+        val claims: SessionClaims,
+    ) : Credential {
+        override val callerId: CallerId get() = claims.callerId
+    }
+
+    /** A submission without a session; its id is a UUIDv7 and the store decides who starts it. */
+    @Serializable
+    @SerialName("idempotencyKey")
+    data class IdempotencyKey(
+        override val callerId: CallerId,
+    ) : Credential
+}
--- /dev/null
+++ b/core/src/main/kotlin/io/jackdawring/core/Effect.kt
@@ -0,0 +1,56 @@
+package io.jackdawring.core
+
+import io.jackdawring.core.membership.PeerMessage
+
+/** An action that the driver of an [EntryInstance] performs. */
+sealed interface Effect {
+    /** Answer [Event.OpenSession] with a signed token of [claims]. */
+    data class GrantSession(
+        val requestId: RequestId,
+        val claims: SessionClaims,
+        val expiresInMillis: Long,
+    ) : Effect
+
+    /** Answer the open request with its final [outcome]. */
+    data class Answer(
+        val requestId: RequestId,
+        val outcome: Outcome,
+    ) : Effect
+
+    /** Send one task to a target; exactly one [Event.TaskAnswered] must follow. */
+    data class StartTask(
+        val attemptId: AttemptId,
+        val targetId: TargetId,
+        val targetAddress: String,
+        val task: TaskReference,
+        val service: String,
+        val kind: String,
+        val payload: Payload,
+        val remainingMillis: Long,
+    ) : Effect
+
+    /** Close the connection of a running attempt; a [Event.TaskAnswered] may or may not follow. */
+    data class CancelTask(
+        val attemptId: AttemptId,
+    ) : Effect
+
+    /** Send a one-way message; [Event.PeerSendAcknowledged] or, after at most 1 s, [Event.PeerSendFailed] must follow. */
+    data class SendToPeer(
+        val peerAddress: String,
+        val message: PeerMessage,
+    ) : Effect
+
+    /** Call the platform's store; exactly one [Event.StoreAnswered] must follow. */
+    data class CallStore(
+        val operationId: OperationId,
+        val call: StoreCall,
+    ) : Effect
+
+    /** Count and log a change of state. */
+    data class ReportChange(
+        val change: StateChange,
+    ) : Effect
+
+    /** The graceful shutdown is complete; the process can exit. */
+    data object CompleteShutdown : Effect
+}
--- /dev/null
+++ b/core/src/main/kotlin/io/jackdawring/core/Event.kt
@@ -0,0 +1,69 @@
+package io.jackdawring.core
+
+import io.jackdawring.core.membership.PeerMessage
+
+/** An input of [EntryInstance.handle]. */
+sealed interface Event {
+    /** A caller asks for a session. */
+    data class OpenSession(
+        val requestId: RequestId,
+        val callerId: CallerId,
+    ) : Event
+
+    /** A caller submits or resubmits a job and waits for its outcome. */
+    data class Submit(
+        val requestId: RequestId,
+        val submission: Submission,
+    ) : Event
+
+    /** A caller cancels a submission; the job's own request gets the outcome. */
+    data class Cancel(
+        val submissionId: SubmissionId,
+        val credential: Credential,
+    ) : Event
+
+    /** The connection of an open request closed; its job goes on so that a resubmission can attach to it. */
+    data class CallerDisconnected(
+        val requestId: RequestId,
+    ) : Event
+
+    /** A target answered a start, or the start failed. */
+    data class TaskAnswered(
+        val attemptId: AttemptId,
+        val answer: TargetAnswer,
+    ) : Event
+
+    /** A message of another entry instance arrived. */
+    data class PeerMessageReceived(
+        val message: PeerMessage,
+    ) : Event
+
+    /** A message to another entry instance was not acknowledged; it may have arrived. */
+    data class PeerSendFailed(
+        val peerAddress: String,
+        val message: PeerMessage,
+    ) : Event
+
+    /** A message to another entry instance was acknowledged by its process. */
+    data class PeerSendAcknowledged(
+        val peerAddress: String,
+        val message: PeerMessage,
+    ) : Event
+
+    /** The store answered a call, or the call failed. */
+    data class StoreAnswered(
+        val operationId: OperationId,
+        val answer: StoreAnswer,
+    ) : Event
+
+    /** The platform's instance list changed; the list may lag behind reality. */
+    data class InstancesListed(
+        val list: InstanceList,
+    ) : Event
+
+    /** The time of [EntryInstance.nextTimerMillis] has come; early or repeated delivery is harmless. */
+    data object TimerFired : Event
+
+    /** The operator asked for a graceful shutdown. */
+    data object ShutdownRequested : Event
+}
--- /dev/null
+++ b/core/src/main/kotlin/io/jackdawring/core/Outcome.kt
@@ -0,0 +1,51 @@
+package io.jackdawring.core
+
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+
+/** The one final answer to a request. */
+@Serializable
+sealed interface Outcome {
+    /** Every task succeeded; [results] are in task order. */
+    @Serializable
+    @SerialName("complete")
+    data class Complete(
+        val results: List<Payload>,
+    ) : Outcome
+
+    /**
+     * The job will never complete.
+     *
+     * [taskIndex] is the first task that failed, null if no single task is the cause; [mayHaveRun] is false only if no
+     * task of the job was started.
+     */
+    @Serializable
+    @SerialName("failed")
+    data class Failed(
+        val reason: FailureReason,
+        val taskIndex: Int?,
+        val mayHaveRun: Boolean,
+        val detail: String = "",
+    ) : Outcome
+
+    /** Nothing of this request was started; [retryAfterMillis] is null if a retry cannot succeed. */
+    @Serializable
+    @SerialName("refused")
+    data class Refused(
+        val reason: RefusalReason,
+        val retryAfterMillis: Long?,
+        val detail: String = "",
+    ) : Outcome
+
+    /**
+     * This instance cannot tell whether the submission ran, and did not start it for this request.
+     *
+     * [retryAfterMillis] is null if a resubmission cannot learn more.
+     */
+    @Serializable
+    @SerialName("unknown")
+    data class Unknown(
+        val reason: UnknownReason,
+        val retryAfterMillis: Long? = null,
+    ) : Outcome
+}
--- /dev/null
+++ b/core/src/main/kotlin/io/jackdawring/core/StateChange.kt
@@ -0,0 +1,37 @@
+package io.jackdawring.core
+
+/** A change of state worth one log line and one count. */
+sealed interface StateChange {
+    /** A newer configuration is in force. */
+    data class ConfigurationApplied(
+        val version: Long,
+    ) : StateChange
+
+    /** The state of another entry instance changed. */
+    data class MemberChanged(
+        val instanceId: InstanceId,
+        val state: String,
+    ) : StateChange
+
+    /** A target became usable, isolated or leaving. */
+    data class TargetChanged(
+        val targetId: TargetId,
+        val state: String,
+    ) : StateChange
+
+    /** The instance started to drain. */
+    data class DrainStarted(
+        val runningJobs: Int,
+    ) : StateChange
+
+    /** Finished records were sent to a successor. */
+    data class RecordsHandedOver(
+        val successor: InstanceId,
+        val records: Int,
+    ) : StateChange
+
+    /** The store became reachable or unreachable for this instance. */
+    data class StoreReachable(
+        val reachable: Boolean,
+    ) : StateChange
+}
--- /dev/null
+++ b/core/src/main/kotlin/io/jackdawring/core/TaskReference.kt
@@ -0,0 +1,13 @@
+package io.jackdawring.core
+
+import kotlinx.serialization.Serializable
+
+/** Names one task; [scope] is the session id, or the caller id for a submission without a session. */
+@Serializable
+data class TaskReference(
+    val scope: String,
+    val submissionId: SubmissionId,
+    val taskIndex: Int,
+) {
+    override fun toString(): String = "$scope/${submissionId.value}/$taskIndex"
+}
--- /dev/null
+++ b/core/src/main/kotlin/io/jackdawring/core/TaskSpec.kt
@@ -0,0 +1,17 @@
+package io.jackdawring.core
+
+import kotlinx.serialization.Serializable
+
+/**
+ * One task of a submission.
+ *
+ * [expectedMillis] is the caller's estimate of the run time in milliseconds, null to use the kind's estimate;
+ * [memoryMb] and [accelerators] are the needs that a target must be able to meet.
+ */
+@Serializable
+data class TaskSpec(
+    val payload: Payload,
+    val expectedMillis: Long? = null,
+    val memoryMb: Int = 0,
+    val accelerators: Int = 0,
+)
--- /dev/null
+++ b/core/src/main/kotlin/io/jackdawring/core/membership/Membership.kt
@@ -0,0 +1,81 @@
+package io.jackdawring.core.membership
+
+import io.jackdawring.core.EntryOptions
+import io.jackdawring.core.InstanceId
+import io.jackdawring.core.InstanceList
+import io.jackdawring.core.MemberStatus
+import io.jackdawring.core.Owner
+import io.jackdawring.core.StateChange
+
+/** Knows the other entry instances through gossip and the platform's list. */
+internal interface Membership {
+    /** Number of live entry instances, this one included. */
+    val liveCount: Int
+
+    /** Position of this instance among the live ones in id order, from 0. */
+    val rank: Int
+
+    /** Learns addresses of entry instances from the platform's list. */
+    fun applyList(
+        list: InstanceList,
+        nowMillis: Long,
+    )
+
+    /** Merges the member facts of a digest from [sender]. */
+    fun merge(
+        sender: Owner,
+        facts: List<MemberFact>,
+        nowMillis: Long,
+    )
+
+    /** Notes that a message to [peerAddress] was not acknowledged. */
+    fun sendFailed(
+        peerAddress: String,
+        nowMillis: Long,
+    )
+
+    /** Notes that a message to [peerAddress] was acknowledged. */
+    fun sendAcknowledged(
+        peerAddress: String,
+        nowMillis: Long,
+    )
+
+    /** Facts about this instance and the members for a digest. */
+    fun facts(
+        configurationVersion: Long,
+        nowMillis: Long,
+    ): List<MemberFact>
+
+    /** Peer addresses for the digests that are due at [nowMillis]; empty if none are due. */
+    fun takeGossipPeers(nowMillis: Long): List<String>
+
+    /** Whether [owner] is the current incarnation of a member that is not suspected to be down. */
+    fun isReachable(owner: Owner): Boolean
+
+    /** Whether [peerAddress] belongs to an entry instance known from the list or from gossip. */
+    fun isKnownAddress(peerAddress: String): Boolean
+
+    /** The live incarnation that holds the finished records of [owner], following successors of successors, or null. */
+    fun successorOf(owner: Owner): Owner?
+
+    /** Live instances for a hand-over, best first: own failure domain before others, in rendezvous order. */
+    fun successorCandidates(): List<Owner>
+
+    /** Marks this instance as draining and, once known, names its successor in all later facts. */
+    fun drain(succeededBy: InstanceId?)
+
+    fun nextTimerMillis(): Long?
+
+    /** Moves silent members to suspect and dropped. */
+    fun onTimer(nowMillis: Long)
+
+    fun status(): List<MemberStatus>
+
+    /** Creates memberships. */
+    fun interface Factory {
+        fun create(
+            options: EntryOptions,
+            report: (StateChange) -> Unit,
+        ): Membership
+    }
+}
--- /dev/null
+++ b/server/src/main/kotlin/io/jackdawring/server/ServerOptions.kt
@@ -0,0 +1,70 @@
+package io.jackdawring.server
+
+import io.jackdawring.core.FailureDomainId
+import io.jackdawring.core.InstanceId
+import io.jackdawring.core.TargetPolicy
+import kotlinx.collections.immutable.ImmutableList
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.toImmutableList
+
+/** Immutable settings of one [EntryServer]; every one is a flag of `jackdawring serve` and an environment variable. */
+class ServerOptions private constructor(
+    val instanceId: InstanceId,
+    val failureDomain: FailureDomainId,
+    val callerListen: String,
+    val peerListen: String,
+    val operatorListen: String?,
+    val platformAddress: String,
+    val sessionKeys: ImmutableList<SessionKey>,
+    val eventLoopThreads: Int,
+    val maxConnections: Int,
+    val maxBodyBytes: Int,
+    val idleTimeoutMillis: Long,
+    val targetPolicy: TargetPolicy,
+) {
+    /** Builds [ServerOptions]; the first session key signs, all of them verify. */
+    class Builder(
+        private val instanceId: InstanceId,
+        private val failureDomain: FailureDomainId,
+    ) {
+        var callerListen: String = "127.0.0.1:0"
+        var peerListen: String = "127.0.0.1:0"
+        var operatorListen: String? = null
+        var platformAddress: String = "127.0.0.1:7400"
+        var sessionKeys: List<SessionKey> = persistentListOf()
+        var eventLoopThreads: Int = 2
+        var maxConnections: Int = 10_000
+        var maxBodyBytes: Int = 16 * 1024 * 1024
+        var idleTimeoutMillis: Long = 75_000
+        var targetPolicy: TargetPolicy = TargetPolicy.AdaptiveWindow
+
+        fun build(): ServerOptions =
+            ServerOptions(
+                instanceId = instanceId,
+                failureDomain = failureDomain,
+                callerListen = callerListen,
+                peerListen = peerListen,
+                operatorListen = operatorListen,
+                platformAddress = platformAddress,
+                sessionKeys = sessionKeys.toImmutableList(),
+                eventLoopThreads = eventLoopThreads,
+                maxConnections = maxConnections,
+                maxBodyBytes = maxBodyBytes,
+                idleTimeoutMillis = idleTimeoutMillis,
+                targetPolicy = targetPolicy,
+            )
+    }
+}
+
+/** A key that signs session tokens; [secret] never appears in logs or status pages. */
+class SessionKey(
+    val id: String,
+    val secret: ByteArray,
+)
+
+/** Builds [ServerOptions] from [block]. */
+fun serverOptions(
+    instanceId: InstanceId,
+    failureDomain: FailureDomainId,
+    block: ServerOptions.Builder.() -> Unit = {},
+): ServerOptions = ServerOptions.Builder(instanceId, failureDomain).apply(block).build()
--- /dev/null
+++ b/server/src/main/kotlin/io/jackdawring/server/http/HttpClient.kt
@@ -0,0 +1,38 @@
+package io.jackdawring.server.http
+
+/** An HTTP/1.1 client that keeps connections open and sends one request at a time on each. */
+interface HttpClient : AutoCloseable {
+    /** Sends [request] to [address] (`ip:port`) and calls [onResult] exactly once on an event loop thread. */
+    fun send(
+        address: String,
+        request: HttpRequestMessage,
+        timeoutMillis: Long,
+        onResult: (HttpResult) -> Unit,
+    ): HttpCall
+
+    override fun close()
+}
+
+/** A request in progress. */
+interface HttpCall {
+    /** Closes the connection of the request if it is still in progress. */
+    fun cancel()
+}
+
+/** Result of one request. */
+sealed interface HttpResult {
+    /** A whole response arrived. */
+    data class Answered(
+        val response: HttpResponseMessage,
+    ) : HttpResult
+
+    /** The connection could not be used; no byte of the request was written to it. */
+    data class NotSent(
+        val detail: String,
+    ) : HttpResult
+
+    /** The request was written at least in part, and no whole response arrived. */
+    data class Broken(
+        val detail: String,
+    ) : HttpResult
+}
--- /dev/null
+++ b/server/src/main/kotlin/io/jackdawring/server/http/HttpExchange.kt
@@ -0,0 +1,12 @@
+package io.jackdawring.server.http
+
+/** One request that a server received, with the means to answer it. Methods may be called from any thread. */
+interface HttpExchange {
+    val request: HttpRequestMessage
+
+    /** Answers the request; only the first call has an effect. */
+    fun respond(response: HttpResponseMessage)
+
+    /** Calls [action] once if the connection closes before the answer was written. */
+    fun onDisconnected(action: () -> Unit)
+}
--- /dev/null
+++ b/server/src/main/kotlin/io/jackdawring/server/http/HttpServer.kt
@@ -0,0 +1,22 @@
+package io.jackdawring.server.http
+
+/** A listening HTTP/1.1 server. */
+interface HttpServer : AutoCloseable {
+    /** Bound address as `ip:port`; the port is the real one if 0 was asked for. */
+    val address: String
+
+    /** Stops accepting connections; open ones go on. */
+    fun stopAccepting()
+
+    /** Closes the listener and all connections. */
+    override fun close()
+
+    /** Starts servers. */
+    fun interface Factory {
+        /** Binds to [address] (`ip:port`) and serves requests with [handler]. */
+        fun start(
+            address: String,
+            handler: HttpHandler,
+        ): HttpServer
+    }
+}
