Add the subcommand skeleton and the table of settings

args4j parses the flags of subcommands; settings come from one table, which gives flags, environment variables, ranges and messages. Serve drains through a shutdown hook. An unknown subcommand or flag suggests the nearest one.

--- /dev/null
+++ b/cli/src/main/kotlin/io/jackdawring/cli/Command.kt
@@ -0,0 +1,36 @@
+package io.jackdawring.cli
+
+import io.jackdawring.cli.settings.ResolvedSettings
+import io.jackdawring.cli.settings.Setting
+import org.kohsuke.args4j.Option
+
+/**
+ * One subcommand; args4j annotations on its properties declare the flags that are no settings.
+ *
+ * [name] may have two words (`config publish`); [example] is a whole command line.
+ */
+abstract class Command(
+    val name: String,
+    val summary: String,
+    val example: String,
+    val settings: List<Setting> = emptyList(),
+) {
+    @Option(name = "--help", aliases = ["-h"], help = true, usage = "print this help")
+    var help: Boolean = false
+
+    /** Values of the flags of [settings] by setting name. */
+    val settingFlags: MutableMap<String, String> = mutableMapOf()
+
+    /** Whether a missing required setting is an error before [run]. */
+    open val checkRequired: Boolean get() = true
+
+    abstract fun run(
+        context: CommandContext,
+        settings: ResolvedSettings,
+    ): ExitCode
+}
+
+/** A mistake of the user that a subcommand finds after parsing. */
+class UsageException(
+    message: String,
+) : Exception(message)
--- /dev/null
+++ b/cli/src/main/kotlin/io/jackdawring/cli/CommandContext.kt
@@ -0,0 +1,15 @@
+package io.jackdawring.cli
+
+import java.io.InputStream
+import java.io.PrintStream
+
+/** What a subcommand gets from the process; replaced in tests. */
+class CommandContext(
+    val out: PrintStream,
+    val err: PrintStream,
+    val input: InputStream,
+    val environment: Map<String, String>,
+    val terminal: Boolean,
+    val components: Components,
+    val lifecycle: ProcessLifecycle,
+)
--- /dev/null
+++ b/cli/src/main/kotlin/io/jackdawring/cli/Commands.kt
@@ -0,0 +1,25 @@
+package io.jackdawring.cli
+
+import io.jackdawring.cli.commands.CompletionBashCommand
+import io.jackdawring.cli.commands.DemoCommand
+import io.jackdawring.cli.commands.HelpCommand
+import io.jackdawring.cli.commands.LoadCommand
+import io.jackdawring.cli.commands.ServeCommand
+import io.jackdawring.cli.commands.SettingsCommand
+import io.jackdawring.cli.commands.StandinPlatformCommand
+import io.jackdawring.cli.commands.StandinTargetCommand
+import io.jackdawring.cli.commands.VersionCommand
+
+/** All subcommands in the order of the help text; new objects, because parsing changes them. */
+internal fun allCommands(): List<Command> =
+    listOf(
+        ServeCommand(),
+        LoadCommand(),
+        StandinPlatformCommand(),
+        StandinTargetCommand(),
+        DemoCommand(),
+        SettingsCommand(),
+        CompletionBashCommand(::allCommands),
+        VersionCommand(),
+        HelpCommand(::allCommands),
+    )
--- /dev/null
+++ b/cli/src/main/kotlin/io/jackdawring/cli/Components.kt
@@ -0,0 +1,54 @@
+package io.jackdawring.cli
+
+import io.jackdawring.server.EntryServer
+import io.jackdawring.server.ServerOptions
+import java.io.PrintStream
+
+/** The parts of the product that subcommands start. */
+interface Components {
+    fun startEntry(options: ServerOptions): EntryServer
+
+    /** Starts the stand-in platform; returns it with its bound address. */
+    fun startPlatform(listen: String): Running
+
+    fun startTarget(options: TargetStandinOptions): Running
+
+    /** Runs the load tool; returns false if it saw a wrong answer. */
+    fun runLoad(
+        options: LoadOptions,
+        out: PrintStream,
+    ): Boolean
+
+    /** Runs the demo; returns its exit code. */
+    fun runDemo(out: PrintStream): Int
+}
+
+/** A server of this process with its bound address. */
+class Running(
+    val address: String,
+    private val stop: () -> Unit,
+) : AutoCloseable {
+    override fun close() = stop()
+}
+
+/** Options of `standin target`. */
+data class TargetStandinOptions(
+    val id: String,
+    val failureDomain: String,
+    val listen: String,
+    val platform: String,
+    val slots: Int,
+    val connections: Int,
+    val services: List<String>,
+)
+
+/** Options of `load`. */
+data class LoadOptions(
+    val entries: List<String>,
+    val service: String,
+    val kind: String,
+    val ratePerSecond: Int,
+    val tasksPerJob: Int,
+    val durationMillis: Long,
+    val json: Boolean,
+)
--- /dev/null
+++ b/cli/src/test/kotlin/io/jackdawring/cli/CliRun.kt
@@ -0,0 +1,82 @@
+package io.jackdawring.cli
+
+import io.jackdawring.core.InstanceSnapshot
+import io.jackdawring.server.EntryServer
+import io.jackdawring.server.ServerOptions
+import java.io.ByteArrayOutputStream
+import java.io.PrintStream
+
+/** Exit code and output of one command line. */
+internal class CliRun(
+    val exitCode: ExitCode,
+    val out: String,
+    val err: String,
+)
+
+internal fun runCli(
+    vararg arguments: String,
+    environment: Map<String, String> = emptyMap(),
+    input: String = "",
+    components: FakeComponents = FakeComponents(),
+): CliRun {
+    val out = ByteArrayOutputStream()
+    val err = ByteArrayOutputStream()
+    val context =
+        CommandContext(
+            PrintStream(out, true),
+            PrintStream(err, true),
+            input.byteInputStream(),
+            environment,
+            terminal = false,
+            components = components,
+            lifecycle = { stop -> stop() },
+        )
+    val exitCode = CommandLine(::allCommands).run(arguments.toList(), context)
+    return CliRun(exitCode, out.toString(), err.toString())
+}
+
+/** Records what subcommands start. */
+internal class FakeComponents(
+    private val drains: Boolean = true,
+    private val succeeds: Boolean = true,
+) : Components {
+    var entryOptions: ServerOptions? = null
+    var targetOptions: TargetStandinOptions? = null
+    val closed = mutableListOf<String>()
+
+    override fun startEntry(options: ServerOptions): EntryServer {
+        entryOptions = options
+        return FakeEntryServer(drains) { closed += "entry" }
+    }
+
+    override fun startPlatform(listen: String) = Running(listen) { closed += "platform" }
+
+    override fun startTarget(options: TargetStandinOptions): Running {
+        targetOptions = options
+        return Running(options.listen) { closed += "target" }
+    }
+
+    override fun runLoad(
+        options: LoadOptions,
+        out: PrintStream,
+    ): Boolean = succeeds
+
+    override fun runDemo(out: PrintStream): Int = if (succeeds) 0 else 1
+}
+
+private class FakeEntryServer(
+    private val drains: Boolean,
+    private val onClose: () -> Unit,
+) : EntryServer {
+    override val callerAddress = "127.0.0.1:1"
+    override val peerAddress = "127.0.0.1:2"
+    override val operatorAddress: String? = null
+
+    override fun snapshot(): InstanceSnapshot = error("not used")
+
+    override fun drain(onComplete: () -> Unit) {
+        if (drains) onComplete()
+    }
+
+    override fun close() = onClose()
+}
--- /dev/null
+++ b/cli/src/test/kotlin/io/jackdawring/cli/CommandLineTest.kt
@@ -0,0 +1,120 @@
+package io.jackdawring.cli
+
+import org.junit.jupiter.api.DynamicTest
+import org.junit.jupiter.api.DynamicTest.dynamicTest
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.TestFactory
+import kotlin.test.assertContains
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertTrue
+
+class CommandLineTest {
+    private class Mistake(
+        val line: String,
+        val message: String,
+    )
+
+    /** Guards against mistakes that are run, reported with a stack trace, or reported without a way out. */
+    @TestFactory
+    fun `a user's mistake gives exit code 2 and names the way out`(): List<DynamicTest> =
+        listOf(
+            Mistake("", "a subcommand is missing"),
+            Mistake("serv", "did you mean 'serve'?"),
+            Mistake("frobnicate", "unknown subcommand 'frobnicate'\n"),
+            Mistake("standin platfrom", "did you mean 'standin platform'?"),
+            Mistake("serve --lisen 127.0.0.1:1", "did you mean '--listen'?"),
+            Mistake("serve --lisen=127.0.0.1:1", "did you mean '--listen'?"),
+            Mistake("serve --listen", "takes an operand"),
+            Mistake("version extra", "No argument is allowed"),
+            Mistake("load --service s --kind k --rate 0", "--rate: '0' is not allowed; allowed is 1 to 100000"),
+            Mistake("load --service s --kind k --rate x", "\"x\" is not a valid value for \"--rate\""),
+            Mistake("standin platform --listen x", "--listen: 'x' is not allowed; allowed is IP:PORT"),
+            Mistake("serve", "--instance-id is required (or JACKDAWRING_INSTANCE_ID)"),
+        ).map { case ->
+            dynamicTest("'${case.line}'") {
+                val run =
+                    runCli(
+                        *case.line
+                            .split(' ')
+                            .filter { it.isNotEmpty() }
+                            .toTypedArray(),
+                    )
+                assertEquals(ExitCode.USAGE, run.exitCode)
+                assertContains(run.err, case.message)
+                assertFalse("\tat " in run.err, "stack trace")
+            }
+        }
+
+    /** Guards against a subcommand without help, and against help that fails on a missing required flag. */
+    @TestFactory
+    fun `every subcommand has help with an example of itself`(): List<DynamicTest> =
+        allCommands().map { command ->
+            dynamicTest(command.name) {
+                val run = runCli(*command.name.split(' ').toTypedArray(), "--help")
+                assertEquals(ExitCode.OK, run.exitCode)
+                assertContains(run.out, "Example: ${command.example}")
+                assertContains(command.example, "jackdawring ${command.name}")
+            }
+        }
+
+    /** Guards against a subcommand that the help text or the completion script leaves out. */
+    @Test
+    fun `help and completion name all subcommands and exit codes`() {
+        val help = runCli("help").out
+        val completion = runCli("completion", "bash").out
+        allCommands().forEach {
+            assertContains(help, "  ${it.name} ")
+            assertContains(completion, "\"${it.name}")
+        }
+        ExitCode.entries.forEach { assertContains(help, it.meaning) }
+    }
+
+    private val serve = arrayOf("serve", "--instance-id", "e1", "--failure-domain", "a")
+    private val keys = mapOf("JACKDAWRING_SESSION_KEYS" to "k1:" + "0f".repeat(16))
+
+    /** Guards against a shutdown that skips the drain or hides that requests were cut off. */
+    @Test
+    fun `serve drains before it closes and reports a missed time limit`() {
+        val complete = FakeComponents()
+        assertEquals(ExitCode.OK, runCli(*serve, environment = keys, components = complete).exitCode)
+        assertEquals(listOf("entry"), complete.closed)
+        val stuck = FakeComponents(drains = false)
+        val run = runCli(*serve, "--drain-timeout-millis", "1000", environment = keys, components = stuck)
+        assertEquals(ExitCode.FAILED, run.exitCode)
+        assertContains(run.err, "not drained within 1000 ms")
+        assertEquals(listOf("entry"), stuck.closed)
+    }
+
+    /** Guards against settings that are parsed but not passed on. */
+    @Test
+    fun `serve and standin target pass their settings on`() {
+        val components = FakeComponents()
+        runCli(*serve, "--max-connections", "7", "--target-policy=random", environment = keys, components = components)
+        val options = checkNotNull(components.entryOptions)
+        assertEquals("e1", options.instanceId.value)
+        assertEquals(7, options.maxConnections)
+        assertEquals("Random", options.targetPolicy.toString())
+        assertEquals("k1", options.sessionKeys.single().id)
+        assertTrue(
+            options.sessionKeys
+                .single()
+                .secret
+                .all { it == 0x0f.toByte() },
+        )
+        val target = "standin target --id t1 --failure-domain a --service orders --service rail --slots 3"
+        assertEquals(ExitCode.OK, runCli(*target.split(' ').toTypedArray(), components = components).exitCode)
+        assertEquals(listOf("orders", "rail"), components.targetOptions?.services)
+        assertEquals(3, components.targetOptions?.slots)
+    }
+
+    /** Guards against a failed run that a script takes for a success. */
+    @Test
+    fun `load and demo report failure through the exit code`() {
+        val failing = FakeComponents(succeeds = false)
+        assertEquals(ExitCode.FAILED, runCli("demo", components = failing).exitCode)
+        val load = arrayOf("load", "--service", "s", "--kind", "k")
+        assertEquals(ExitCode.FAILED, runCli(*load, components = failing).exitCode)
+        assertEquals(ExitCode.OK, runCli(*load).exitCode)
+    }
+}
