Add the stand-in platform with store, instance list and faults

Clients of the platform need a server that follows the protocol of the design page. Outages, delays, lost replies and rate caps are set with PUT /faults; GET /counts offers the number of calls.

--- /dev/null
+++ b/standins/src/main/kotlin/io/jackdawring/standins/StandInPlatform.kt
@@ -0,0 +1,23 @@
+package io.jackdawring.standins
+
+import io.jackdawring.server.http.HttpServer
+
+/** The platform's store and instance list as an HTTP server, with switchable faults and counted calls. */
+interface StandInPlatform : AutoCloseable {
+    /** Bound address as `ip:port`. */
+    val address: String
+
+    /** Faults in force; the same as `PUT /faults`. */
+    var faults: PlatformFaults
+
+    /** Calls so far; the same as `GET /counts`. */
+    fun counts(): PlatformCounts
+
+    override fun close()
+}
+
+/** Starts a [StandInPlatform] on a server of [http]. */
+fun startStandInPlatform(
+    options: StandInPlatformOptions,
+    http: HttpServer.Factory,
+): StandInPlatform = RealStandInPlatform(options, http, RealTimers())
--- /dev/null
+++ b/standins/src/main/kotlin/io/jackdawring/standins/Timers.kt
@@ -0,0 +1,50 @@
+package io.jackdawring.standins
+
+import java.util.concurrent.ScheduledThreadPoolExecutor
+import java.util.concurrent.TimeUnit
+
+/** Runs actions later on a thread of its own, so that event loops never wait. */
+interface Timers : AutoCloseable {
+    /** Monotonic time. */
+    fun nowMillis(): Long
+
+    /** Runs [action] after [delayMillis]. */
+    fun schedule(
+        delayMillis: Long,
+        action: () -> Unit,
+    ): TimerHandle
+
+    override fun close()
+}
+
+/** A scheduled action. */
+fun interface TimerHandle {
+    /** Prevents the action from running if it has not started. */
+    fun cancel()
+}
+
+/** Returns [Timers] backed by one daemon thread. */
+fun realTimers(): Timers = RealTimers()
+
+internal class RealTimers : Timers {
+    private val executor =
+        ScheduledThreadPoolExecutor(1) { task -> Thread(task, "standin-timers").apply { isDaemon = true } }.apply {
+            removeOnCancelPolicy = true
+        }
+
+    override fun nowMillis(): Long = System.nanoTime() / 1_000_000
+
+    override fun schedule(
+        delayMillis: Long,
+        action: () -> Unit,
+    ): TimerHandle {
+        // After close() the executor drops new actions: late answers of a closed stand-in have no receiver.
+        if (executor.isShutdown) return TimerHandle {}
+        val future = executor.schedule(action, delayMillis, TimeUnit.MILLISECONDS)
+        return TimerHandle { future.cancel(false) }
+    }
+
+    override fun close() {
+        executor.shutdownNow()
+    }
+}
