Add the stand-in target with modes and a log of its starts

Entry instances need targets whose behaviour a test can choose. A task is a timer, so event loops never wait. Slots, speed, stragglers, leaving, failing, freezing and usage headers switch with POST /control.

--- /dev/null
+++ b/standins/src/main/kotlin/io/jackdawring/standins/StandInTarget.kt
@@ -0,0 +1,34 @@
+package io.jackdawring.standins
+
+import io.jackdawring.server.http.HttpClient
+import io.jackdawring.server.http.HttpServer
+
+/** A target as an HTTP server whose tasks are timers, with switchable faults and a log of its starts. */
+interface StandInTarget : AutoCloseable {
+    val id: String
+
+    /** Bound address as `ip:port`. */
+    val address: String
+
+    /** Modes in force. */
+    val modes: TargetModes
+
+    /** Switches modes; the same as `POST /control`. */
+    fun control(change: TargetModeChange)
+
+    /** Accepted starts in order; the same as `GET /starts`. */
+    fun starts(): List<TaskStart>
+
+    /** The same as `GET /counts`. */
+    fun counts(): TargetCounts
+
+    /** Stops at once, as a crash would: running tasks are cut off and the registration ends with its lease. */
+    override fun close()
+}
+
+/** Starts a [StandInTarget] on a server of [http]; [client] registers it with the platform. */
+fun startStandInTarget(
+    options: StandInTargetOptions,
+    http: HttpServer.Factory,
+    client: HttpClient,
+): StandInTarget = RealStandInTarget(options, http, client, RealTimers(), System::currentTimeMillis)
