Add the HTTP server and client on Netty

Stand-ins, the load tool and the entry instance need one HTTP transport. HttpTransport owns NIO event loops and creates servers and clients.

Server: answers pipelined requests in order, bounds body, header, request line, pipelined requests, connections and buffered bytes, and closes after malformed input.

Client: one request at a time per connection. A request counts as not sent only if the socket accepted no byte of it, which WriteObserver tracks because the promise of a write also fails after a partial write.

--- /dev/null
+++ b/server/src/main/kotlin/io/jackdawring/server/http/HttpClientConnection.kt
@@ -0,0 +1,151 @@
+package io.jackdawring.server.http
+
+import io.netty.buffer.Unpooled
+import io.netty.channel.Channel
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.handler.codec.http.DefaultFullHttpRequest
+import io.netty.handler.codec.http.HttpContent
+import io.netty.handler.codec.http.HttpDecoderConfig
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpObject
+import io.netty.handler.codec.http.HttpRequestEncoder
+import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpResponseDecoder
+import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.HttpVersion
+import io.netty.handler.codec.http.LastHttpContent
+import io.netty.util.ReferenceCountUtil
+
+/** One connection of an [HttpConnectionPool] with at most one request at a time. */
+internal class HttpClientConnection(
+    private val pool: HttpConnectionPool,
+    private val address: String,
+    private val options: HttpClientOptions,
+) : ChannelInboundHandlerAdapter() {
+    private lateinit var channel: Channel
+    private val writeObserver = WriteObserver()
+    private var call: PendingHttpCall? = null
+    private var response: HttpResponse? = null
+    private val body = BodyBuffer()
+    private var closing = false
+
+    /** The request is not written in full; a response may arrive before, but the connection cannot be reused then. */
+    private var writing = false
+    var idleSinceNanos = 0L
+
+    val isUsable: Boolean get() = !closing && channel.isActive
+
+    fun install(channel: Channel) {
+        this.channel = channel
+        val pipeline = channel.pipeline()
+        pipeline.addLast(writeObserver)
+        options.sslContext?.let { pipeline.addLast(it.newHandler(channel.alloc())) }
+        val decoderConfig = HttpDecoderConfig().setMaxHeaderSize(options.maxHeaderBytes)
+        pipeline
+            .addLast(HttpResponseDecoder(decoderConfig))
+            .addLast(HttpRequestEncoder())
+            .addLast(this)
+    }
+
+    fun send(call: PendingHttpCall) {
+        this.call = call
+        call.connection = this
+        writeObserver.bytesWritten = false
+        writing = true
+        channel.writeAndFlush(encode(call.request)).addListener { future ->
+            writing = false
+            if (!future.isSuccess) fail("cannot write to $address: ${future.cause()?.message}")
+        }
+    }
+
+    private fun encode(request: HttpRequestMessage): DefaultFullHttpRequest {
+        val message =
+            DefaultFullHttpRequest(
+                HttpVersion.HTTP_1_1,
+                HttpMethod.valueOf(request.method),
+                encodeTarget(request),
+                Unpooled.wrappedBuffer(request.body),
+            )
+        val headers = message.headers()
+        headers.set(HttpHeaderNames.HOST, address)
+        request.headers.forEach { (name, value) -> headers.set(name, value) }
+        headers.setInt(HttpHeaderNames.CONTENT_LENGTH, request.body.size)
+        return message
+    }
+
+    override fun channelRead(
+        context: ChannelHandlerContext,
+        message: Any,
+    ) {
+        try {
+            if (closing || message !is HttpObject) return
+            if (call == null || message.decoderResult().isFailure) {
+                fail("$address sent an invalid response")
+                return
+            }
+            if (message is HttpResponse) response = message
+            if (message is HttpContent) append(message)
+        } finally {
+            ReferenceCountUtil.release(message)
+        }
+    }
+
+    private fun append(content: HttpContent) {
+        val response = response ?: return
+        if (body.size + content.content().readableBytes() > options.maxResponseBytes) {
+            fail("the response of $address exceeds ${options.maxResponseBytes} bytes")
+            return
+        }
+        body.append(content.content())
+        if (content is LastHttpContent) finish(response)
+    }
+
+    private fun finish(response: HttpResponse) {
+        this.response = null
+        val status = response.status().code()
+        if (status < FIRST_FINAL_STATUS) return
+        val message = HttpResponseMessage(status, response.headers().toLowerCaseMap(), body.take())
+        if (writing || !HttpUtil.isKeepAlive(response)) closing = true
+        val answered = detachCall()
+        // Released first, so that a request sent by the handler of the result can reuse the connection.
+        pool.release(this)
+        answered?.complete(HttpResult.Answered(message))
+    }
+
+    /** Ends the request in progress and closes the connection. */
+    fun fail(detail: String) {
+        closing = true
+        val failed = detachCall()
+        channel.close()
+        failed?.complete(if (writeObserver.bytesWritten) HttpResult.Broken(detail) else HttpResult.NotSent(detail))
+    }
+
+    private fun detachCall(): PendingHttpCall? {
+        val detached = call
+        call = null
+        detached?.connection = null
+        return detached
+    }
+
+    fun close() {
+        closing = true
+        channel.close()
+    }
+
+    override fun channelInactive(context: ChannelHandlerContext) {
+        fail("$address closed the connection")
+        pool.closed(this)
+    }
+
+    @Deprecated("Deprecated in ChannelInboundHandlerAdapter")
+    override fun exceptionCaught(
+        context: ChannelHandlerContext,
+        cause: Throwable,
+    ) = fail("connection to $address failed: ${cause.message}")
+
+    private companion object {
+        const val FIRST_FINAL_STATUS = 200
+    }
+}
--- /dev/null
+++ b/server/src/main/kotlin/io/jackdawring/server/http/HttpConnectionPool.kt
@@ -0,0 +1,172 @@
+package io.jackdawring.server.http
+
+import io.netty.bootstrap.Bootstrap
+import io.netty.channel.ChannelFutureListener
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.ChannelOption
+import io.netty.channel.EventLoop
+import io.netty.channel.socket.SocketChannel
+import io.netty.channel.socket.nio.NioSocketChannel
+import java.net.InetSocketAddress
+import java.util.concurrent.TimeUnit
+
+/** Connections of a client to one address; all state belongs to [loop]. */
+internal class HttpConnectionPool(
+    private val loop: EventLoop,
+    private val address: String,
+    private val socketAddress: InetSocketAddress,
+    private val options: HttpClientOptions,
+) {
+    private val idle = ArrayDeque<HttpClientConnection>()
+    private val open = HashSet<HttpClientConnection>()
+    private val waiting = ArrayDeque<PendingHttpCall>()
+    private var connecting = 0
+    private var idleCheckScheduled = false
+    private var closed = false
+
+    fun execute(action: () -> Unit) = if (loop.inEventLoop()) action() else loop.execute(action)
+
+    fun start(
+        call: PendingHttpCall,
+        timeoutMillis: Long,
+    ) {
+        if (closed) {
+            call.complete(HttpResult.NotSent("the client is closed"))
+            return
+        }
+        if (call.completed) return
+        call.timeout = loop.schedule({ abort(call, "timed out") }, timeoutMillis, TimeUnit.MILLISECONDS)
+        val connection = takeIdle()
+        val maximum = options.maxConnectionsPerAddress
+        when {
+            connection != null -> connection.send(call)
+            maximum == null || open.size + connecting < maximum -> connect(call)
+            waiting.size < options.maxWaitingPerAddress -> waiting.addLast(call)
+            else -> call.complete(HttpResult.NotSent("too many requests wait for a connection to $address"))
+        }
+    }
+
+    /** Takes the connection used last, so that unneeded ones become idle for long and are closed. */
+    private fun takeIdle(): HttpClientConnection? {
+        while (idle.isNotEmpty()) {
+            val connection = idle.removeLast()
+            if (connection.isUsable) return connection
+        }
+        return null
+    }
+
+    private fun connect(call: PendingHttpCall) {
+        connecting++
+        lateinit var connection: HttpClientConnection
+        Bootstrap()
+            .group(loop)
+            .channel(NioSocketChannel::class.java)
+            .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, options.connectTimeoutMillis)
+            .handler(
+                object : ChannelInitializer<SocketChannel>() {
+                    override fun initChannel(channel: SocketChannel) {
+                        connection = HttpClientConnection(this@HttpConnectionPool, address, options)
+                        connection.install(channel)
+                    }
+                },
+            ).connect(socketAddress)
+            .addListener(ChannelFutureListener { future -> execute { connected(future.cause(), call) { connection } } })
+    }
+
+    private fun connected(
+        cause: Throwable?,
+        call: PendingHttpCall,
+        connection: () -> HttpClientConnection,
+    ) {
+        connecting--
+        when {
+            cause != null -> {
+                call.complete(HttpResult.NotSent("cannot connect to $address: ${cause.message}"))
+                serveWaiting()
+            }
+
+            closed -> {
+                connection().close()
+                call.complete(HttpResult.NotSent("the client is closed"))
+            }
+
+            else -> {
+                open.add(connection())
+                if (call.completed) release(connection()) else connection().send(call)
+            }
+        }
+    }
+
+    /** Takes back a connection whose request is complete. */
+    fun release(connection: HttpClientConnection) {
+        if (!connection.isUsable) {
+            connection.close()
+            return
+        }
+        val next = takeWaiting()
+        if (next != null) {
+            connection.send(next)
+            return
+        }
+        connection.idleSinceNanos = System.nanoTime()
+        idle.addLast(connection)
+        scheduleIdleCheck()
+    }
+
+    /** Forgets a connection that has closed. */
+    fun closed(connection: HttpClientConnection) {
+        open.remove(connection)
+        idle.remove(connection)
+        serveWaiting()
+    }
+
+    private fun serveWaiting() {
+        val maximum = options.maxConnectionsPerAddress ?: return
+        if (closed || open.size + connecting >= maximum) return
+        takeWaiting()?.let(::connect)
+    }
+
+    private fun takeWaiting(): PendingHttpCall? {
+        while (waiting.isNotEmpty()) {
+            val call = waiting.removeFirst()
+            if (!call.completed) return call
+        }
+        return null
+    }
+
+    /** Ends [call] and closes its connection, if it has one. */
+    fun abort(
+        call: PendingHttpCall,
+        reason: String,
+    ) {
+        if (call.completed) return
+        val connection = call.connection
+        if (connection == null) {
+            waiting.remove(call)
+            call.complete(HttpResult.NotSent("$reason before a connection to $address was available"))
+        } else {
+            connection.fail("$reason while waiting for $address")
+        }
+    }
+
+    private fun scheduleIdleCheck() {
+        if (idleCheckScheduled) return
+        idleCheckScheduled = true
+        loop.schedule(::closeIdle, options.idleTimeoutMillis, TimeUnit.MILLISECONDS)
+    }
+
+    private fun closeIdle() {
+        idleCheckScheduled = false
+        val before = System.nanoTime() - TimeUnit.MILLISECONDS.toNanos(options.idleTimeoutMillis)
+        while (idle.isNotEmpty() && idle.first().idleSinceNanos - before <= 0) idle.removeFirst().close()
+        if (idle.isNotEmpty()) scheduleIdleCheck()
+    }
+
+    fun close() {
+        closed = true
+        waiting.toList().forEach { it.complete(HttpResult.NotSent("the client is closed")) }
+        waiting.clear()
+        open.toList().forEach { it.fail("the client is closed") }
+    }
+}
--- /dev/null
+++ b/server/src/main/kotlin/io/jackdawring/server/http/HttpServerOptions.kt
@@ -0,0 +1,21 @@
+package io.jackdawring.server.http
+
+import io.netty.handler.ssl.SslContext
+
+/**
+ * Limits of an [HttpServer].
+ *
+ * [maxBufferedBytes] bounds the bodies of all requests that are being received or handled; requests beyond it get 503.
+ * [idleTimeoutMillis] limits the time between two requests, the time to receive one request and the time to write one
+ * response. [maxPipelined] bounds the unanswered requests of a connection; reading pauses beyond it.
+ */
+class HttpServerOptions(
+    val maxConnections: Int = 10_000,
+    val maxBodyBytes: Int = 16 * 1024 * 1024,
+    val maxBufferedBytes: Long = 256L * 1024 * 1024,
+    val maxHeaderBytes: Int = 16 * 1024,
+    val maxRequestLineBytes: Int = 4 * 1024,
+    val maxPipelined: Int = 16,
+    val idleTimeoutMillis: Long = 75_000,
+    val sslContext: SslContext? = null,
+)
--- /dev/null
+++ b/server/src/main/kotlin/io/jackdawring/server/http/RealHttpExchange.kt
@@ -0,0 +1,44 @@
+package io.jackdawring.server.http
+
+import java.util.concurrent.atomic.AtomicReference
+
+internal class RealHttpExchange(
+    private val connection: HttpServerConnection,
+    override val request: HttpRequestMessage,
+    val keepAlive: Boolean,
+    val headOnly: Boolean,
+) : HttpExchange {
+    private val answer = AtomicReference<HttpResponseMessage?>()
+
+    /** Only used on the event loop. */
+    private var disconnectActions: MutableList<() -> Unit>? = null
+    private var disconnected = false
+    private var written = false
+
+    val response: HttpResponseMessage? get() = answer.get()
+
+    override fun respond(response: HttpResponseMessage) {
+        if (answer.compareAndSet(null, response)) connection.execute { connection.writeAnswers() }
+    }
+
+    override fun onDisconnected(action: () -> Unit) =
+        connection.execute {
+            when {
+                written -> Unit
+                disconnected -> action()
+                else -> (disconnectActions ?: ArrayList<() -> Unit>(1).also { disconnectActions = it }).add(action)
+            }
+        }
+
+    fun markWritten() {
+        written = true
+        disconnectActions = null
+    }
+
+    fun markDisconnected() {
+        disconnected = true
+        val actions = disconnectActions ?: return
+        disconnectActions = null
+        actions.forEach { it() }
+    }
+}
--- /dev/null
+++ b/server/src/main/kotlin/io/jackdawring/server/http/SocketAddresses.kt
@@ -0,0 +1,18 @@
+package io.jackdawring.server.http
+
+import io.netty.util.NetUtil
+import java.net.InetAddress
+import java.net.InetSocketAddress
+
+/** Parses `ip:port` or `[ipv6]:port`; null if it is neither, so that no name is ever looked up. */
+internal fun parseSocketAddress(address: String): InetSocketAddress? {
+    val colon = address.lastIndexOf(':')
+    if (colon <= 0) return null
+    val port = address.substring(colon + 1).toIntOrNull()?.takeIf { it in 0..65_535 } ?: return null
+    val host = address.substring(0, colon).removeSurrounding("[", "]")
+    val bytes = NetUtil.createByteArrayFromIpAddressString(host) ?: return null
+    return InetSocketAddress(InetAddress.getByAddress(bytes), port)
+}
+
+/** Formats [address] as `ip:port` or `[ipv6]:port`. */
+internal fun formatSocketAddress(address: InetSocketAddress): String = NetUtil.toSocketAddressString(address)
--- /dev/null
+++ b/server/src/test/kotlin/io/jackdawring/server/http/RealHttpClientTest.kt
@@ -0,0 +1,115 @@
+package io.jackdawring.server.http
+
+import org.junit.jupiter.api.AfterEach
+import java.net.InetAddress
+import java.net.ServerSocket
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.CountDownLatch
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+import kotlin.test.assertTrue
+
+/** Guards the line between "not sent" and "may have run": a wrong answer here starts a task twice. */
+class RealHttpClientTest {
+    private val transport = HttpTransport(threads = 2)
+
+    @AfterEach
+    fun stop() = transport.close()
+
+    private fun HttpClient.call(
+        address: String,
+        request: HttpRequestMessage = HttpRequestMessage("POST", "/x", body = "abc".encodeToByteArray()),
+        timeoutMillis: Long = 10_000,
+    ): HttpResult {
+        val result = CompletableFuture<HttpResult>()
+        send(address, request, timeoutMillis) { result.complete(it) }
+        return result.get(20, TimeUnit.SECONDS)
+    }
+
+    @Test
+    fun `a refused connection is not sent`() {
+        val unused = ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { "127.0.0.1:${it.localPort}" }
+        assertIs<HttpResult.NotSent>(transport.client().call(unused))
+        assertIs<HttpResult.NotSent>(transport.client().call("host.invalid:80"))
+    }
+
+    @Test
+    fun `a request that was written before the connection closed is broken`() {
+        ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { listener ->
+            val client = transport.client()
+            Thread { listener.accept().use { it.getInputStream().read() } }.start()
+            assertIs<HttpResult.Broken>(client.call("127.0.0.1:${listener.localPort}"))
+        }
+    }
+
+    @Test
+    fun `a truncated response is broken`() {
+        ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { listener ->
+            Thread {
+                listener.accept().use {
+                    it.getInputStream().read()
+                    it.getOutputStream().write("HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nabc".encodeToByteArray())
+                }
+            }.start()
+            assertIs<HttpResult.Broken>(transport.client().call("127.0.0.1:${listener.localPort}"))
+        }
+    }
+
+    @Test
+    fun `a silent server times out as broken and the waiting request behind it as not sent`() {
+        val server = transport.serverFactory().start("127.0.0.1:0") { }
+        val client = transport.client(HttpClientOptions(maxConnectionsPerAddress = 1))
+        val first = CompletableFuture<HttpResult>()
+        val second = CompletableFuture<HttpResult>()
+        client.send(server.address, HttpRequestMessage("GET", "/"), 400) { first.complete(it) }
+        client.send(server.address, HttpRequestMessage("GET", "/"), 100) { second.complete(it) }
+        assertIs<HttpResult.NotSent>(second.get(20, TimeUnit.SECONDS))
+        assertIs<HttpResult.Broken>(first.get(20, TimeUnit.SECONDS))
+    }
+
+    @Test
+    fun `cancelling closes the connection, which the server notices`() {
+        val arrived = CountDownLatch(1)
+        val disconnected = CountDownLatch(1)
+        val server =
+            transport.serverFactory().start("127.0.0.1:0") {
+                it.onDisconnected { disconnected.countDown() }
+                arrived.countDown()
+            }
+        val result = CompletableFuture<HttpResult>()
+        val call =
+            transport.client().send(server.address, HttpRequestMessage("GET", "/"), 20_000) { result.complete(it) }
+        assertTrue(arrived.await(20, TimeUnit.SECONDS))
+        call.cancel()
+        assertIs<HttpResult.Broken>(result.get(20, TimeUnit.SECONDS))
+        assertTrue(disconnected.await(20, TimeUnit.SECONDS))
+    }
+
+    @Test
+    fun `one connection serves many requests one at a time`() {
+        val inProgress = AtomicInteger()
+        val highest = AtomicInteger()
+        val server =
+            transport.serverFactory().start("127.0.0.1:0") { exchange ->
+                highest.accumulateAndGet(inProgress.incrementAndGet(), ::maxOf)
+                transport.nextLoop().schedule({
+                    inProgress.decrementAndGet()
+                    exchange.respond(HttpResponseMessage(200, body = exchange.request.body))
+                }, 1, TimeUnit.MILLISECONDS)
+            }
+        val client = transport.client(HttpClientOptions(maxConnectionsPerAddress = 2))
+        val results = List(50) { CompletableFuture<HttpResult>() }
+        results.forEachIndexed { index, result ->
+            val request = HttpRequestMessage("POST", "/", body = "$index".encodeToByteArray())
+            client.send(server.address, request, 20_000) { result.complete(it) }
+        }
+        results.forEachIndexed { index, result ->
+            val answered = assertIs<HttpResult.Answered>(result.get(20, TimeUnit.SECONDS))
+            assertEquals("$index", answered.response.body.decodeToString())
+        }
+        assertTrue(highest.get() <= 2, "requests in progress at once: ${highest.get()}")
+    }
+}
