--- a/core/src/main/kotlin/io/jackdawring/core/configuration/RealConfigurationRegistry.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/configuration/RealConfigurationRegistry.kt
@@ -104,8 +104,8 @@
         val unchanged = headRevision == answer.revision
         headRevision = answer.revision
         if (!unchanged) answer.value?.let { onStoreHead(it, nowMillis) }
-        // A store that answers watches at once without a change must not be called in a loop.
-        headDueMillis = if (unchanged) headCallMillis + MIN_WATCH_MILLIS else nowMillis
+        // A store that answers watches at once must not be called in a loop, even if its revision grows meanwhile.
+        headDueMillis = headCallMillis + if (unchanged) MIN_UNCHANGED_SPACING_MILLIS else MIN_SPACING_MILLIS
         if (nowMillis >= headDueMillis) callHead(nowMillis)
     }
 
@@ -249,7 +249,8 @@
 
         /** Long waits keep the store's read load low: 30 instances make one read per second. */
         private const val WATCH_MILLIS = 30_000L
-        private const val MIN_WATCH_MILLIS = 1_000L
+        private const val MIN_SPACING_MILLIS = 100L
+        private const val MIN_UNCHANGED_SPACING_MILLIS = 1_000L
         private const val REQUEST_RETRY_MILLIS = 1_000L
 
         /** 160 teams at a start-up within 20 round trips, without a burst at the store. */
--- /dev/null
+++ b/testing/src/test/kotlin/io/jackdawring/testing/PublicationTest.kt
@@ -0,0 +1,347 @@
+package io.jackdawring.testing
+
+import io.jackdawring.core.FailureDomainId
+import io.jackdawring.core.InstanceId
+import io.jackdawring.core.InstanceList
+import io.jackdawring.core.InstanceRole
+import io.jackdawring.core.ListedInstance
+import io.jackdawring.core.ListedState
+import io.jackdawring.core.StoreAnswer
+import io.jackdawring.core.StoreCall
+import io.jackdawring.core.configuration.ConfigurationCodec
+import io.jackdawring.core.configuration.ConfigurationHead
+import io.jackdawring.core.configuration.Confirmation
+import io.jackdawring.core.configuration.ConfirmationTracker
+import io.jackdawring.core.configuration.KindDefinition
+import io.jackdawring.core.configuration.Publication
+import io.jackdawring.core.configuration.PublicationDiff
+import io.jackdawring.core.configuration.PublicationResult
+import io.jackdawring.core.configuration.PublicationResult.Committed
+import io.jackdawring.core.configuration.PublicationResult.Conflict
+import io.jackdawring.core.configuration.PublicationResult.NotCommitted
+import io.jackdawring.core.configuration.PublicationResult.Undecided
+import io.jackdawring.core.configuration.PublicationStep
+import io.jackdawring.core.configuration.ServiceDefinition
+import net.jqwik.api.ForAll
+import net.jqwik.api.Property
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+
+class PublicationTest {
+    private fun service(
+        team: String,
+        quota: Int = 1,
+        name: String = "$team-service",
+    ) = ServiceDefinition(name, team, 1, quota, listOf(KindDefinition("k", 1)))
+
+    private fun heads(store: FakeStore): List<ConfigurationHead> =
+        store.history(ConfigurationCodec.HEAD_KEY).map { checkNotNull(ConfigurationCodec.decodeHead(it)) }
+
+    /** Performs the steps of a publication against [store]. */
+    private class Operator(
+        private val store: FakeStore,
+        val publication: Publication,
+    ) {
+        var result: PublicationResult? = null
+        var nextCall: PublicationStep.Call? = null
+        var dueMillis = 0L
+
+        fun begin() = accept(publication.start())
+
+        private fun accept(step: PublicationStep) {
+            when (step) {
+                is PublicationStep.Finished -> result = step.result
+                is PublicationStep.Call -> {
+                    nextCall = step
+                    dueMillis = store.nowMillis + step.delayMillis
+                }
+            }
+        }
+
+        /** Makes the next call if it is due. */
+        fun act() {
+            val step = nextCall?.takeIf { result == null && dueMillis <= store.nowMillis } ?: return
+            nextCall = null
+            store.call(step.call) { if (result == null) accept(publication.onAnswered(it)) }
+        }
+
+        fun run(): PublicationResult {
+            begin()
+            while (result == null) {
+                act()
+                if (result == null) store.advanceTo(maxOf(store.nextEventMillis() ?: 0, dueMillis))
+            }
+            return checkNotNull(result)
+        }
+    }
+
+    private fun FakeStore.publish(
+        id: String,
+        vararg services: ServiceDefinition,
+        teams: Set<String> = services.map { it.team }.toSet(),
+        by: String = "op-$id",
+    ) = Operator(this, Publication(services.toList(), by, id, teams)).run()
+
+    private fun FakeStore.loseReplies(
+        count: Int,
+        then: () -> Unit = {},
+    ) {
+        var left = count
+        losesReply = { call ->
+            val lose = left > 0 && call is StoreCall.CompareAndSwap && call.key == ConfigurationCodec.HEAD_KEY
+            if (lose) {
+                left--
+                losesReply = { false }
+                then()
+                if (left > 0) loseReplies(left, then)
+            }
+            lose
+        }
+    }
+
+    /** Guards against a result that does not say what the store holds, and against an overwritten publication. */
+    @Test
+    fun `results match the store`() {
+        class Case(
+            val name: String,
+            val expected: PublicationResult,
+            val finalVersion: Long?,
+            val steps: FakeStore.() -> PublicationResult,
+        )
+        val otherFirst = {
+            store: FakeStore,
+            count: Int,
+            ->
+            repeat(count) { store.publish("x$it", service("blue", it)) }
+        }
+        val cases =
+            listOf(
+                Case("first publication", Committed(1), 1) { publish("p", service("red")) },
+                Case("second publication", Committed(2), 2) {
+                    publish("a", service("blue"))
+                    publish("p", service("red"))
+                },
+                Case("the same id again", Committed(1), 2) {
+                    publish("p", service("red"))
+                    publish("a", service("blue"))
+                    publish("p", service("red"))
+                },
+                Case("lost reply", Committed(1), 1) {
+                    loseReplies(1)
+                    publish("p", service("red"))
+                },
+                Case("lost reply, then 30 others publish", Committed(1), 31) {
+                    val operator = Operator(this, Publication(listOf(service("red")), "op", "p", setOf("red")))
+                    loseReplies(1) { schedulePublications(this, 30) }
+                    operator.run()
+                },
+                Case("lost reply, then more others than the history holds", Undecided, 36) {
+                    loseReplies(1) { schedulePublications(this, 35) }
+                    publish("p", service("red"))
+                },
+                Case("the swap takes effect only after the time limit", Committed(1), 1) {
+                    val operator = Operator(this, Publication(listOf(service("red")), "op", "p", setOf("red")))
+                    operator.begin()
+                    operator.act()
+                    operator.act()
+                    delayMillis = 5_000
+                    operator.act()
+                    advanceTo(1_000)
+                    delayMillis = 0
+                    while (operator.result == null) {
+                        operator.act()
+                        advanceTo(nowMillis + 10)
+                    }
+                    advanceTo(10_000)
+                    checkNotNull(operator.result)
+                },
+                Case("lost race", Conflict("op-a", 1), 1) {
+                    val operator = Operator(this, Publication(listOf(service("red")), "op", "p", setOf("red")))
+                    operator.begin()
+                    operator.act()
+                    publish("a", service("red", 7))
+                    while (operator.result == null) operator.act()
+                    checkNotNull(operator.result)
+                },
+                Case("store down", NotCommitted("the store did not answer the read of the head"), null) {
+                    down = true
+                    publish("p", service("red"))
+                },
+                Case("time limit during the swap", Undecided, null) {
+                    val operator = Operator(this, Publication(listOf(service("red")), "op", "p", setOf("red")))
+                    operator.begin()
+                    repeat(2) { operator.act() }
+                    operator.publication.giveUp()
+                },
+                Case(
+                    "time limit before the swap",
+                    NotCommitted("the time limit was reached before the head was swapped"),
+                    null,
+                ) {
+                    val operator = Operator(this, Publication(listOf(service("red")), "op", "p", setOf("red")))
+                    operator.begin()
+                    operator.publication.giveUp()
+                },
+                Case("service of another team", NotCommitted("service s is already defined by team blue"), 1) {
+                    publish("a", service("blue", name = "s"))
+                    publish("p", service("red", name = "s"))
+                },
+                Case(
+                    "team not replaced",
+                    NotCommitted("service red-service belongs to team red, which is not replaced"),
+                    null,
+                ) {
+                    publish("p", service("red"), teams = setOf("blue"))
+                },
+                Case("service twice", NotCommitted("service red-service is defined twice"), null) {
+                    publish("p", service("red"), service("red"))
+                },
+                Case("malformed head", NotCommitted("the head in the store is malformed"), null) {
+                    force(ConfigurationCodec.HEAD_KEY, "?")
+                    publish("p", service("red"))
+                },
+                Case(
+                    "document of another team lost",
+                    NotCommitted("the document of team blue is missing or damaged; publish that team first"),
+                    1,
+                ) {
+                    publish("a", service("blue"))
+                    force(ConfigurationCodec.documentKey(heads(this)[0].documents.getValue("blue")), null)
+                    publish("p", service("red"))
+                },
+                Case("own document lost", Committed(2), 2) {
+                    publish("a", service("red"))
+                    force(ConfigurationCodec.documentKey(heads(this)[0].documents.getValue("red")), null)
+                    publish("p", service("red"))
+                },
+                Case("team removed", Committed(3), 3) {
+                    otherFirst(this, 1)
+                    publish("a", service("red"))
+                    publish(
+                        "p",
+                        teams = setOf("blue"),
+                    ).also { assertEquals(setOf("red"), heads(this).last().documents.keys) }
+                },
+            )
+        for (case in cases) {
+            val store = FakeStore()
+            assertEquals(case.expected, case.steps(store), case.name)
+            val head = store.value(ConfigurationCodec.HEAD_KEY)?.let { ConfigurationCodec.decodeHead(it) }
+            assertEquals(case.finalVersion, head?.version, case.name)
+        }
+    }
+
+    private fun schedulePublications(
+        store: FakeStore,
+        count: Int,
+    ) {
+        // Runs after the swap with the lost reply has taken effect, before its publisher reads back.
+        store.call(StoreCall.Watch(ConfigurationCodec.HEAD_KEY, 1, 10)) {
+            repeat(count) { store.publish("x$it", service("blue", it)) }
+        }
+    }
+
+    /** Guards against a diff that hides what a publication removes or changes. */
+    @Test
+    fun `the diff names added, changed and removed services`() {
+        val store = FakeStore()
+        store.publish("a", service("red", name = "r1"), service("red", name = "r2"), service("blue"))
+        val operator =
+            Operator(
+                store,
+                Publication(listOf(service("red", 5, "r1"), service("red", name = "r3")), "op", "p", setOf("red")),
+            )
+        operator.run()
+        assertEquals(PublicationDiff(listOf("r3"), listOf("r1"), listOf("r2")), operator.publication.diff)
+    }
+
+    /** Guards against a publication called accepted before every listed entry instance confirmed it. */
+    @Test
+    fun `only listed entry instances that all confirmed make a version accepted`() {
+        fun listed(
+            id: String,
+            role: InstanceRole = InstanceRole.ENTRY,
+            state: ListedState = ListedState.LIVE,
+        ) = ListedInstance(id, role, FailureDomainId("a"), "10.0.0.1:1", state)
+        val all = listOf(listed("e1"), listed("e2", state = ListedState.LEAVING), listed("t1", InstanceRole.TARGET))
+        val cases =
+            listOf(
+                Triple(all, listOf("e1" to 5L, "e2" to 6L), Confirmation.Accepted),
+                Triple(all, listOf("e1" to 5L), Confirmation.Pending(listOf("e2"))),
+                Triple(all, listOf("e1" to 5L, "e2" to 4L), Confirmation.Pending(listOf("e2"))),
+                Triple(all, listOf("e1" to 5L, "e2" to 5L, "e1" to 0L), Confirmation.Pending(listOf("e1"))),
+                Triple(all, listOf("e3" to 5L), Confirmation.Pending(listOf("e1", "e2"))),
+                Triple(emptyList(), listOf("e1" to 5L), Confirmation.Pending(emptyList())),
+            )
+        for ((instances, reports, expected) in cases) {
+            val tracker = ConfirmationTracker(5)
+            reports.forEach { (id, version) -> tracker.reported(InstanceId(id), version) }
+            assertEquals(expected, tracker.check(InstanceList(1, instances)), "$reports")
+        }
+    }
+
+    /**
+     * Guards against a publication that is lost, counted twice, denied although it took effect, or that undoes another
+     * one, when operators race each other and the store fails.
+     */
+    @Property(seed = "23", tries = 400)
+    fun `interleaved publications with faults leave one true history`(
+        @ForAll seed: Long,
+    ) {
+        val random = Random(seed)
+        val store = FakeStore()
+        val teams = listOf("red", "blue", "green")
+        val operators = LinkedHashMap<String, Operator>()
+        val replaced = HashMap<String, Set<String>>()
+        store.losesReply = { random.nextInt(5) == 0 }
+        repeat(300) { step ->
+            if (random.nextInt(12) == 0) {
+                val id = "p$step"
+                replaced[id] = teams.filter { random.nextBoolean() }.toSet()
+                val services = replaced.getValue(id).filter { random.nextInt(5) > 0 }.map { service(it, step) }
+                operators[id] =
+                    Operator(store, Publication(services, "op", id, replaced.getValue(id))).also { it.begin() }
+            }
+            store.down = random.nextInt(10) == 0
+            store.delayMillis = listOf(0L, 0L, 5L, 200L, 3_000L).random(random)
+            val open = operators.values.filter { it.result == null }
+            repeat(3) { open.randomOrNull(random)?.act() }
+            val impatient = open.randomOrNull(random)?.takeIf { random.nextInt(60) == 0 }
+            impatient?.let { it.result = it.result ?: it.publication.giveUp() }
+            store.advanceTo(store.nowMillis + random.nextLong(300))
+        }
+        operators.values.forEach { if (it.result == null) it.result = it.publication.giveUp() }
+        // Effects of calls whose callers stopped waiting still come.
+        store.advanceTo(store.nowMillis + 100_000)
+        val heads = heads(store)
+        assertEquals(heads.indices.map { it + 1L }, heads.map { it.version })
+        val versions = heads.groupBy({ it.publishId }, { it.version })
+        for ((id, operator) in operators) {
+            when (val result = checkNotNull(operator.result)) {
+                is Committed -> assertEquals(listOf(result.version), versions[id], id)
+                is Conflict, is NotCommitted -> assertEquals(null, versions[id], "$id: $result")
+                Undecided -> assertTrue(versions[id].orEmpty().size <= 1, id)
+            }
+        }
+        for ((former, next) in heads.zipWithNext()) {
+            val own = replaced.getValue(next.publishId)
+            assertEquals(
+                former.documents - own,
+                next.documents - own,
+                "${next.publishId} changed a team that it does not replace",
+            )
+            assertTrue(next.documents.values.all { store.value(ConfigurationCodec.documentKey(it)) != null })
+        }
+    }
+
+    /** Guards against an answer that arrives after the end and changes the result. */
+    @Test
+    fun `answers after the end change nothing`() {
+        val publication = Publication(listOf(service("red")), "op", "p", setOf("red"))
+        publication.start()
+        val result = publication.giveUp()
+        assertEquals(PublicationStep.Finished(result), publication.onAnswered(StoreAnswer.Found(null, 0)))
+    }
+}
