--- /dev/null
+++ b/core/src/main/kotlin/io/jackdawring/core/configuration/JsonObjectReader.kt
@@ -0,0 +1,160 @@
+package io.jackdawring.core.configuration
+
+import kotlinx.serialization.json.JsonArray
+import kotlinx.serialization.json.JsonElement
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
+import kotlinx.serialization.json.booleanOrNull
+import kotlinx.serialization.json.doubleOrNull
+import kotlinx.serialization.json.longOrNull
+
+/** Reads the values of one JSON object and collects every fault instead of stopping at the first. */
+internal class JsonObjectReader(
+    private val file: String,
+    private val path: String,
+    private val source: JsonObject,
+    allowedKeys: Set<String>,
+    private val errors: MutableList<ServiceFileError>,
+) {
+    init {
+        for (key in source.keys - allowedKeys) {
+            val suggestion =
+                closestKey(
+                    key,
+                    allowedKeys - source.keys,
+                )?.let { "did you mean \"$it\"? Known keys: " }.orEmpty()
+            fault(key, "the key \"$key\"", suggestion + allowedKeys.joinToString())
+        }
+    }
+
+    fun name(key: String): String =
+        value(key, "", ServiceFileFormat.NAME_ALLOWED) { element ->
+            (element as? JsonPrimitive)?.takeIf { it.isString }?.content?.takeIf { ServiceFileFormat.NAME.matches(it) }
+        }
+
+    fun whole(
+        key: String,
+        range: LongRange,
+        default: Long? = null,
+    ): Long =
+        value(key, default ?: range.first, "a whole number from ${range.first} to ${range.last}", default != null) {
+            number(it)?.longOrNull?.takeIf { number -> number in range }
+        }
+
+    fun decimal(
+        key: String,
+        range: ClosedFloatingPointRange<Double>,
+    ): Double =
+        value(key, range.start, "a number from ${range.start} to ${range.endInclusive}") {
+            number(it)?.doubleOrNull?.takeIf { number -> number in range }
+        }
+
+    fun boolean(
+        key: String,
+        default: Boolean,
+    ): Boolean = value(key, default, "true or false", true) { number(it)?.booleanOrNull }
+
+    /** The object at [key] as [read] makes it, or null if there is none. */
+    fun <T : Any> objectOrNull(
+        key: String,
+        allowedKeys: Set<String>,
+        read: (JsonObjectReader) -> T,
+    ): T? {
+        if (key !in source) return null
+        val inner =
+            value(
+                key,
+                JsonObject(emptyMap()),
+                "an object with the keys ${allowedKeys.joinToString()}",
+            ) { it as? JsonObject }
+        return if (inner ===
+            source[key]
+        ) {
+            read(JsonObjectReader(file, "$path$key.", inner, allowedKeys, errors))
+        } else {
+            null
+        }
+    }
+
+    /** The objects of the array at [key]; 1 to [max] of them. */
+    fun <T> objects(
+        key: String,
+        max: Int,
+        allowedKeys: Set<String>,
+        read: (JsonObjectReader) -> T,
+    ): List<T> {
+        val array =
+            value(key, JsonArray(emptyList()), "an array of 1 to $max objects") { element ->
+                (element as? JsonArray)?.takeIf { it.size in 1..max && it.all { entry -> entry is JsonObject } }
+            }
+        return array.mapIndexed { index, element ->
+            read(JsonObjectReader(file, "$path$key[$index].", element as JsonObject, allowedKeys, errors))
+        }
+    }
+
+    /** A JSON literal that is not a string. */
+    private fun number(element: JsonElement): JsonPrimitive? = (element as? JsonPrimitive)?.takeIf { !it.isString }
+
+    private fun <T : Any> value(
+        key: String,
+        substitute: T,
+        allowed: String,
+        optional: Boolean = false,
+        convert: (JsonElement) -> T?,
+    ): T {
+        val element = source[key]
+        if (element == null) {
+            if (!optional) fault(key, "a missing value", allowed)
+            return substitute
+        }
+        val converted = convert(element)
+        if (converted == null) fault(key, abbreviated(element), allowed)
+        return converted ?: substitute
+    }
+
+    private fun abbreviated(element: JsonElement): String {
+        val text = element.toString()
+        return if (text.length > MAX_SHOWN_CHARS) text.take(MAX_SHOWN_CHARS) + "…" else text
+    }
+
+    private fun fault(
+        key: String,
+        value: String,
+        allowed: String,
+    ) {
+        errors += ServiceFileError(file, path + key, value, allowed)
+    }
+
+    private companion object {
+        const val MAX_SHOWN_CHARS = 80
+    }
+}
+
+/** The one of [candidates] with the fewest edits from [key], if that is at most a third of its length, at least 2. */
+internal fun closestKey(
+    key: String,
+    candidates: Set<String>,
+): String? =
+    candidates
+        .map { it to editDistance(key.lowercase(), it.lowercase()) }
+        .filter { (candidate, distance) -> distance <= maxOf(2, candidate.length / 3) }
+        .minByOrNull { it.second }
+        ?.first
+
+/** Levenshtein distance. */
+private fun editDistance(
+    left: String,
+    right: String,
+): Int {
+    var previous = IntArray(right.length + 1) { it }
+    for (i in 1..left.length) {
+        val row = IntArray(right.length + 1)
+        row[0] = i
+        for (j in 1..right.length) {
+            val substitution = previous[j - 1] + if (left[i - 1] == right[j - 1]) 0 else 1
+            row[j] = minOf(substitution, previous[j] + 1, row[j - 1] + 1)
+        }
+        previous = row
+    }
+    return previous[right.length]
+}
--- /dev/null
+++ b/core/src/main/kotlin/io/jackdawring/core/configuration/ServiceFileParser.kt
@@ -0,0 +1,117 @@
+package io.jackdawring.core.configuration
+
+import arrow.core.Either
+import arrow.core.NonEmptyList
+import arrow.core.left
+import arrow.core.nonEmptyListOf
+import arrow.core.right
+import arrow.core.toNonEmptyListOrNull
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonObject
+
+/** Parses and validates service files; every fault is reported, not only the first. */
+object ServiceFileParser {
+    /** The service that [text], the content of [file], describes. */
+    fun parse(
+        file: String,
+        text: String,
+    ): Either<NonEmptyList<ServiceFileError>, ServiceDefinition> {
+        val bytes = text.encodeToByteArray().size
+        if (bytes > ServiceFileFormat.MAX_FILE_BYTES) {
+            return fileError(file, "a size of $bytes bytes", "up to ${ServiceFileFormat.MAX_FILE_BYTES} bytes")
+        }
+        val element =
+            try {
+                Json.parseToJsonElement(text)
+            } catch (e: SerializationException) {
+                return fileError(file, "malformed JSON (${e.message?.lineSequence()?.first()})", "one JSON object")
+            }
+        if (element !is JsonObject) return fileError(file, "a JSON value that is not an object", "one JSON object")
+        val errors = ArrayList<ServiceFileError>()
+        val service = service(JsonObjectReader(file, "", element, ServiceFileFormat.SERVICE_KEYS, errors))
+        errors += repeatedKinds(file, service)
+        return errors.toNonEmptyListOrNull()?.left() ?: service.right()
+    }
+
+    /** Checks that the services of all files, given by file name, fit together. */
+    fun validateTogether(
+        services: Map<String, ServiceDefinition>,
+    ): Either<NonEmptyList<ServiceFileError>, List<ServiceDefinition>> {
+        val errors = repeatedServices(services) + differingTeamValues(services)
+        return errors.toNonEmptyListOrNull()?.left() ?: services.values.toList().right()
+    }
+
+    private fun fileError(
+        file: String,
+        value: String,
+        allowed: String,
+    ) = nonEmptyListOf(ServiceFileError(file, "file", value, allowed)).left()
+
+    private fun service(reader: JsonObjectReader) =
+        ServiceDefinition(
+            service = reader.name("service"),
+            team = reader.name("team"),
+            weight = reader.whole("weight", ServiceFileFormat.WEIGHT, default = 1).toInt(),
+            quotaTasks = reader.whole("quotaTasks", ServiceFileFormat.QUOTA_TASKS, default = 100_000).toInt(),
+            kinds = reader.objects("kinds", ServiceFileFormat.MAX_KINDS, ServiceFileFormat.KIND_KEYS, ::kind),
+        )
+
+    private fun kind(reader: JsonObjectReader) =
+        KindDefinition(
+            name = reader.name("name"),
+            priority = reader.whole("priority", ServiceFileFormat.PRIORITY).toInt(),
+            idempotent = reader.boolean("idempotent", default = false),
+            expectedMillis = reader.whole("expectedMillis", ServiceFileFormat.EXPECTED_MILLIS, default = 200),
+            objective = reader.objectOrNull("objective", ServiceFileFormat.OBJECTIVE_KEYS, ::objective),
+        )
+
+    private fun objective(reader: JsonObjectReader) =
+        Objective(
+            latencyMillis = reader.whole("latencyMillis", ServiceFileFormat.LATENCY_MILLIS),
+            percent = reader.decimal("percent", ServiceFileFormat.PERCENT),
+        )
+
+    private fun repeatedKinds(
+        file: String,
+        service: ServiceDefinition,
+    ): List<ServiceFileError> =
+        service.kinds.withIndex().groupBy { it.value.name }.filterKeys { it.isNotEmpty() }.values.flatMap { same ->
+            same.drop(1).map { (index, kind) ->
+                val allowed = "a name that differs from kinds[${same[0].index}].name"
+                ServiceFileError(file, "kinds[$index].name", "\"${kind.name}\"", allowed)
+            }
+        }
+
+    private fun repeatedServices(services: Map<String, ServiceDefinition>): List<ServiceFileError> =
+        services.entries.groupBy { it.value.service }.values.flatMap { same ->
+            same.drop(1).map { (file, service) ->
+                val allowed = "a service that ${same[0].key} does not define already"
+                ServiceFileError(file, "service", "\"${service.service}\"", allowed)
+            }
+        }
+
+    /** Quota and weight hold for the team, so all its files must state the same ones. */
+    private fun differingTeamValues(services: Map<String, ServiceDefinition>): List<ServiceFileError> =
+        services.entries.groupBy { it.value.team }.values.flatMap { ofTeam ->
+            val (firstFile, first) = ofTeam[0]
+            ofTeam.drop(1).flatMap { (file, service) ->
+                listOfNotNull(
+                    differing(file, "quotaTasks", service.quotaTasks, first.quotaTasks, firstFile, service.team),
+                    differing(file, "weight", service.weight, first.weight, firstFile, service.team),
+                )
+            }
+        }
+
+    private fun differing(
+        file: String,
+        key: String,
+        value: Int,
+        expected: Int,
+        firstFile: String,
+        team: String,
+    ): ServiceFileError? {
+        if (value == expected) return null
+        return ServiceFileError(file, key, "$value", "$expected, as $firstFile states it for team $team")
+    }
+}
