--- a/core/src/main/kotlin/io/jackdawring/core/membership/RealMembership.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/membership/RealMembership.kt
@@ -33,6 +33,7 @@
 
     /** Addresses of entry instances in the platform's list by id, this instance excluded. */
     private var listed: Map<String, String> = emptyMap()
+    private var listedAddresses: Set<String> = emptySet()
     private var listVersion = Long.MIN_VALUE
     private val failedAddresses = HashSet<String>()
 
@@ -61,7 +62,8 @@
             list.instances
                 .filter { it.role == InstanceRole.ENTRY && it.id != self.instanceId.value }
                 .associate { it.id to it.address }
-        failedAddresses.retainAll { it in byAddress || it in listed.values }
+        listedAddresses = listed.values.toSet()
+        failedAddresses.retainAll { isKnownAddress(it) }
     }
 
     override fun merge(
@@ -189,9 +191,8 @@
         peerAddress: String,
         nowMillis: Long,
     ) {
-        val known = byAddress[peerAddress]
-        if (known != null || peerAddress in listed.values) failedAddresses.add(peerAddress)
-        known?.forEach { setSuspicion(it, silent = it.silent, sendFailed = true) }
+        if (isKnownAddress(peerAddress)) failedAddresses.add(peerAddress)
+        byAddress[peerAddress]?.forEach { setSuspicion(it, silent = it.silent, sendFailed = true) }
         recount()
     }
 
@@ -246,7 +247,7 @@
         if (nowMillis < nextGossipMillis) return emptyList()
         nextGossipMillis = nowMillis + options.gossipIntervalMillis
         val addresses =
-            (byAddress.keys + listed.values)
+            (byAddress.keys + listedAddresses)
                 .filter { it != self.peerAddress }
                 .sorted()
         val (doubtful, healthy) = addresses.partition { isDoubtful(it) }
@@ -271,7 +272,8 @@
         return listed[id] == owner.peerAddress && owner.peerAddress !in failedAddresses && id !in dropped
     }
 
-    override fun isKnownAddress(peerAddress: String): Boolean = peerAddress in byAddress || peerAddress in listed.values
+    override fun isKnownAddress(peerAddress: String): Boolean =
+        peerAddress in byAddress || peerAddress in listedAddresses
 
     override fun successorOf(owner: Owner): Owner? =
         successions.follow(owner) { id, incarnation ->
@@ -302,6 +304,7 @@
 
     override fun onTimer(nowMillis: Long) {
         if (nowMillis < nextSweepMillis) return
+        forgiveOwnPause(nowMillis)
         nextSweepMillis = nowMillis + sweepIntervalMillis
         for (member in members.values.toList()) {
             val silenceMillis = nowMillis - member.advancedMillis
@@ -317,6 +320,13 @@
         recount()
     }
 
+    /** A process that was paused itself heard nothing meanwhile; that says nothing about the others. */
+    private fun forgiveOwnPause(nowMillis: Long) {
+        val lateMillis = nowMillis - nextSweepMillis
+        if (nextSweepMillis == DUE_AT_ONCE || lateMillis < options.suspectAfterMillis / 2) return
+        members.values.forEach { it.advancedMillis = minOf(nowMillis, it.advancedMillis + lateMillis) }
+    }
+
     private fun drop(
         member: Member,
         incarnation: Long,
--- a/core/src/test/kotlin/io/jackdawring/core/membership/RealMembershipTest.kt
+++ b/core/src/test/kotlin/io/jackdawring/core/membership/RealMembershipTest.kt
@@ -93,6 +93,15 @@
                     onTimer(30_000)
                     hear(fact(b, 2), atMillis = 30_100)
                 },
+                Case("this process was paused itself", "live") {
+                    onTimer(1_000)
+                    onTimer(41_000)
+                },
+                Case("silent after the own pause", "suspect") {
+                    onTimer(1_000)
+                    onTimer(41_000)
+                    (41_250L..42_750L step 250).forEach { onTimer(it) }
+                },
                 Case("restart", "live") {
                     onTimer(3_000)
                     hear(fact(restarted), atMillis = 3_100)
