Check the sum of a team's quotas; answer fake store calls at once

The core adds up the quotas of a team's services, so different values in the files of a team are right and only their sum is limited. The weight stays one value per team.

FakeStore also answers a call at once at a given time, for drivers that simulate the network themselves.

--- a/core/src/main/kotlin/io/jackdawring/core/configuration/ServiceFileParser.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/configuration/ServiceFileParser.kt
@@ -38,7 +38,7 @@
     fun validateTogether(
         services: Map<String, ServiceDefinition>,
     ): Either<NonEmptyList<ServiceFileError>, List<ServiceDefinition>> {
-        val errors = repeatedServices(services) + differingTeamValues(services)
+        val errors = repeatedServices(services) + inconsistentTeams(services)
         return errors.toNonEmptyListOrNull()?.left() ?: services.values.toList().right()
     }
 
@@ -91,27 +91,27 @@
             }
         }
 
-    /** Quota and weight hold for the team, so all its files must state the same ones. */
-    private fun differingTeamValues(services: Map<String, ServiceDefinition>): List<ServiceFileError> =
-        services.entries.groupBy { it.value.team }.values.flatMap { ofTeam ->
+    /** The weight is one of the team; its quota is the sum over its services. */
+    private fun inconsistentTeams(services: Map<String, ServiceDefinition>): List<ServiceFileError> =
+        services.entries.groupBy { it.value.team }.flatMap { (team, ofTeam) ->
             val (firstFile, first) = ofTeam[0]
-            ofTeam.drop(1).flatMap { (file, service) ->
-                listOfNotNull(
-                    differing(file, "quotaTasks", service.quotaTasks, first.quotaTasks, firstFile, service.team),
-                    differing(file, "weight", service.weight, first.weight, firstFile, service.team),
-                )
-            }
+            val otherWeights = ofTeam.filter { it.value.weight != first.weight }
+            val weightErrors =
+                otherWeights.map { (file, service) ->
+                    val allowed = "${first.weight}, as $firstFile states it for team $team"
+                    ServiceFileError(file, "weight", "${service.weight}", allowed)
+                }
+            weightErrors + listOfNotNull(excessiveQuota(team, ofTeam))
         }
 
-    private fun differing(
-        file: String,
-        key: String,
-        value: Int,
-        expected: Int,
-        firstFile: String,
+    private fun excessiveQuota(
         team: String,
+        ofTeam: List<Map.Entry<String, ServiceDefinition>>,
     ): ServiceFileError? {
-        if (value == expected) return null
-        return ServiceFileError(file, key, "$value", "$expected, as $firstFile states it for team $team")
+        val sum = ofTeam.sumOf { it.value.quotaTasks.toLong() }
+        val max = ServiceFileFormat.QUOTA_TASKS.last
+        if (sum <= max) return null
+        val allowed = "a sum of up to $max over the services of team $team"
+        return ServiceFileError(ofTeam.last().key, "quotaTasks", "a sum of $sum", allowed)
     }
 }
--- a/testing/src/main/kotlin/io/jackdawring/testing/FakeStore.kt
+++ b/testing/src/main/kotlin/io/jackdawring/testing/FakeStore.kt
@@ -7,7 +7,9 @@
 /**
  * The platform's key-value store on virtual time, with fault switches.
  *
- * Calls take effect and are answered inside [call] and [advanceTo]; an answer may make the next call.
+ * With an answer callback, calls take effect and are answered inside [call] and [advanceTo], and an answer may make the
+ * next call. Without one, a call is applied and answered at once, whatever the switches say; drivers with a network of
+ * their own use that.
  */
 class FakeStore {
     /** Calls are answered as unavailable and have no effect. */
@@ -86,6 +88,20 @@
         }
     }
 
+    /** Applies [call] at [atMillis] and returns its answer at once; a watch answers like a read. */
+    fun call(
+        call: StoreCall,
+        atMillis: Long,
+    ): StoreAnswer {
+        calls++
+        advanceTo(atMillis)
+        return when (call) {
+            is StoreCall.Get -> read(call.key)
+            is StoreCall.Watch -> read(call.key)
+            is StoreCall.CompareAndSwap -> swap(call)
+        }
+    }
+
     /** Moves virtual time to [targetMillis] and lets everything due until then happen in order. */
     fun advanceTo(targetMillis: Long) {
         while (true) {
--- a/testing/src/test/kotlin/io/jackdawring/testing/FakeStoreTest.kt
+++ b/testing/src/test/kotlin/io/jackdawring/testing/FakeStoreTest.kt
@@ -15,6 +15,7 @@
             val finalValue: String?,
             val steps: FakeStore.(StoreCall, (StoreCall) -> Unit) -> Unit,
         )
+        val answers = ArrayList<StoreAnswer>()
         val create = StoreCall.CompareAndSwap("k", "a", 0, null)
         val cases =
             listOf(
@@ -79,7 +80,7 @@
             )
         for (case in cases) {
             val store = FakeStore()
-            val answers = ArrayList<StoreAnswer>()
+            answers.clear()
             case.steps(store, create) { store.call(it) { answer -> answers += answer } }
             assertEquals(case.expected, answers, case.name)
             assertEquals(case.finalValue, store.value("k"), case.name)
