Add TLS, burn rates, log formats and service metrics

Caller and peer listeners can use TLS from PEM files with the JDK provider; peers authenticate each other. Histogram labels and objectives need the known kinds: ServiceCatalog learns them from the configuration documents that the process receives, so that a caller cannot invent label values. /v1/burn gives burn rates over 5 minutes, 1 hour and 6 hours.

--- a/server/src/main/kotlin/io/jackdawring/server/RealEntryServer.kt
+++ b/server/src/main/kotlin/io/jackdawring/server/RealEntryServer.kt
@@ -23,6 +23,7 @@
 import io.jackdawring.server.http.problemResponse
 import io.jackdawring.server.logging.StateChangeLog
 import io.jackdawring.server.metrics.ServerMetrics
+import io.jackdawring.server.metrics.ServiceCatalog
 import io.jackdawring.server.operator.OperatorApi
 import io.jackdawring.server.peer.PeerApi
 import io.jackdawring.server.peer.PeerClient
@@ -41,7 +42,8 @@
     factory: EntryInstance.Factory,
 ) : EntryServer {
     private val clock = MonotonicClock()
-    private val metrics = ServerMetrics()
+    private val catalog = ServiceCatalog()
+    private val metrics = ServerMetrics(catalog)
     private val transport = HttpTransport(options.eventLoopThreads, "traffic")
     private val housekeeping =
         Executors.newSingleThreadScheduledExecutor { Thread(it, "housekeeping").apply { isDaemon = true } }
@@ -76,15 +78,17 @@
         val tokens = SessionTokens(sessionKeys())
         // The peer listener comes first, because the instance's identity contains its bound address. Messages that
         // arrive before the control thread exists are refused, which their senders see as a failed send.
-        val peerApi = PeerApi { control }
+        val peerApi = PeerApi(catalog) { control }
         peerServer =
-            listen(options.peerListen) { if (::control.isInitialized) peerApi.handle(it) else it.respond(STARTING) }
+            listen(options.peerListen, options.peerTls) {
+                if (::control.isInitialized) peerApi.handle(it) else it.respond(STARTING)
+            }
         val self =
             Owner(options.instanceId, System.currentTimeMillis(), peerServer.address, options.failureDomain)
         control = createControl(factory, self)
         control.start()
-        callerServer = listen(options.callerListen, CallerApi(tokens, metrics) { control })
-        operatorServer = options.operatorListen?.let { listen(it, OperatorApi(metrics) { control }) }
+        callerServer = listen(options.callerListen, options.callerTls, CallerApi(tokens, metrics) { control })
+        operatorServer = options.operatorListen?.let { listen(it, null, OperatorApi(metrics) { control }) }
         directory = createDirectory(self)
         directory.start()
     }
@@ -101,6 +105,7 @@
 
     private fun listen(
         address: String,
+        tls: TlsOptions?,
         handler: HttpHandler,
     ): HttpServer {
         val serverOptions =
@@ -108,6 +113,7 @@
                 maxConnections = options.maxConnections,
                 maxBodyBytes = options.maxBodyBytes,
                 idleTimeoutMillis = options.idleTimeoutMillis,
+                sslContext = tls?.serverContext(),
                 rejection = { status, detail, retryAfterSeconds ->
                     val name = if (status == 503) "overloaded" else "invalid"
                     problemResponse(status, name, detail, retryAfterMillis = retryAfterSeconds?.let { it * 1_000L })
@@ -125,8 +131,9 @@
         val effects =
             EffectDispatcher(
                 targets = TargetClient(transport.client(), metrics, onEvent),
-                peers = PeerClient(transport.client(PEER_CLIENT_OPTIONS), transport.nextLoop(), metrics, onEvent),
-                store = StoreClient(client, options.platformAddress, options.storeTimeoutMillis, metrics, onEvent),
+                peers = PeerClient(transport.client(peerClientOptions()), transport.nextLoop(), metrics, onEvent),
+                store =
+                    StoreClient(client, options.platformAddress, options.storeTimeoutMillis, metrics, catalog, onEvent),
                 changes = StateChangeLog(self, metrics),
                 onShutdownComplete = { housekeeping.execute(::finishDrain) },
             )
@@ -139,6 +146,12 @@
         )
     }
 
+    private fun peerClientOptions() =
+        HttpClientOptions(
+            maxConnectionsPerAddress = MAX_CONNECTIONS_PER_PEER,
+            sslContext = options.peerTls?.clientContext(),
+        )
+
     private fun entryOptionsOf(self: Owner): EntryOptions =
         entryOptions(self) {
             seed = SecureRandom().nextLong()
@@ -210,7 +223,7 @@
         const val DRAIN_CHECK_MILLIS = 10L
 
         /** Digests are small and rare; more connections would only help to pile up messages for a slow peer. */
-        val PEER_CLIENT_OPTIONS = HttpClientOptions(maxConnectionsPerAddress = 8)
+        const val MAX_CONNECTIONS_PER_PEER = 8
         val STARTING = problemResponse(503, "not-ready", "the instance is starting", retryAfterMillis = 1_000)
     }
 }
--- a/server/src/main/kotlin/io/jackdawring/server/ServerOptions.kt
+++ b/server/src/main/kotlin/io/jackdawring/server/ServerOptions.kt
@@ -31,6 +31,8 @@
     val allowRandomSessionKey: Boolean,
     val controlQueueCapacity: Int,
     val storeTimeoutMillis: Long,
+    val callerTls: TlsOptions?,
+    val peerTls: TlsOptions?,
     val listWaitMillis: Long,
     val configureEntry: EntryOptions.Builder.() -> Unit,
 ) {
@@ -52,6 +54,8 @@
         var allowRandomSessionKey: Boolean = false
         var controlQueueCapacity: Int = 4_096
         var storeTimeoutMillis: Long = 2_000
+        var callerTls: TlsOptions? = null
+        var peerTls: TlsOptions? = null
         var listWaitMillis: Long = 30_000
         var configureEntry: EntryOptions.Builder.() -> Unit = {}
 
@@ -72,6 +76,8 @@
                 allowRandomSessionKey = allowRandomSessionKey,
                 controlQueueCapacity = controlQueueCapacity,
                 storeTimeoutMillis = storeTimeoutMillis,
+                callerTls = callerTls,
+                peerTls = peerTls,
                 listWaitMillis = listWaitMillis,
                 configureEntry = configureEntry,
             )
--- /dev/null
+++ b/server/src/main/kotlin/io/jackdawring/server/TlsOptions.kt
@@ -0,0 +1,15 @@
+package io.jackdawring.server
+
+import java.io.File
+
+/**
+ * PEM files of a TLS listener: certificate chain and PKCS#8 private key without password.
+ *
+ * With [trustedCertificates], a peer must present a certificate that these sign. For the peer listener they are
+ * needed, because an entry instance is both server and client there; peer certificates must name the IP address.
+ */
+class TlsOptions(
+    val certificateChain: File,
+    val privateKey: File,
+    val trustedCertificates: File? = null,
+)
--- a/server/src/main/kotlin/io/jackdawring/server/http/HttpClientConnection.kt
+++ b/server/src/main/kotlin/io/jackdawring/server/http/HttpClientConnection.kt
@@ -37,11 +37,16 @@
 
     val isUsable: Boolean get() = !closing && channel.isActive
 
-    fun install(channel: Channel) {
+    /** Adds the handlers to [channel]; [host] and [port] are what a TLS certificate of the server must be valid for. */
+    fun install(
+        channel: Channel,
+        host: String,
+        port: Int,
+    ) {
         this.channel = channel
         val pipeline = channel.pipeline()
         pipeline.addLast(writeObserver)
-        options.sslContext?.let { pipeline.addLast(it.newHandler(channel.alloc())) }
+        options.sslContext?.let { pipeline.addLast(it.newHandler(channel.alloc(), host, port)) }
         val decoderConfig = HttpDecoderConfig().setMaxHeaderSize(options.maxHeaderBytes)
         pipeline
             .addLast(HttpResponseDecoder(decoderConfig))
--- a/server/src/main/kotlin/io/jackdawring/server/http/HttpConnectionPool.kt
+++ b/server/src/main/kotlin/io/jackdawring/server/http/HttpConnectionPool.kt
@@ -67,7 +67,7 @@
                 object : ChannelInitializer<SocketChannel>() {
                     override fun initChannel(channel: SocketChannel) {
                         connection = HttpClientConnection(this@HttpConnectionPool, address, options)
-                        connection.install(channel)
+                        connection.install(channel, socketAddress.address.hostAddress, socketAddress.port)
                     }
                 },
             ).connect(socketAddress)
--- /dev/null
+++ b/server/src/main/kotlin/io/jackdawring/server/logging/Logging.kt
@@ -0,0 +1,52 @@
+package io.jackdawring.server.logging
+
+import ch.qos.logback.classic.Level
+import ch.qos.logback.classic.LoggerContext
+import ch.qos.logback.classic.encoder.PatternLayoutEncoder
+import ch.qos.logback.classic.spi.ILoggingEvent
+import ch.qos.logback.core.ConsoleAppender
+import ch.qos.logback.core.encoder.Encoder
+import net.logstash.logback.encoder.LogstashEncoder
+import org.slf4j.Logger
+import org.slf4j.LoggerFactory
+
+/** How log lines are written. */
+enum class LogFormat {
+    /** One JSON object a line, for collection. */
+    JSON,
+
+    /** Plain text, for a terminal. */
+    TEXT,
+}
+
+/** Sends all logs of the process to standard error in [format]; libraries log warnings and errors only. */
+fun configureLogging(
+    format: LogFormat,
+    debug: Boolean = false,
+) {
+    val context = LoggerFactory.getILoggerFactory() as LoggerContext
+    context.reset()
+    val appender =
+        ConsoleAppender<ILoggingEvent>().apply {
+            this.context = context
+            target = "System.err"
+            encoder = createEncoder(context, format)
+            start()
+        }
+    val root = context.getLogger(Logger.ROOT_LOGGER_NAME)
+    root.level = Level.WARN
+    root.addAppender(appender)
+    context.getLogger("io.jackdawring").level = if (debug) Level.DEBUG else Level.INFO
+}
+
+private fun createEncoder(
+    loggerContext: LoggerContext,
+    format: LogFormat,
+): Encoder<ILoggingEvent> =
+    when (format) {
+        LogFormat.JSON -> LogstashEncoder()
+        LogFormat.TEXT -> PatternLayoutEncoder().apply { pattern = "%d{HH:mm:ss.SSS} %-5level %msg %kvp%n" }
+    }.apply {
+        context = loggerContext
+        start()
+    }
--- a/server/src/main/kotlin/io/jackdawring/server/metrics/ServerMetrics.kt
+++ b/server/src/main/kotlin/io/jackdawring/server/metrics/ServerMetrics.kt
@@ -1,5 +1,6 @@
 package io.jackdawring.server.metrics
 
+import io.jackdawring.core.FailureReason
 import io.jackdawring.core.Outcome
 import io.jackdawring.core.StateChange
 import io.jackdawring.core.StoreAnswer
@@ -12,9 +13,12 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry
 import java.io.ByteArrayOutputStream
 import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.TimeUnit
 
 /** Counters of one process; labels never hold caller, session or submission ids. */
-internal class ServerMetrics {
+internal class ServerMetrics(
+    private val catalog: ServiceCatalog = ServiceCatalog(),
+) {
     private val registry = PrometheusRegistry()
 
     private val jobs =
@@ -29,6 +33,23 @@
             .classicUpperBounds(*BUCKETS_SECONDS)
             .withoutExemplars()
             .register(registry)
+    private val objectiveTotal =
+        counter(
+            "jackdawring_objective_requests",
+            "Jobs of kinds with an objective, without those that are wrong or cancelled by their caller.",
+            "service",
+            "kind",
+            "priority",
+        )
+    private val objectiveGood =
+        counter(
+            "jackdawring_objective_good_requests",
+            "Jobs that were answered in full within the latency of their objective.",
+            "service",
+            "kind",
+            "priority",
+        )
+    private val burn = BurnReport()
     private val tasks = counter("jackdawring_task_answers", "Task starts that ended, by result.", "result")
     private val peerMessages = counter("jackdawring_peer_messages_sent", "Messages to peers, by result.", "result")
     private val storeCalls = counter("jackdawring_store_calls", "Store calls, by call and answer.", "call", "answer")
@@ -64,16 +85,34 @@
         val name = outcomeName(outcome)
         jobs.labelValues(name, reasonName(outcome)).inc()
         val key = ServiceKind(service, kind)
+        countObjective(key, outcome, nanos)
         // Only a job that was admitted proves that its kind exists.
         if (outcome is Outcome.Complete || outcome is Outcome.Failed) {
             if (knownKinds.size < MAX_KINDS) knownKinds.add(key)
         }
-        val known = key in knownKinds
+        val known = key in knownKinds || catalog.find(key) != null
         jobSeconds
             .labelValues(if (known) service else OTHER, if (known) kind else OTHER, name)
             .observe(nanos / NANOS_PER_SECOND)
     }
 
+    private fun countObjective(
+        key: ServiceKind,
+        outcome: Outcome,
+        nanos: Long,
+    ) {
+        val kind = catalog.find(key) ?: return
+        val objective = kind.objective ?: return
+        if (!countsForObjective(outcome)) return
+        val isGood = outcome is Outcome.Complete && nanos <= TimeUnit.MILLISECONDS.toNanos(objective.latencyMillis)
+        objectiveTotal.labelValues(key.service, key.kind, "${kind.priority}").inc()
+        if (isGood) objectiveGood.labelValues(key.service, key.kind, "${kind.priority}").inc()
+        burn.add(key, isGood)
+    }
+
+    /** Burn rates of all kinds with an objective. */
+    fun burnRows(): List<BurnRow> = burn.rows(catalog)
+
     fun taskAnswered(answer: TargetAnswer) =
         tasks
             .labelValues(
@@ -139,11 +178,6 @@
         return output.toByteArray()
     }
 
-    private data class ServiceKind(
-        val service: String,
-        val kind: String,
-    )
-
     companion object {
         /** Value of the `Content-Type` header for [exposition]. */
         val contentType: String = PrometheusTextFormatWriter.CONTENT_TYPE
@@ -157,6 +191,14 @@
     }
 }
 
+/** Leaves out what the caller caused, which the service cannot improve. */
+private fun countsForObjective(outcome: Outcome): Boolean =
+    when (outcome) {
+        is Outcome.Complete, is Outcome.Unknown -> true
+        is Outcome.Failed -> outcome.reason != FailureReason.CANCELLED
+        is Outcome.Refused -> outcome.reason.temporary
+    }
+
 private fun outcomeName(outcome: Outcome): String =
     when (outcome) {
         is Outcome.Complete -> "complete"
--- a/server/src/main/kotlin/io/jackdawring/server/operator/OperatorApi.kt
+++ b/server/src/main/kotlin/io/jackdawring/server/operator/OperatorApi.kt
@@ -7,8 +7,10 @@
 import io.jackdawring.server.http.HttpResponseMessage
 import io.jackdawring.server.http.problemResponse
 import io.jackdawring.server.json.lenientJson
+import io.jackdawring.server.metrics.BurnRow
 import io.jackdawring.server.metrics.ServerMetrics
 import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.serialization.builtins.ListSerializer
 
 /** Serves operators: health, readiness, status and metrics. */
 internal class OperatorApi(
@@ -24,6 +26,7 @@
             "/healthz" -> exchange.respond(text(if (control().isRunning) 200 else 503, "control thread"))
             "/readyz" -> withSnapshot(exchange) { text(if (it.ready && !it.draining) 200 else 503, readiness(it)) }
             "/v1/status" -> withSnapshot(exchange, ::status)
+            "/v1/burn" -> exchange.respond(burn())
             "/metrics" -> withSnapshot(exchange, ::scrape)
             else -> exchange.respond(problemResponse(404, "not-found", "there is no such path"))
         }
@@ -52,6 +55,11 @@
         return HttpResponseMessage(200, JSON_HEADERS, body.encodeToByteArray())
     }
 
+    private fun burn(): HttpResponseMessage {
+        val body = lenientJson.encodeToString(ListSerializer(BurnRow.serializer()), metrics.burnRows())
+        return HttpResponseMessage(200, JSON_HEADERS, body.encodeToByteArray())
+    }
+
     private fun scrape(snapshot: InstanceSnapshot): HttpResponseMessage {
         gauge(
             "jackdawring_configuration_version",
--- a/server/src/main/kotlin/io/jackdawring/server/peer/PeerApi.kt
+++ b/server/src/main/kotlin/io/jackdawring/server/peer/PeerApi.kt
@@ -8,10 +8,12 @@
 import io.jackdawring.server.http.HttpResponseMessage
 import io.jackdawring.server.http.problemResponse
 import io.jackdawring.server.json.lenientJson
+import io.jackdawring.server.metrics.ServiceCatalog
 import kotlinx.serialization.SerializationException
 
 /** Receives messages of other entry instances. */
 internal class PeerApi(
+    private val catalog: ServiceCatalog,
     private val control: () -> ControlThread,
 ) : HttpHandler {
     override fun handle(exchange: HttpExchange) {
@@ -30,6 +32,7 @@
                 exchange.respond(problemResponse(400, "invalid", "the body is not a peer message"))
                 return
             }
+        catalog.learnMessage(message)
         val queued = control().offerPeerMessage(Event.PeerMessageReceived(message))
         exchange.respond(if (queued) ACKNOWLEDGED else QUEUE_FULL)
     }
--- a/server/src/main/kotlin/io/jackdawring/server/platform/StoreClient.kt
+++ b/server/src/main/kotlin/io/jackdawring/server/platform/StoreClient.kt
@@ -10,6 +10,7 @@
 import io.jackdawring.server.http.HttpResult
 import io.jackdawring.server.json.lenientJson
 import io.jackdawring.server.metrics.ServerMetrics
+import io.jackdawring.server.metrics.ServiceCatalog
 import kotlinx.collections.immutable.persistentHashMapOf
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.SerializationException
@@ -20,6 +21,7 @@
     private val platformAddress: String,
     private val timeoutMillis: Long,
     private val metrics: ServerMetrics,
+    private val catalog: ServiceCatalog,
     private val onEvent: (Event) -> Unit,
 ) {
     fun call(
@@ -30,6 +32,9 @@
         client.send(platformAddress, storeRequest(call), limitMillis) { result ->
             val answer = storeAnswer(call, result)
             metrics.storeAnswered(call, answer)
+            if (call is StoreCall.Get && answer is StoreAnswer.Found) {
+                answer.value?.let { catalog.learnStoreValue(call.key, it) }
+            }
             onEvent(Event.StoreAnswered(operationId, answer))
         }
     }
--- a/server/src/test/kotlin/io/jackdawring/server/EntryServerTest.kt
+++ b/server/src/test/kotlin/io/jackdawring/server/EntryServerTest.kt
@@ -25,10 +25,12 @@
 import kotlinx.serialization.json.jsonPrimitive
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.BeforeEach
+import java.net.Socket
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
+import kotlin.random.Random
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertIs
@@ -263,4 +265,33 @@
         assertTrue("DELETE /instances/e1" in platformRequests)
         assertEquals(503, call(server.operatorAddress!!, "GET", "/readyz").status)
     }
+
+    @Test
+    fun `mutated requests are answered or cut off and never stop the listener`() {
+        val random = Random(20_240_611)
+        val body = """{"caller":"c","service":"orders","kind":"k","tasks":[{"payload":{"a":[1,2]}}]}"""
+        val valid =
+            "POST /v1/jobs HTTP/1.1\r\nHost: a\r\nIdempotency-Key: 01890a5d-ac96-774b-bcce-b302099a8057\r\n" +
+                "Content-Length: ${body.length}\r\n\r\n$body"
+        val (host, port) = server.callerAddress.split(':')
+        repeat(300) { round ->
+            val bytes = valid.encodeToByteArray().copyOf(random.nextInt(1, valid.length + 1))
+            repeat(random.nextInt(4)) { bytes[random.nextInt(bytes.size)] = random.nextInt().toByte() }
+            Socket(host, port.toInt()).use { socket ->
+                socket.soTimeout = 20_000
+                socket.getOutputStream().write(bytes)
+                socket.shutdownOutput()
+                // The stream must end; a read that times out fails the test.
+                val answer = socket.getInputStream().readAllBytes().decodeToString()
+                assertTrue(answer.isEmpty() || answer.startsWith("HTTP/1.1 "), "round $round: $answer")
+                assertTrue(
+                    Regex("HTTP/1\\.1 5").find(answer)?.value == null ||
+                        "HTTP/1.1 505" in answer ||
+                        "HTTP/1.1 501" in answer,
+                    answer,
+                )
+            }
+        }
+        assertEquals(200, submit(openSession()).status)
+    }
 }
