Close connections during shutdown and bound client pools

A refused caller on a kept-alive connection would retry at the draining instance, because the balancer only chooses per connection: connections now close after their next answer once a drain starts. Pools of addresses without connections are forgotten, since targets come and go with new addresses. Failures of request handlers are logged. Metrics and answers are computed on the traffic threads.

--- a/server/src/main/kotlin/io/jackdawring/server/RealEntryServer.kt
+++ b/server/src/main/kotlin/io/jackdawring/server/RealEntryServer.kt
@@ -184,6 +184,8 @@
 
     override fun drain(onComplete: () -> Unit) {
         drainActions.add(onComplete)
+        // A caller that was refused here must reach another instance through the balancer when it retries.
+        callerServer.closeAfterAnswers()
         if (drained) runDrainActions() else control.add(Event.ShutdownRequested)
     }
 
--- a/server/src/main/kotlin/io/jackdawring/server/caller/CallerApi.kt
+++ b/server/src/main/kotlin/io/jackdawring/server/caller/CallerApi.kt
@@ -17,6 +17,7 @@
 import io.jackdawring.server.http.HttpResponseMessage
 import io.jackdawring.server.http.problemResponse
 import io.jackdawring.server.metrics.ServerMetrics
+import io.jackdawring.server.metrics.ServiceKind
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
@@ -73,7 +74,7 @@
         val credential = credential(message, job.caller) ?: return refuseUnknownKey(exchange)
         val id = validSubmissionId(message.header("idempotency-key"), credential is Credential.Session)
         val requestId = RequestId(nextRequestId.getAndIncrement())
-        val request = CallerRequest(requestId, exchange, job, tokens, metrics)
+        val request = CallerRequest(requestId, exchange, ServiceKind(job.service, job.kind), tokens, metrics)
         val submission = submissionOf(id, credential, job, validFirstAttempt(message.header("jackdaw-attempt")))
         if (!offer(exchange, Event.Submit(requestId, submission), request)) return
         exchange.onDisconnected { control().add(Event.CallerDisconnected(requestId)) }
--- a/server/src/main/kotlin/io/jackdawring/server/caller/CallerRequest.kt
+++ b/server/src/main/kotlin/io/jackdawring/server/caller/CallerRequest.kt
@@ -7,6 +7,7 @@
 import io.jackdawring.server.http.HttpExchange
 import io.jackdawring.server.http.HttpResponseMessage
 import io.jackdawring.server.metrics.ServerMetrics
+import io.jackdawring.server.metrics.ServiceKind
 import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.serialization.json.buildJsonObject
 import kotlinx.serialization.json.put
@@ -15,27 +16,29 @@
 internal class CallerRequest(
     override val requestId: RequestId,
     private val exchange: HttpExchange,
-    private val job: JobRequest?,
+    private val job: ServiceKind?,
     private val tokens: SessionTokens,
     private val metrics: ServerMetrics,
 ) : OpenRequest {
     private val startNanos = System.nanoTime()
 
     override fun answer(outcome: Outcome) {
-        if (job == null) {
-            metrics.sessionAnswered(granted = false)
-        } else {
-            metrics.jobAnswered(job.service, job.kind, outcome, System.nanoTime() - startNanos)
+        exchange.respondWith {
+            if (job == null) {
+                metrics.sessionAnswered(granted = false)
+            } else {
+                metrics.jobAnswered(job, outcome, System.nanoTime() - startNanos)
+            }
+            responseOf(outcome)
         }
-        exchange.respondWith { responseOf(outcome) }
     }
 
     override fun grantSession(
         claims: SessionClaims,
         expiresInMillis: Long,
     ) {
-        metrics.sessionAnswered(granted = true)
         exchange.respondWith {
+            metrics.sessionAnswered(granted = true)
             val body =
                 buildJsonObject {
                     put("session", tokens.sign(claims))
--- a/server/src/main/kotlin/io/jackdawring/server/control/ControlThread.kt
+++ b/server/src/main/kotlin/io/jackdawring/server/control/ControlThread.kt
@@ -15,7 +15,7 @@
 internal class ControlThread(
     private val instance: EntryInstance,
     private val clock: MonotonicClock,
-    private val effects: EffectDispatcher,
+    private val effects: ControlEffects,
     queueCapacity: Int,
     private val onFailure: () -> Unit,
 ) : AutoCloseable {
--- a/server/src/main/kotlin/io/jackdawring/server/control/EffectDispatcher.kt
+++ b/server/src/main/kotlin/io/jackdawring/server/control/EffectDispatcher.kt
@@ -1,7 +1,6 @@
 package io.jackdawring.server.control
 
 import io.jackdawring.core.Effect
-import io.jackdawring.core.EffectSink
 import io.jackdawring.core.Event
 import io.jackdawring.core.RequestId
 import io.jackdawring.server.dispatch.TargetClient
@@ -17,17 +16,15 @@
     private val store: StoreClient,
     private val changes: StateChangeLog,
     private val onShutdownComplete: () -> Unit,
-) : EffectSink {
+) : ControlEffects {
     private val requests = HashMap<RequestId, OpenRequest>()
     private val attempts = HashMap<Long, HttpCall>()
 
-    /** Notes [request] so that its answer finds it. */
-    fun register(request: OpenRequest) {
+    override fun register(request: OpenRequest) {
         requests[request.requestId] = request
     }
 
-    /** Forgets what [event] ends. */
-    fun beforeEvent(event: Event) {
+    override fun beforeEvent(event: Event) {
         when (event) {
             is Event.TaskAnswered -> attempts.remove(event.attemptId.value)
             is Event.CallerDisconnected -> requests.remove(event.requestId)
--- a/server/src/main/kotlin/io/jackdawring/server/http/HttpConnectionPool.kt
+++ b/server/src/main/kotlin/io/jackdawring/server/http/HttpConnectionPool.kt
@@ -16,6 +16,7 @@
     private val address: String,
     private val socketAddress: InetSocketAddress,
     private val options: HttpClientOptions,
+    private val onEmpty: (HttpConnectionPool) -> Unit,
 ) {
     private val idle = ArrayDeque<HttpClientConnection>()
     private val open = HashSet<HttpClientConnection>()
@@ -122,6 +123,7 @@
     }
 
     private fun serveWaiting() {
+        if (open.isEmpty() && connecting == 0 && waiting.isEmpty()) onEmpty(this)
         val maximum = options.maxConnectionsPerAddress ?: return
         if (closed || open.size + connecting >= maximum) return
         takeWaiting()?.let(::connect)
--- a/server/src/main/kotlin/io/jackdawring/server/http/HttpServer.kt
+++ b/server/src/main/kotlin/io/jackdawring/server/http/HttpServer.kt
@@ -11,6 +11,9 @@
     /** Stops accepting connections; open ones go on. */
     fun stopAccepting()
 
+    /** Closes each connection after its next answer, so that its caller connects anew, possibly elsewhere. */
+    fun closeAfterAnswers()
+
     /** Closes the listener and all connections. */
     override fun close()
 
--- a/server/src/main/kotlin/io/jackdawring/server/http/HttpServerConnection.kt
+++ b/server/src/main/kotlin/io/jackdawring/server/http/HttpServerConnection.kt
@@ -1,10 +1,12 @@
 package io.jackdawring.server.http
 
+import io.github.oshai.kotlinlogging.KotlinLogging
 import io.netty.buffer.Unpooled
 import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.channel.socket.DuplexChannel
+import io.netty.handler.codec.DecoderException
 import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpHeaderNames
@@ -23,10 +25,13 @@
 import kotlinx.collections.immutable.ImmutableMap
 import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.collections.immutable.toImmutableMap
+import java.io.IOException
 import java.util.concurrent.RejectedExecutionException
 import java.util.concurrent.ScheduledFuture
 import java.util.concurrent.TimeUnit
 
+private val logger = KotlinLogging.logger {}
+
 /** One connection of a [RealHttpServer]; all state belongs to its event loop. */
 internal class HttpServerConnection(
     private val server: RealHttpServer,
@@ -246,7 +251,7 @@
             val exchange = unanswered.removeFirst()
             write(exchange, response)
             wroteAny = true
-            if (!exchange.keepAlive) break
+            if (closing && unanswered.isEmpty()) break
         }
         if (wroteAny) {
             context.flush()
@@ -260,7 +265,7 @@
     ) {
         releaseBody(exchange)
         exchange.markWritten()
-        val last = !exchange.keepAlive
+        val last = !exchange.keepAlive || (server.closesAfterAnswers && unanswered.isEmpty() && receiving == null)
         val content = if (exchange.headOnly) Unpooled.EMPTY_BUFFER else Unpooled.wrappedBuffer(response.body)
         val message =
             DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(response.status), content)
@@ -268,6 +273,7 @@
         if (response.status != HttpResponseStatus.NO_CONTENT.code()) {
             message.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, response.body.size)
         }
+        if (last) closing = true
         if (last) message.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
         if (writesInProgress++ == 0) lastProgressNanos = System.nanoTime()
         context.write(message).addListener(
@@ -328,6 +334,8 @@
         context: ChannelHandlerContext,
         cause: Throwable,
     ) {
+        // Resets and TLS failures are everyday faults of the other side; anything else is a fault of the handler.
+        if (cause !is IOException && cause !is DecoderException) logger.error(cause) { "a request handler failed" }
         context.close()
     }
 
--- a/server/src/main/kotlin/io/jackdawring/server/http/RealHttpClient.kt
+++ b/server/src/main/kotlin/io/jackdawring/server/http/RealHttpClient.kt
@@ -1,6 +1,7 @@
 package io.jackdawring.server.http
 
 import io.netty.channel.EventLoopGroup
+import java.net.InetSocketAddress
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.RejectedExecutionException
 
@@ -29,12 +30,22 @@
         // An address is bound to one event loop, so its pool needs no locks.
         val pool =
             pools[address]
-                ?: pools.computeIfAbsent(address) { HttpConnectionPool(group.next(), address, socketAddress, options) }
+                ?: pools.computeIfAbsent(address) { createPool(address, socketAddress) }
         call.pool = pool
         runOrComplete(call) { pool.execute { pool.start(call, timeoutMillis) } }
         return call
     }
 
+    /**
+     * Forgets the pool once it has no connection, because targets come and go with new addresses.
+     *
+     * A request that took the pool from the map just before still uses it; it only has its own connection limit then.
+     */
+    private fun createPool(
+        address: String,
+        socketAddress: InetSocketAddress,
+    ) = HttpConnectionPool(group.next(), address, socketAddress, options) { pools.remove(address, it) }
+
     /** Completes [call] on the caller's thread if the event loops have stopped. */
     private fun runOrComplete(
         call: PendingHttpCall,
--- a/server/src/main/kotlin/io/jackdawring/server/http/RealHttpServer.kt
+++ b/server/src/main/kotlin/io/jackdawring/server/http/RealHttpServer.kt
@@ -72,6 +72,14 @@
             .addLast(HttpServerConnection(this, overLimit))
     }
 
+    @Volatile
+    var closesAfterAnswers = false
+        private set
+
+    override fun closeAfterAnswers() {
+        closesAfterAnswers = true
+    }
+
     override fun stopAccepting() {
         listener.close()
     }
--- a/server/src/main/kotlin/io/jackdawring/server/metrics/BurnReport.kt
+++ b/server/src/main/kotlin/io/jackdawring/server/metrics/BurnReport.kt
@@ -4,7 +4,6 @@
 import kotlinx.serialization.Serializable
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.TimeUnit
-import java.util.concurrent.atomic.AtomicLongArray
 
 /**
  * Counts requests that met and missed their objective in slots of five minutes, for the last six hours.
@@ -16,9 +15,9 @@
 ) {
     /** Slot numbers and counts; a slot is reused after [SLOTS] slot lengths, when its number no longer matches. */
     private class Counts {
-        private val numbers = AtomicLongArray(SLOTS)
-        private val good = AtomicLongArray(SLOTS)
-        private val total = AtomicLongArray(SLOTS)
+        private val numbers = LongArray(SLOTS)
+        private val good = LongArray(SLOTS)
+        private val total = LongArray(SLOTS)
 
         @Synchronized
         fun add(
@@ -31,8 +30,8 @@
                 good[index] = 0
                 total[index] = 0
             }
-            if (isGood) good.incrementAndGet(index)
-            total.incrementAndGet(index)
+            if (isGood) good[index]++
+            total[index]++
         }
 
         @Synchronized
--- a/server/src/main/kotlin/io/jackdawring/server/metrics/ServerMetrics.kt
+++ b/server/src/main/kotlin/io/jackdawring/server/metrics/ServerMetrics.kt
@@ -77,14 +77,12 @@
             .register(registry)
 
     fun jobAnswered(
-        service: String,
-        kind: String,
+        key: ServiceKind,
         outcome: Outcome,
         nanos: Long,
     ) {
         val name = outcomeName(outcome)
         jobs.labelValues(name, reasonName(outcome)).inc()
-        val key = ServiceKind(service, kind)
         countObjective(key, outcome, nanos)
         // Only a job that was admitted proves that its kind exists.
         if (outcome is Outcome.Complete || outcome is Outcome.Failed) {
@@ -92,7 +90,7 @@
         }
         val known = key in knownKinds || catalog.find(key) != null
         jobSeconds
-            .labelValues(if (known) service else OTHER, if (known) kind else OTHER, name)
+            .labelValues(if (known) key.service else OTHER, if (known) key.kind else OTHER, name)
             .observe(nanos / NANOS_PER_SECOND)
     }
 
--- a/server/src/test/kotlin/io/jackdawring/server/http/HttpWireTest.kt
+++ b/server/src/test/kotlin/io/jackdawring/server/http/HttpWireTest.kt
@@ -5,6 +5,8 @@
 import org.junit.jupiter.api.TestFactory
 import java.io.InputStream
 import java.net.Socket
+import java.util.concurrent.LinkedBlockingQueue
+import java.util.concurrent.TimeUnit
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
@@ -101,6 +103,9 @@
                         val text = socket.getInputStream().readAllBytes().decodeToString()
                         assertEquals(case.statuses, STATUS.findAll(text).map { it.groupValues[1].toInt() }.toList())
                     }
+                    waitFor("the release of all memory") {
+                        server.requestsInProgress == 0 && (server as RealHttpServer).bufferedBytes.get() == 0L
+                    }
                 }
             }
         }
@@ -153,6 +158,47 @@
         }
     }
 
+    @Test
+    fun `a caller that does not read its answer is cut off`() {
+        val server =
+            transport.serverFactory(HttpServerOptions(idleTimeoutMillis = 100)).start("127.0.0.1:0") {
+                it.respond(HttpResponseMessage(200, body = ByteArray(64 * 1024 * 1024)))
+            }
+        connect(server).use { socket ->
+            socket.getOutputStream().write("GET / HTTP/1.1\r\nHost: a\r\n\r\n".encodeToByteArray())
+            assertEquals('H'.code, socket.getInputStream().read())
+            waitFor("the end of the request") { server.requestsInProgress == 0 }
+        }
+    }
+
+    @Test
+    fun `a server that shuts down closes each connection after the answers in progress`() {
+        val exchanges = LinkedBlockingQueue<HttpExchange>()
+        val server = transport.serverFactory().start("127.0.0.1:0", exchanges::add)
+        connect(server).use { socket ->
+            socket.getOutputStream().write(
+                "GET /a HTTP/1.1\r\nHost: a\r\n\r\nGET /b HTTP/1.1\r\nHost: a\r\n\r\n".encodeToByteArray(),
+            )
+            val open = List(2) { exchanges.take() }
+            server.closeAfterAnswers()
+            open.forEach { it.respond(it.echo()) }
+            val text = socket.getInputStream().readAllBytes().decodeToString()
+            assertEquals(listOf("/a", "/b"), Regex("(?m)/[ab]").findAll(text).map { it.value }.toList())
+            assertEquals(1, Regex("(?i)connection: close").findAll(text).count(), text)
+        }
+    }
+
+    private fun waitFor(
+        what: String,
+        condition: () -> Boolean,
+    ) {
+        val end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(WAIT_MILLIS.toLong())
+        while (!condition()) {
+            check(System.nanoTime() < end) { "$what did not happen" }
+            Thread.sleep(2)
+        }
+    }
+
     private fun HttpExchange.echo() = HttpResponseMessage(200, body = request.path.encodeToByteArray())
 
     private fun connect(server: HttpServer): Socket =
--- a/server/src/test/kotlin/io/jackdawring/server/metrics/BurnReportTest.kt
+++ b/server/src/test/kotlin/io/jackdawring/server/metrics/BurnReportTest.kt
@@ -66,12 +66,12 @@
         val metrics = ServerMetrics(catalog())
         val millis = TimeUnit.MILLISECONDS.toNanos(1)
         val complete = Outcome.Complete(emptyList())
-        metrics.jobAnswered("orders", "check", complete, 400 * millis)
-        metrics.jobAnswered("orders", "check", complete, 400 * millis + 1)
-        metrics.jobAnswered("orders", "check", Outcome.Refused(RefusalReason.OVERLOADED, 1), millis)
-        metrics.jobAnswered("orders", "check", Outcome.Refused(RefusalReason.INVALID, null), millis)
-        metrics.jobAnswered("orders", "check", Outcome.Failed(FailureReason.CANCELLED, null, true), millis)
-        metrics.jobAnswered("made", "up", Outcome.Refused(RefusalReason.UNKNOWN_SERVICE, null), millis)
+        metrics.jobAnswered(key, complete, 400 * millis)
+        metrics.jobAnswered(key, complete, 400 * millis + 1)
+        metrics.jobAnswered(key, Outcome.Refused(RefusalReason.OVERLOADED, 1), millis)
+        metrics.jobAnswered(key, Outcome.Refused(RefusalReason.INVALID, null), millis)
+        metrics.jobAnswered(key, Outcome.Failed(FailureReason.CANCELLED, null, true), millis)
+        metrics.jobAnswered(ServiceKind("made", "up"), Outcome.Refused(RefusalReason.UNKNOWN_SERVICE, null), millis)
         val window =
             metrics
                 .burnRows()
