Add sessions, jobs, claims, forwarding and draining to the core

Only the incarnation that owns a submission starts it: sessions name their owner, idempotency keys are claimed in the store. Other instances forward once or answer unknown. A draining instance hands its finished records to a successor, which starts nothing for them.

--- /dev/null
+++ b/core/src/main/kotlin/io/jackdawring/core/EffectOutlet.kt
@@ -0,0 +1,59 @@
+package io.jackdawring.core
+
+import io.jackdawring.core.membership.PeerMessage
+
+/** Gives the parts of an entry instance access to the effect sink of the event that is being handled. */
+internal class EffectOutlet(
+    private val self: Owner,
+) : EffectSink {
+    private var sink: EffectSink? = null
+    private var lastOperation = 0L
+
+    /** Runs [block] with [effects] as the sink of all emitted effects. */
+    inline fun during(
+        effects: EffectSink,
+        block: () -> Unit,
+    ) {
+        attach(effects)
+        try {
+            block()
+        } finally {
+            attach(null)
+        }
+    }
+
+    fun attach(effects: EffectSink?) {
+        sink = effects
+    }
+
+    override fun emit(effect: Effect) {
+        checkNotNull(sink) { "effect $effect was emitted outside of an event" }.emit(effect)
+    }
+
+    fun answer(
+        requestId: RequestId,
+        outcome: Outcome,
+    ) = emit(Effect.Answer(requestId, outcome))
+
+    fun send(
+        peer: Owner,
+        message: PeerMessage,
+    ) = emit(Effect.SendToPeer(peer.peerAddress, message))
+
+    fun report(change: StateChange) = emit(Effect.ReportChange(change))
+
+    fun callStore(call: StoreCall): OperationId {
+        val operationId = OperationId(++lastOperation)
+        emit(Effect.CallStore(operationId, call))
+        return operationId
+    }
+
+    /** Sends [outcome] to the caller or to the entry instance that forwarded the request. */
+    fun reply(
+        replyTo: ReplyTo,
+        outcome: Outcome,
+    ) = when (replyTo) {
+        is ReplyTo.Caller -> answer(replyTo.requestId, outcome)
+        is ReplyTo.Peer -> send(replyTo.sender, PeerMessage.ForwardAnswer(self, replyTo.correlation, outcome))
+    }
+}
--- a/core/src/main/kotlin/io/jackdawring/core/RefusalReason.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/RefusalReason.kt
@@ -31,6 +31,9 @@
     /** The instance is shutting down; another instance can take the request at once. */
     DRAINING(true),
 
+    /** The owner of the session has shut down without seeing this submission; a new session is needed. */
+    SESSION_CLOSED(true),
+
     /** The instance has no configuration yet. */
     NOT_READY(true),
 
--- /dev/null
+++ b/core/src/main/kotlin/io/jackdawring/core/ReplyTo.kt
@@ -0,0 +1,15 @@
+package io.jackdawring.core
+
+/** Where the outcome of a submission goes. */
+internal sealed interface ReplyTo {
+    /** An open request at this instance. */
+    data class Caller(
+        val requestId: RequestId,
+    ) : ReplyTo
+
+    /** An entry instance that forwarded the request. */
+    data class Peer(
+        val sender: Owner,
+        val correlation: Long,
+    ) : ReplyTo
+}
--- /dev/null
+++ b/core/src/main/kotlin/io/jackdawring/core/claim/RealClaimLedger.kt
@@ -0,0 +1,107 @@
+package io.jackdawring.core.claim
+
+import io.jackdawring.core.EffectOutlet
+import io.jackdawring.core.EntryOptions
+import io.jackdawring.core.OperationId
+import io.jackdawring.core.Owner
+import io.jackdawring.core.StoreAnswer
+import io.jackdawring.core.StoreCall
+import io.jackdawring.core.session.SubmissionKey
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import java.security.MessageDigest
+
+internal class RealClaimLedger(
+    private val options: EntryOptions,
+    private val outlet: EffectOutlet,
+) : ClaimLedger {
+    private val self = options.self
+    private val calls = HashMap<OperationId, PendingClaim>()
+    private val rate = TokenBucket(options.claimRatePerSecond)
+
+    override val pendingClaims: Int get() = calls.size
+    override var storeReachable: Boolean = true
+        private set
+
+    override fun claim(
+        key: SubmissionKey,
+        nowMillis: Long,
+        onDecided: (ClaimDecision, Long) -> Unit,
+    ): Long? {
+        if (!rate.tryTake(nowMillis)) return rate.millisToNext(nowMillis)
+        val storeKey = claimKey(key)
+        val call =
+            StoreCall.CompareAndSwap(
+                key = storeKey,
+                value = Json.encodeToString(Owner.serializer(), self),
+                expectedRevision = 0,
+                leaseMillis = leaseMillis,
+            )
+        calls[outlet.callStore(call)] = PendingClaim(storeKey, onDecided)
+        return null
+    }
+
+    override fun onStoreAnswered(
+        operationId: OperationId,
+        answer: StoreAnswer,
+        nowMillis: Long,
+    ): Boolean {
+        val claim = calls.remove(operationId) ?: return false
+        storeReachable = answer !is StoreAnswer.Unavailable
+        when (answer) {
+            is StoreAnswer.Written -> claim.decide(ClaimDecision.Won, nowMillis)
+            is StoreAnswer.Conflict -> claim.decide(decisionOf(answer.value), nowMillis)
+            is StoreAnswer.Found -> claim.decide(decisionOf(answer.value), nowMillis)
+            is StoreAnswer.Unavailable -> readBackOrGiveUp(claim, answer, nowMillis)
+        }
+        return true
+    }
+
+    // A lost reply may belong to a write that took effect, so the key is read once before giving up.
+    private fun readBackOrGiveUp(
+        claim: PendingClaim,
+        answer: StoreAnswer.Unavailable,
+        nowMillis: Long,
+    ) {
+        if (claim.readBack || !answer.mayHaveApplied) {
+            claim.decide(ClaimDecision.Undecided, nowMillis)
+        } else {
+            claim.readBack = true
+            calls[outlet.callStore(StoreCall.Get(claim.storeKey))] = claim
+        }
+    }
+
+    private fun decisionOf(value: String?): ClaimDecision {
+        if (value == null) return ClaimDecision.Undecided
+        val owner =
+            try {
+                Json.decodeFromString(Owner.serializer(), value)
+            } catch (_: SerializationException) {
+                return ClaimDecision.Undecided
+            }
+        return if (owner == self) ClaimDecision.Won else ClaimDecision.OwnedBy(owner)
+    }
+
+    // Entry instances refuse a key above the maximum age by their own clocks, which may differ by the permitted skew
+    // from each other and from the caller's clock, so the claim must outlive the age by twice the skew.
+    private val leaseMillis get() = options.claimMaxKeyAgeMillis + 2 * options.claimClockSkewMillis
+
+    private fun claimKey(key: SubmissionKey): String {
+        val text = "${key.scope}/${key.id.value}"
+        val digest = MessageDigest.getInstance("SHA-256").digest(text.encodeToByteArray())
+        return CLAIM_PREFIX + digest.take(CLAIM_KEY_BYTES).joinToString("") { "%02x".format(it) }
+    }
+
+    private class PendingClaim(
+        val storeKey: String,
+        val decide: (ClaimDecision, Long) -> Unit,
+    ) {
+        var readBack = false
+    }
+
+    companion object {
+        val Factory = ClaimLedger.Factory { options, outlet -> RealClaimLedger(options, outlet) }
+        private const val CLAIM_PREFIX = "claims/"
+        private const val CLAIM_KEY_BYTES = 16
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/io/jackdawring/core/drain/DrainController.kt
@@ -0,0 +1,155 @@
+package io.jackdawring.core.drain
+
+import io.jackdawring.core.Effect
+import io.jackdawring.core.EffectOutlet
+import io.jackdawring.core.Owner
+import io.jackdawring.core.StateChange
+import io.jackdawring.core.membership.Membership
+import io.jackdawring.core.membership.PeerMessage
+
+/**
+ * Runs a graceful shutdown: waits until nothing is in progress, hands the finished records to a successor, tells the
+ * peers who that is, and completes.
+ */
+internal class DrainController(
+    private val outlet: EffectOutlet,
+    private val membership: Membership,
+    private val source: DrainSource,
+) {
+    private var phase: Phase = Phase.Serving
+
+    val isDraining: Boolean get() = phase != Phase.Serving
+
+    /** Whether the process may exit. */
+    val isComplete: Boolean get() = phase == Phase.Complete
+
+    fun start() {
+        if (isDraining) return
+        phase = Phase.Waiting
+        membership.drain(succeededBy = null)
+        outlet.report(StateChange.DrainStarted(source.requestsInProgress()))
+    }
+
+    /** Takes the next step once the requests in progress are answered. */
+    fun advance(nowMillis: Long) {
+        if (phase != Phase.Waiting || source.requestsInProgress() > 0) return
+        handOver(membership.successorCandidates().take(MAX_CANDIDATES), nowMillis)
+    }
+
+    fun onAcknowledged(
+        peerAddress: String,
+        message: PeerMessage,
+        nowMillis: Long,
+    ) {
+        when (val current = phase) {
+            is Phase.HandingOver ->
+                if (current.isFor(peerAddress) && current.unacknowledged.remove(message)) {
+                    finishIfAcknowledged(current, nowMillis)
+                }
+            is Phase.Announcing -> announced(current, message)
+            Phase.Serving, Phase.Waiting, Phase.Complete -> Unit
+        }
+    }
+
+    fun onSendFailed(
+        peerAddress: String,
+        message: PeerMessage,
+        nowMillis: Long,
+    ) {
+        when (val current = phase) {
+            is Phase.HandingOver ->
+                if (current.isFor(peerAddress) &&
+                    message in current.unacknowledged
+                ) {
+                    handOver(current.candidates.drop(1), nowMillis)
+                }
+            is Phase.Announcing -> announced(current, message)
+            Phase.Serving, Phase.Waiting, Phase.Complete -> Unit
+        }
+    }
+
+    private fun handOver(
+        candidates: List<Owner>,
+        nowMillis: Long,
+    ) {
+        val successor = candidates.firstOrNull() ?: return announce(null, nowMillis)
+        val messages = source.handOverMessages(nowMillis)
+        phase = Phase.HandingOver(candidates, messages.sumOf { it.records.size }, messages.toHashSet())
+        messages.forEach { outlet.send(successor, it) }
+    }
+
+    private fun finishIfAcknowledged(
+        current: Phase.HandingOver,
+        nowMillis: Long,
+    ) {
+        if (current.unacknowledged.isNotEmpty()) return
+        val successor = current.candidates.first()
+        outlet.report(StateChange.RecordsHandedOver(successor.instanceId, current.records))
+        announce(successor, nowMillis)
+    }
+
+    // Every peer is told directly, because gossip stops with this process.
+    private fun announce(
+        successor: Owner?,
+        nowMillis: Long,
+    ) {
+        membership.drain(successor?.instanceId)
+        val digest = source.finalDigest(nowMillis)
+        val peers = membership.successorCandidates()
+        phase = Phase.Announcing(digest, peers.size)
+        peers.forEach { outlet.send(it, digest) }
+        if (peers.isEmpty()) complete()
+    }
+
+    private fun announced(
+        current: Phase.Announcing,
+        message: PeerMessage,
+    ) {
+        if (message !== current.digest) return
+        current.unanswered--
+        if (current.unanswered == 0) complete()
+    }
+
+    private fun complete() {
+        phase = Phase.Complete
+        outlet.emit(Effect.CompleteShutdown)
+    }
+
+    private sealed interface Phase {
+        data object Serving : Phase
+
+        data object Waiting : Phase
+
+        class HandingOver(
+            val candidates: List<Owner>,
+            val records: Int,
+            val unacknowledged: HashSet<PeerMessage.HandOver>,
+        ) : Phase {
+            // The same messages may still be on their way to an earlier candidate.
+            fun isFor(peerAddress: String) = candidates.first().peerAddress == peerAddress
+        }
+
+        class Announcing(
+            val digest: PeerMessage,
+            var unanswered: Int,
+        ) : Phase
+
+        data object Complete : Phase
+    }
+
+    private companion object {
+        // Each candidate that does not acknowledge costs up to one second of the shutdown.
+        const val MAX_CANDIDATES = 3
+    }
+}
+
+/** What a [DrainController] needs from the entry instance. */
+internal interface DrainSource {
+    /** Requests that still wait for an outcome at this instance. */
+    fun requestsInProgress(): Int
+
+    fun handOverMessages(nowMillis: Long): List<PeerMessage.HandOver>
+
+    /** Digest that names the successor of this instance. */
+    fun finalDigest(nowMillis: Long): PeerMessage
+}
--- /dev/null
+++ b/core/src/main/kotlin/io/jackdawring/core/forward/SubmissionRouter.kt
@@ -0,0 +1,299 @@
+package io.jackdawring.core.forward
+
+import io.jackdawring.core.Credential
+import io.jackdawring.core.EffectOutlet
+import io.jackdawring.core.EntryOptions
+import io.jackdawring.core.Outcome
+import io.jackdawring.core.Owner
+import io.jackdawring.core.RefusalReason
+import io.jackdawring.core.ReplyTo
+import io.jackdawring.core.Submission
+import io.jackdawring.core.SubmissionId
+import io.jackdawring.core.UnknownReason
+import io.jackdawring.core.claim.ClaimDecision
+import io.jackdawring.core.claim.ClaimLedger
+import io.jackdawring.core.claim.uuidV7UnixMillis
+import io.jackdawring.core.job.JobAdmission
+import io.jackdawring.core.job.JobRunner
+import io.jackdawring.core.membership.Membership
+import io.jackdawring.core.membership.PeerMessage
+import io.jackdawring.core.session.HandedOverRecords
+import io.jackdawring.core.session.RecordState
+import io.jackdawring.core.session.SessionTable
+import io.jackdawring.core.session.SubmissionKey
+import io.jackdawring.core.session.SubmissionRecord
+import io.jackdawring.core.session.scope
+
+/** Decides for each submission whether this incarnation owns it, and runs, attaches, forwards or refuses it. */
+internal class SubmissionRouter(
+    private val options: EntryOptions,
+    private val outlet: EffectOutlet,
+    private val sessions: SessionTable,
+    private val handedOver: HandedOverRecords,
+    private val claims: ClaimLedger,
+    private val forwarder: Forwarder,
+    private val membership: Membership,
+    private val admission: JobAdmission,
+    private val runner: JobRunner,
+) {
+    private val self = options.self
+
+    /** Handles a submission that a caller sent to this instance. */
+    fun submit(
+        submission: Submission,
+        replyTo: ReplyTo.Caller,
+        nowMillis: Long,
+    ) {
+        when (val credential = submission.credential) {
+            is Credential.Session -> {
+                val owner = credential.claims.owner
+                if (owner ==
+                    self
+                ) {
+                    submitOwned(submission, replyTo, nowMillis)
+                } else {
+                    route(owner, submission, replyTo, nowMillis)
+                }
+            }
+            is Credential.IdempotencyKey -> submitWithKey(submission, replyTo, nowMillis)
+        }
+    }
+
+    /** Handles a submission that another entry instance forwarded; it is never forwarded again. */
+    fun submitForwarded(
+        message: PeerMessage.ForwardSubmission,
+        nowMillis: Long,
+    ) {
+        val submission = message.toSubmission()
+        val replyTo = ReplyTo.Peer(message.sender, message.correlation)
+        val credential = submission.credential
+        val isOwned = credential !is Credential.Session || credential.claims.owner == self
+        if (isOwned && !isHandedOver(submission)) {
+            submitOwned(submission, replyTo, nowMillis)
+        } else {
+            outlet.reply(replyTo, handedOver.outcome(submission.key, submission.fingerprint, nowMillis))
+        }
+    }
+
+    /** Cancels a submission here or at its owner. */
+    fun cancel(
+        id: SubmissionId,
+        credential: Credential,
+        nowMillis: Long,
+    ) {
+        val state = sessions.find(SubmissionKey(credential.scope, id))?.state
+        if (state is RecordState.Running) {
+            runner.cancel(state.job, nowMillis)
+        } else if (credential is Credential.Session) {
+            val owner = credential.claims.owner
+            if (owner != self && membership.isReachable(owner)) {
+                outlet.send(owner, PeerMessage.ForwardCancel(self, id, credential))
+            }
+        }
+    }
+
+    /** Cancels a submission for another entry instance; it is never forwarded again. */
+    fun cancelForwarded(
+        message: PeerMessage.ForwardCancel,
+        nowMillis: Long,
+    ) {
+        val state = sessions.find(SubmissionKey(message.credential.scope, message.id))?.state
+        if (state is RecordState.Running) runner.cancel(state.job, nowMillis)
+    }
+
+    // A forwarder reads in the store that a key is claimed by this incarnation, or by one that handed over to it.
+    private fun isHandedOver(submission: Submission): Boolean =
+        submission.credential is Credential.IdempotencyKey &&
+            sessions.find(submission.key) == null &&
+            handedOver.contains(submission.key)
+
+    private fun submitOwned(
+        submission: Submission,
+        replyTo: ReplyTo,
+        nowMillis: Long,
+    ) {
+        val record = sessions.find(submission.key)
+        when {
+            record != null -> attach(record, submission, replyTo)
+            !sessions.isOpen(submission.credential, nowMillis) ->
+                outlet.reply(replyTo, Outcome.Unknown(UnknownReason.SESSION_ENDED))
+            else -> admit(submission, replyTo, nowMillis)
+        }
+    }
+
+    private fun attach(
+        record: SubmissionRecord,
+        submission: Submission,
+        replyTo: ReplyTo,
+    ) {
+        if (record.fingerprint != submission.fingerprint) {
+            return outlet.reply(replyTo, Outcome.Refused(RefusalReason.FINGERPRINT_MISMATCH, null))
+        }
+        when (val state = record.state) {
+            RecordState.Claiming, is RecordState.Running -> record.addWaiter(replyTo)
+            is RecordState.Finished -> outlet.reply(replyTo, state.outcome)
+            RecordState.Discarded -> outlet.reply(replyTo, Outcome.Unknown(UnknownReason.ANSWER_DISCARDED))
+        }
+    }
+
+    private fun admit(
+        submission: Submission,
+        replyTo: ReplyTo,
+        nowMillis: Long,
+    ) {
+        val refusal = admission.check(submission)
+        if (refusal != null) return outlet.reply(replyTo, refusal)
+        val record = sessions.create(submission.key, submission.fingerprint, nowMillis)
+        if (record == null) return outlet.reply(replyTo, RECORDS_EXHAUSTED)
+        record.addWaiter(replyTo)
+        run(record, submission, nowMillis)
+    }
+
+    private fun run(
+        record: SubmissionRecord,
+        submission: Submission,
+        nowMillis: Long,
+    ) {
+        val kind = checkNotNull(admission.kind(submission)) { "${submission.service}/${submission.kind} was admitted" }
+        runner.start(record, submission, kind.service, kind.kind, nowMillis)
+    }
+
+    private fun route(
+        owner: Owner,
+        submission: Submission,
+        replyTo: ReplyTo.Caller,
+        nowMillis: Long,
+    ) {
+        val holder = if (membership.isReachable(owner)) owner else membership.successorOf(owner)
+        when {
+            holder == null -> outlet.reply(replyTo, OWNER_UNREACHABLE)
+            holder == self ->
+                outlet.reply(
+                    replyTo,
+                    handedOver.outcome(submission.key, submission.fingerprint, nowMillis),
+                )
+            !membership.isKnownAddress(holder.peerAddress) -> outlet.reply(replyTo, OWNER_UNREACHABLE)
+            else -> forwarder.forward(holder, submission, replyTo.requestId, nowMillis)
+        }
+    }
+
+    private fun submitWithKey(
+        submission: Submission,
+        replyTo: ReplyTo.Caller,
+        nowMillis: Long,
+    ) {
+        val record = sessions.find(submission.key)
+        if (record != null) return attach(record, submission, replyTo)
+        if (handedOver.contains(submission.key)) {
+            return outlet.reply(replyTo, handedOver.outcome(submission.key, submission.fingerprint, nowMillis))
+        }
+        val rejection = rejectionByAge(submission, nowMillis) ?: refusalBeforeClaim(submission)
+        if (rejection != null) return outlet.reply(replyTo, rejection)
+        claim(submission, replyTo, nowMillis)
+    }
+
+    private fun rejectionByAge(
+        submission: Submission,
+        nowMillis: Long,
+    ): Outcome? {
+        val issuedAt =
+            uuidV7UnixMillis(submission.id.value)
+                ?: return Outcome.Refused(
+                    RefusalReason.INVALID,
+                    null,
+                    "without a session the Idempotency-Key must be a UUIDv7",
+                )
+        val ageMillis = nowMillis + options.wallClockOffsetMillis - issuedAt
+        return when {
+            ageMillis > options.claimMaxKeyAgeMillis -> Outcome.Unknown(UnknownReason.KEY_EXPIRED)
+            ageMillis < -options.claimClockSkewMillis ->
+                Outcome.Refused(RefusalReason.INVALID, null, "the time in the Idempotency-Key is in the future")
+            else -> null
+        }
+    }
+
+    private fun refusalBeforeClaim(submission: Submission): Outcome? =
+        admission.check(submission)?.let { refusedOrUnknown(submission, it) }
+
+    private fun claim(
+        submission: Submission,
+        replyTo: ReplyTo.Caller,
+        nowMillis: Long,
+    ) {
+        val record = sessions.create(submission.key, submission.fingerprint, nowMillis)
+        if (record == null) return outlet.reply(replyTo, refusedOrUnknown(submission, RECORDS_EXHAUSTED))
+        record.addWaiter(replyTo)
+        val limitedMillis =
+            claims.claim(record.key, nowMillis) { decision, decidedAtMillis ->
+                onClaimDecided(record, submission, decision, decidedAtMillis)
+            }
+        if (limitedMillis != null) {
+            val refusal = Outcome.Refused(RefusalReason.CLAIM_RATE_LIMITED, limitedMillis)
+            forget(record, refusedOrUnknown(submission, refusal))
+        }
+    }
+
+    private fun onClaimDecided(
+        record: SubmissionRecord,
+        submission: Submission,
+        decision: ClaimDecision,
+        nowMillis: Long,
+    ) {
+        when (decision) {
+            ClaimDecision.Won -> {
+                // This incarnation keeps a record of all that it starts, so a refusal here is certain.
+                val refusal = admission.check(submission)
+                if (refusal == null) run(record, submission, nowMillis) else forget(record, refusal)
+            }
+            is ClaimDecision.OwnedBy -> {
+                sessions.remove(record)
+                record.takeWaiters().forEach { routeWaiter(it, decision.owner, submission, nowMillis) }
+            }
+            ClaimDecision.Undecided -> {
+                val refusal = Outcome.Refused(RefusalReason.STORE_UNAVAILABLE, STORE_RETRY_MILLIS)
+                forget(record, refusedOrUnknown(submission, refusal))
+            }
+        }
+    }
+
+    private fun routeWaiter(
+        waiter: ReplyTo,
+        owner: Owner,
+        submission: Submission,
+        nowMillis: Long,
+    ) = when (waiter) {
+        is ReplyTo.Caller -> route(owner, submission, waiter, nowMillis)
+        is ReplyTo.Peer -> outlet.reply(waiter, OWNER_UNREACHABLE)
+    }
+
+    private fun forget(
+        record: SubmissionRecord,
+        outcome: Outcome,
+    ) {
+        sessions.remove(record)
+        record.takeWaiters().forEach { outlet.reply(it, outcome) }
+    }
+
+    // Without a session an earlier attempt may have run through another instance. Only the caller's statement that
+    // there was none allows "not run".
+    private fun refusedOrUnknown(
+        submission: Submission,
+        refusal: Outcome.Refused,
+    ): Outcome =
+        if (submission.firstAttempt) {
+            refusal
+        } else {
+            Outcome.Unknown(
+                UnknownReason.CLAIM_UNDECIDED,
+                refusal.retryAfterMillis,
+            )
+        }
+
+    private val Submission.key get() = SubmissionKey(credential.scope, id)
+
+    private companion object {
+        const val STORE_RETRY_MILLIS = 1_000L
+        val OWNER_UNREACHABLE = Outcome.Unknown(UnknownReason.OWNER_UNREACHABLE, retryAfterMillis = 1_000)
+        val RECORDS_EXHAUSTED = Outcome.Refused(RefusalReason.OVERLOADED, 1_000, "the bound on kept records is reached")
+    }
+}
--- a/core/src/main/kotlin/io/jackdawring/core/membership/PeerMessage.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/membership/PeerMessage.kt
@@ -70,15 +70,19 @@
     ) : PeerMessage
 
     /**
-     * Finished records of [owner], sent by the draining instance that holds them.
+     * Finished records of [owner], sent by the draining instance that holds them, in [batches] messages.
      *
-     * The receiver answers resubmissions from them and starts nothing for them.
+     * The receiver answers resubmissions from them and starts nothing for them. [openScopes] maps each scope whose
+     * records are all in the batches to the time in milliseconds for which it must be kept.
      */
     @Serializable
     @SerialName("handOver")
     data class HandOver(
         override val sender: Owner,
         val owner: Owner,
+        val batch: Int,
+        val batches: Int,
+        val openScopes: Map<String, Long>,
         val records: List<HandedOverRecord>,
     ) : PeerMessage
 
--- /dev/null
+++ b/core/src/main/kotlin/io/jackdawring/core/session/SubmissionRecord.kt
@@ -0,0 +1,69 @@
+package io.jackdawring.core.session
+
+import io.jackdawring.core.Credential
+import io.jackdawring.core.Outcome
+import io.jackdawring.core.Owner
+import io.jackdawring.core.ReplyTo
+import io.jackdawring.core.SessionId
+import io.jackdawring.core.SubmissionId
+import io.jackdawring.core.job.Job
+
+/** Scope and id of a submission; unique in the fleet. */
+internal data class SubmissionKey(
+    val scope: String,
+    val id: SubmissionId,
+)
+
+/** Scope in which the submission ids of this credential are unique. */
+internal val Credential.scope: String
+    get() =
+        when (this) {
+            is Credential.Session -> sessionScope(claims.owner, claims.sessionId)
+            is Credential.IdempotencyKey -> "c/${callerId.value}"
+        }
+
+/** Scope of the submissions of one session of [owner]. */
+internal fun sessionScope(
+    owner: Owner,
+    sessionId: SessionId,
+): String = "s/${owner.instanceId.value}/${owner.incarnation}/${sessionId.value}"
+
+/** What this incarnation knows about one submission that it owns; its existence forbids a second start. */
+internal class SubmissionRecord(
+    val key: SubmissionKey,
+    val fingerprint: String,
+) {
+    var state: RecordState = RecordState.Claiming
+    private var waiters: ArrayList<ReplyTo>? = null
+
+    fun addWaiter(replyTo: ReplyTo) {
+        val list = waiters ?: ArrayList<ReplyTo>(1).also { waiters = it }
+        list.add(replyTo)
+    }
+
+    fun removeWaiter(replyTo: ReplyTo) {
+        waiters?.remove(replyTo)
+    }
+
+    /** Returns the waiters and forgets them. */
+    fun takeWaiters(): List<ReplyTo> = waiters.orEmpty().also { waiters = null }
+}
+
+/** Life cycle of a [SubmissionRecord]. */
+internal sealed interface RecordState {
+    /** The store has not yet decided who owns the submission; nothing was started. */
+    data object Claiming : RecordState
+
+    /** The job runs; resubmissions attach to it. */
+    class Running(
+        val job: Job,
+    ) : RecordState
+
+    /** The job ended and its answer is kept. */
+    class Finished(
+        val outcome: Outcome,
+    ) : RecordState
+
+    /** The job ended and its answer is no longer kept. */
+    data object Discarded : RecordState
+}
--- /dev/null
+++ b/testing/src/main/kotlin/io/jackdawring/testing/FakeTarget.kt
@@ -0,0 +1,132 @@
+package io.jackdawring.testing
+
+import io.jackdawring.core.Effect
+import io.jackdawring.core.FailureDomainId
+import io.jackdawring.core.InstanceRole
+import io.jackdawring.core.ListedInstance
+import io.jackdawring.core.ListedState
+import io.jackdawring.core.NotStartedReason
+import io.jackdawring.core.Payload
+import io.jackdawring.core.TargetAnswer
+import io.jackdawring.core.TargetUsage
+import kotlin.random.Random
+
+/** A target with slots on virtual time; the result of a task is the text of its task reference. */
+class FakeTarget(
+    val id: String,
+    val failureDomain: FailureDomainId,
+    private val slots: Int,
+    private val clock: VirtualClock,
+    private val random: Random,
+    private val startLog: StartLog,
+) {
+    private val running = HashMap<Any, Run>()
+    private var incarnation = 0
+
+    var alive: Boolean = true
+        private set
+    var leaving: Boolean = false
+    var failsEverything: Boolean = false
+
+    /** Run time of a task in milliseconds, drawn anew for each start. */
+    var runMillis: (Random) -> Long = { it.nextLong(MIN_RUN_MILLIS, MAX_RUN_MILLIS) }
+
+    /** Time in milliseconds at which this target last became leaving, or null. */
+    var leavingSinceMillis: Long? = null
+        private set
+
+    /** Starts that happened after the target had been leaving for longer than the permitted time. */
+    var lateStarts: Int = 0
+        private set
+
+    val address: String get() = "target-$id:1"
+
+    fun listed(): ListedInstance =
+        ListedInstance(
+            id = id,
+            role = InstanceRole.TARGET,
+            failureDomain = failureDomain,
+            address = address,
+            state = if (leaving) ListedState.LEAVING else ListedState.LIVE,
+            slots = slots,
+            services = listOf(TestConfiguration.SERVICE),
+        )
+
+    fun leave() {
+        if (leavingSinceMillis == null) leavingSinceMillis = clock.nowMillis
+        leaving = true
+    }
+
+    /** Ends the process; every running task is lost. */
+    fun die() {
+        alive = false
+        incarnation++
+        val lost = running.values.toList()
+        running.clear()
+        lost.forEach { it.answer(TargetAnswer.Lost("connection closed")) }
+    }
+
+    fun restart() {
+        alive = true
+        leaving = false
+        leavingSinceMillis = null
+        failsEverything = false
+    }
+
+    /** Starts the task of [start], or answers why not; [connection] identifies the sender's connection. */
+    fun start(
+        start: Effect.StartTask,
+        connection: Any,
+        answer: (TargetAnswer) -> Unit,
+    ) {
+        when {
+            !alive -> answer(TargetAnswer.NotStarted(NotStartedReason.UNREACHABLE))
+            leaving && refusesWhenLeaving -> answer(TargetAnswer.NotStarted(NotStartedReason.LEAVING, usage()))
+            running.size >= slots -> answer(TargetAnswer.NotStarted(NotStartedReason.BUSY, usage()))
+            else -> run(start, connection, answer)
+        }
+    }
+
+    /** Whether a leaving target refuses tasks itself; if not, only the list and the peers tell that it leaves. */
+    var refusesWhenLeaving: Boolean = false
+
+    /** Stops the task of a connection that its sender closed. */
+    fun disconnect(connection: Any) {
+        running.remove(connection)
+    }
+
+    private fun run(
+        start: Effect.StartTask,
+        connection: Any,
+        answer: (TargetAnswer) -> Unit,
+    ) {
+        startLog.record(start.task)
+        val since = leavingSinceMillis
+        if (since != null && clock.nowMillis - since > LEAVING_LIMIT_MILLIS) lateStarts++
+        running[connection] = Run(answer)
+        val startedBy = incarnation
+        clock.schedule(runMillis(random)) {
+            if (incarnation == startedBy && running.remove(connection) != null) answer(result(start))
+        }
+    }
+
+    private fun result(start: Effect.StartTask): TargetAnswer =
+        if (failsEverything) {
+            TargetAnswer.TaskFailed("the target fails everything", usage())
+        } else {
+            TargetAnswer.Succeeded(Payload.of("\"${start.task}\""), usage())
+        }
+
+    private fun usage() = TargetUsage(running.size, leaving)
+
+    private class Run(
+        val answer: (TargetAnswer) -> Unit,
+    )
+
+    companion object {
+        /** A leaving target must receive nothing new after this time. */
+        const val LEAVING_LIMIT_MILLIS = 3_000L
+        private const val MIN_RUN_MILLIS = 5L
+        private const val MAX_RUN_MILLIS = 400L
+    }
+}
--- /dev/null
+++ b/testing/src/main/kotlin/io/jackdawring/testing/StartLog.kt
@@ -0,0 +1,29 @@
+package io.jackdawring.testing
+
+import io.jackdawring.core.TaskReference
+
+/** What the targets started, in the order in which they started it. */
+class StartLog {
+    private val counts = HashMap<TaskReference, Int>()
+    private val listeners = ArrayList<(TaskReference) -> Unit>()
+
+    /** Total number of starts. */
+    var total: Int = 0
+        private set
+
+    fun record(task: TaskReference) {
+        counts.merge(task, 1, Int::plus)
+        total++
+        listeners.forEach { it(task) }
+    }
+
+    fun onStart(listener: (TaskReference) -> Unit) {
+        listeners.add(listener)
+    }
+
+    /** Tasks that started more than once. */
+    fun startedTwice(): List<TaskReference> = counts.filterValues { it > 1 }.keys.toList()
+
+    /** Number of tasks that started at least once. */
+    fun startedTasks(): Int = counts.size
+}
