--- a/core/src/main/kotlin/io/jackdawring/core/queue/TaskQueue.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/queue/TaskQueue.kt
@@ -57,4 +57,11 @@
 
     /** Order of arrival, unique per job. */
     val sequence: Long
+
+    /**
+     * Need of the next unstarted task; read at every put and after every placement.
+     *
+     * When one job finds no room, jobs with an equal key are skipped until the end of the dispatch.
+     */
+    val needKey: Any get() = service
 }
