Connect the parts of the decision core and fuzz it against an oracle

The fuzzer drives entry instances on fakes with virtual time through kills, pauses, cuts, store outages, lost replies, leaving and failing targets. The oracle sees only starts and answers.

Found and fixed on the way, each first seen as a failing schedule: - A submission whose claim waited for lost store replies was answered after its deadline. Claims now end at the deadline of their submission. - A request that attached to an undecided claim got the refusal of the first attempt although an earlier attempt had run elsewhere. The refusal is now 'unknown' unless every attached request stated that it is the only one. - An instance that had handed over its records exited while a request was still unread. A process now exits once every open request is answered.

--- a/core/src/main/kotlin/io/jackdawring/core/Credential.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/Credential.kt
@@ -9,6 +9,9 @@
     /** The caller on whose behalf the submission runs. */
     val callerId: CallerId
 
+    /** Scope in which submission ids with this credential are unique in the fleet. */
+    val scope: String
+
     /** A submission in a session; only the owner of the session starts it. */
     @Serializable
     @SerialName("session")
@@ -16,6 +19,7 @@
         val claims: SessionClaims,
     ) : Credential {
         override val callerId: CallerId get() = claims.callerId
+        override val scope: String get() = sessionScope(claims.owner, claims.sessionId)
     }
 
     /** A submission without a session; its id is a UUIDv7 and the store decides who starts it. */
@@ -23,5 +27,13 @@
     @SerialName("idempotencyKey")
     data class IdempotencyKey(
         override val callerId: CallerId,
-    ) : Credential
+    ) : Credential {
+        override val scope: String get() = "c/${callerId.value}"
+    }
 }
+
+/** Scope of the submissions of one session of [owner]. */
+internal fun sessionScope(
+    owner: Owner,
+    sessionId: SessionId,
+): String = "s/${owner.instanceId.value}/${owner.incarnation}/${sessionId.value}"
--- a/core/src/main/kotlin/io/jackdawring/core/Effect.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/Effect.kt
@@ -51,6 +51,6 @@
         val change: StateChange,
     ) : Effect
 
-    /** The graceful shutdown is complete; the process can exit. */
+    /** The graceful shutdown is complete; the process exits once every open request is answered. */
     data object CompleteShutdown : Effect
 }
--- a/core/src/main/kotlin/io/jackdawring/core/Submission.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/Submission.kt
@@ -20,6 +20,18 @@
     val firstAttempt: Boolean,
     val tasks: ImmutableList<TaskSpec>,
 ) {
+    /** A copy of this submission that [change] has changed. */
+    fun copy(change: Builder.() -> Unit): Submission =
+        submission(id, credential) {
+            service = this@Submission.service
+            kind = this@Submission.kind
+            deadlineMillis = this@Submission.deadlineMillis
+            fingerprint = this@Submission.fingerprint
+            firstAttempt = this@Submission.firstAttempt
+            tasks(this@Submission.tasks)
+            change()
+        }
+
     /** Builds a [Submission]. */
     class Builder(
         private val id: SubmissionId,
--- a/core/src/main/kotlin/io/jackdawring/core/claim/ClaimLedger.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/claim/ClaimLedger.kt
@@ -9,8 +9,6 @@
 
 /** Decides through the store who owns a submission without a session. */
 internal interface ClaimLedger {
-    val pendingClaims: Int
-
     /** Whether the last call to the store was answered. */
     val storeReachable: Boolean
 
--- a/core/src/main/kotlin/io/jackdawring/core/claim/RealClaimLedger.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/claim/RealClaimLedger.kt
@@ -19,7 +19,6 @@
     private val calls = HashMap<OperationId, PendingClaim>()
     private val rate = TokenBucket(options.claimRatePerSecond)
 
-    override val pendingClaims: Int get() = calls.size
     override var storeReachable: Boolean = true
         private set
 
--- a/core/src/main/kotlin/io/jackdawring/core/forward/SubmissionRouter.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/forward/SubmissionRouter.kt
@@ -22,7 +22,7 @@
 import io.jackdawring.core.session.SessionTable
 import io.jackdawring.core.session.SubmissionKey
 import io.jackdawring.core.session.SubmissionRecord
-import io.jackdawring.core.session.scope
+import java.util.TreeSet
 
 /** Decides for each submission whether this incarnation owns it, and runs, attaches, forwards or refuses it. */
 internal class SubmissionRouter(
@@ -37,6 +37,11 @@
     private val runner: JobRunner,
 ) {
     private val self = options.self
+    private val pendingClaims =
+        TreeSet<PendingClaim>(compareBy({ it.deadlineAtMillis }, { it.record.key.scope }, { it.record.key.id.value }))
+
+    /** Submissions that wait for the store's decision. */
+    val pendingClaimCount: Int get() = pendingClaims.size
 
     /** Handles a submission that a caller sent to this instance. */
     fun submit(
@@ -130,7 +135,10 @@
             return outlet.reply(replyTo, Outcome.Refused(RefusalReason.FINGERPRINT_MISMATCH, null))
         }
         when (val state = record.state) {
-            RecordState.Claiming, is RecordState.Running -> record.addWaiter(replyTo)
+            RecordState.Claiming, is RecordState.Running -> {
+                record.onlyAttempt = record.onlyAttempt && submission.firstAttempt
+                record.addWaiter(replyTo)
+            }
             is RecordState.Finished -> outlet.reply(replyTo, state.outcome)
             RecordState.Discarded -> outlet.reply(replyTo, Outcome.Unknown(UnknownReason.ANSWER_DISCARDED))
         }
@@ -146,16 +154,16 @@
         val record = sessions.create(submission.key, submission.fingerprint, nowMillis)
         if (record == null) return outlet.reply(replyTo, RECORDS_EXHAUSTED)
         record.addWaiter(replyTo)
-        run(record, submission, nowMillis)
+        run(record, submission, nowMillis + submission.deadlineMillis)
     }
 
     private fun run(
         record: SubmissionRecord,
         submission: Submission,
-        nowMillis: Long,
+        deadlineAtMillis: Long,
     ) {
         val kind = checkNotNull(admission.kind(submission)) { "${submission.service}/${submission.kind} was admitted" }
-        runner.start(record, submission, kind.service, kind.kind, nowMillis)
+        runner.start(record, submission, kind.service, kind.kind, deadlineAtMillis)
     }
 
     private fun route(
@@ -213,7 +221,7 @@
     }
 
     private fun refusalBeforeClaim(submission: Submission): Outcome? =
-        admission.check(submission)?.let { refusedOrUnknown(submission, it) }
+        admission.check(submission)?.let { refusedOrUnknown(submission.firstAttempt, it) }
 
     private fun claim(
         submission: Submission,
@@ -221,38 +229,51 @@
         nowMillis: Long,
     ) {
         val record = sessions.create(submission.key, submission.fingerprint, nowMillis)
-        if (record == null) return outlet.reply(replyTo, refusedOrUnknown(submission, RECORDS_EXHAUSTED))
+        if (record == null) return outlet.reply(replyTo, refusedOrUnknown(submission.firstAttempt, RECORDS_EXHAUSTED))
+        record.onlyAttempt = submission.firstAttempt
         record.addWaiter(replyTo)
+        val claim = PendingClaim(record, submission, nowMillis + submission.deadlineMillis)
         val limitedMillis =
             claims.claim(record.key, nowMillis) { decision, decidedAtMillis ->
-                onClaimDecided(record, submission, decision, decidedAtMillis)
+                if (pendingClaims.remove(claim)) onClaimDecided(claim, decision, decidedAtMillis)
             }
-        if (limitedMillis != null) {
+        if (limitedMillis == null) {
+            pendingClaims.add(claim)
+        } else {
             val refusal = Outcome.Refused(RefusalReason.CLAIM_RATE_LIMITED, limitedMillis)
-            forget(record, refusedOrUnknown(submission, refusal))
+            forget(record, refusedOrUnknown(record.onlyAttempt, refusal))
         }
     }
 
     private fun onClaimDecided(
-        record: SubmissionRecord,
-        submission: Submission,
+        claim: PendingClaim,
         decision: ClaimDecision,
         nowMillis: Long,
     ) {
+        val record = claim.record
+        val submission = claim.submission
         when (decision) {
             ClaimDecision.Won -> {
                 // This incarnation keeps a record of all that it starts, so a refusal here is certain.
                 val refusal = admission.check(submission)
-                if (refusal == null) run(record, submission, nowMillis) else forget(record, refusal)
+                if (refusal == null) run(record, submission, claim.deadlineAtMillis) else forget(record, refusal)
             }
             is ClaimDecision.OwnedBy -> {
                 sessions.remove(record)
                 record.takeWaiters().forEach { routeWaiter(it, decision.owner, submission, nowMillis) }
             }
-            ClaimDecision.Undecided -> {
-                val refusal = Outcome.Refused(RefusalReason.STORE_UNAVAILABLE, STORE_RETRY_MILLIS)
-                forget(record, refusedOrUnknown(submission, refusal))
-            }
+            ClaimDecision.Undecided -> forget(record, refusedOrUnknown(record.onlyAttempt, STORE_UNAVAILABLE))
+        }
+    }
+
+    fun nextTimerMillis(): Long? = if (pendingClaims.isEmpty()) null else pendingClaims.first().deadlineAtMillis
+
+    /** Answers submissions whose deadline passed before the store decided; their claims start nothing any more. */
+    fun onTimer(nowMillis: Long) {
+        while (pendingClaims.isNotEmpty() && pendingClaims.first().deadlineAtMillis <= nowMillis) {
+            val claim = pendingClaims.first()
+            pendingClaims.remove(claim)
+            forget(claim.record, refusedOrUnknown(claim.record.onlyAttempt, STORE_UNAVAILABLE))
         }
     }
 
@@ -277,10 +298,10 @@
     // Without a session an earlier attempt may have run through another instance. Only the caller's statement that
     // there was none allows "not run".
     private fun refusedOrUnknown(
-        submission: Submission,
+        onlyAttempt: Boolean,
         refusal: Outcome.Refused,
     ): Outcome =
-        if (submission.firstAttempt) {
+        if (onlyAttempt) {
             refusal
         } else {
             Outcome.Unknown(
@@ -291,8 +312,14 @@
 
     private val Submission.key get() = SubmissionKey(credential.scope, id)
 
+    private class PendingClaim(
+        val record: SubmissionRecord,
+        val submission: Submission,
+        val deadlineAtMillis: Long,
+    )
+
     private companion object {
-        const val STORE_RETRY_MILLIS = 1_000L
+        val STORE_UNAVAILABLE = Outcome.Refused(RefusalReason.STORE_UNAVAILABLE, retryAfterMillis = 1_000)
         val OWNER_UNREACHABLE = Outcome.Unknown(UnknownReason.OWNER_UNREACHABLE, retryAfterMillis = 1_000)
         val RECORDS_EXHAUSTED = Outcome.Refused(RefusalReason.OVERLOADED, 1_000, "the bound on kept records is reached")
     }
--- a/core/src/main/kotlin/io/jackdawring/core/job/Job.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/job/Job.kt
@@ -3,6 +3,7 @@
 import io.jackdawring.core.AttemptId
 import io.jackdawring.core.Payload
 import io.jackdawring.core.Submission
+import io.jackdawring.core.TaskSpec
 import io.jackdawring.core.configuration.KindDefinition
 import io.jackdawring.core.configuration.ServiceDefinition
 import io.jackdawring.core.queue.QueuedJob
@@ -22,6 +23,8 @@
     private val results = arrayOfNulls<Payload>(submission.tasks.size)
     private val notStartedCounts = IntArray(submission.tasks.size)
     private var succeeded = 0
+    private val hasEqualNeeds = submission.tasks.all { it.hasSameNeedAs(submission.tasks[0]) }
+    private val firstRoomKey = roomKey(0)
     val attempts = HashMap<AttemptId, Int>()
     var ended = false
 
@@ -34,6 +37,7 @@
     override val priority: Int get() = kind.priority
     override val expectedMillisPerTask: Long = meanExpectedMillis(submission, kind)
     override val pendingTasks: Int get() = unstarted.size
+    override val needKey: Any get() = if (hasEqualNeeds || unstarted.isEmpty()) firstRoomKey else roomKey(nextTask())
 
     val kindName: String get() = kind.name
     val isComplete: Boolean get() = succeeded == results.size
@@ -53,6 +57,11 @@
         )
     }
 
+    private fun roomKey(taskIndex: Int): RoomKey {
+        val task = submission.tasks[taskIndex]
+        return RoomKey(service, task.memoryMb, task.accelerators, priority, kind.idempotent)
+    }
+
     fun started(attemptId: AttemptId) {
         attempts[attemptId] = unstarted.removeFirst()
     }
@@ -87,6 +96,17 @@
     fun results(): List<Payload> = results.map { checkNotNull(it) { "job ${record.key} lacks a result" } }
 }
 
+/** What decides whether a target has room for a task; tasks with equal keys find room or none alike. */
+private data class RoomKey(
+    val service: String,
+    val memoryMb: Int,
+    val accelerators: Int,
+    val priority: Int,
+    val idempotent: Boolean,
+)
+
+private fun TaskSpec.hasSameNeedAs(other: TaskSpec) = memoryMb == other.memoryMb && accelerators == other.accelerators
+
 private fun meanExpectedMillis(
     submission: Submission,
     kind: KindDefinition,
--- a/core/src/main/kotlin/io/jackdawring/core/job/JobRunner.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/job/JobRunner.kt
@@ -41,15 +41,15 @@
 
     val tasksInFlight: Int get() = attempts.size
 
-    /** Queues all tasks of an admitted submission. */
+    /** Queues all tasks of an admitted submission; [deadlineAtMillis] is monotonic time. */
     fun start(
         record: SubmissionRecord,
         submission: Submission,
         service: ServiceDefinition,
         kind: KindDefinition,
-        nowMillis: Long,
+        deadlineAtMillis: Long,
     ) {
-        val job = Job(++lastJob, record, submission, service, kind, nowMillis + submission.deadlineMillis)
+        val job = Job(++lastJob, record, submission, service, kind, deadlineAtMillis)
         record.state = RecordState.Running(job)
         runningJobs++
         deadlines.add(job)
--- a/core/src/main/kotlin/io/jackdawring/core/session/RealSessionTable.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/session/RealSessionTable.kt
@@ -8,6 +8,7 @@
 import io.jackdawring.core.SessionClaims
 import io.jackdawring.core.SessionId
 import io.jackdawring.core.membership.HandedOverRecord
+import io.jackdawring.core.sessionScope
 
 internal class RealSessionTable(
     private val options: EntryOptions,
--- a/core/src/main/kotlin/io/jackdawring/core/session/SubmissionRecord.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/session/SubmissionRecord.kt
@@ -1,10 +1,7 @@
 package io.jackdawring.core.session
 
-import io.jackdawring.core.Credential
 import io.jackdawring.core.Outcome
-import io.jackdawring.core.Owner
 import io.jackdawring.core.ReplyTo
-import io.jackdawring.core.SessionId
 import io.jackdawring.core.SubmissionId
 import io.jackdawring.core.job.Job
 
@@ -14,26 +11,15 @@
     val id: SubmissionId,
 )
 
-/** Scope in which the submission ids of this credential are unique. */
-internal val Credential.scope: String
-    get() =
-        when (this) {
-            is Credential.Session -> sessionScope(claims.owner, claims.sessionId)
-            is Credential.IdempotencyKey -> "c/${callerId.value}"
-        }
-
-/** Scope of the submissions of one session of [owner]. */
-internal fun sessionScope(
-    owner: Owner,
-    sessionId: SessionId,
-): String = "s/${owner.instanceId.value}/${owner.incarnation}/${sessionId.value}"
-
 /** What this incarnation knows about one submission that it owns; its existence forbids a second start. */
 internal class SubmissionRecord(
     val key: SubmissionKey,
     val fingerprint: String,
 ) {
     var state: RecordState = RecordState.Claiming
+
+    /** Whether every request so far stated that it is the caller's only attempt. */
+    var onlyAttempt: Boolean = true
     private var waiters: ArrayList<ReplyTo>? = null
 
     fun addWaiter(replyTo: ReplyTo) {
--- /dev/null
+++ b/testing/src/main/kotlin/io/jackdawring/testing/FakeWorld.kt
@@ -0,0 +1,196 @@
+package io.jackdawring.testing
+
+import io.jackdawring.core.Effect
+import io.jackdawring.core.EntryInstance
+import io.jackdawring.core.EntryOptions
+import io.jackdawring.core.Event
+import io.jackdawring.core.FailureDomainId
+import io.jackdawring.core.InstanceId
+import io.jackdawring.core.InstanceList
+import io.jackdawring.core.InstanceRole
+import io.jackdawring.core.ListedInstance
+import io.jackdawring.core.ListedState
+import io.jackdawring.core.NotStartedReason
+import io.jackdawring.core.Owner
+import io.jackdawring.core.StateChange
+import io.jackdawring.core.StoreAnswer
+import io.jackdawring.core.TargetAnswer
+import io.jackdawring.core.entryOptions
+import kotlin.random.Random
+
+/** Fakes of everything that surrounds a few entry instances, on one virtual clock. */
+class FakeWorld(
+    seed: Long,
+    val domains: List<FailureDomainId>,
+    private val factory: EntryInstance.Factory = EntryInstance.Default,
+    private val customize: EntryOptions.Builder.() -> Unit = {},
+) {
+    val clock = VirtualClock()
+    val random = Random(seed)
+    val network = FakeNetwork(clock, random)
+    val startLog = StartLog()
+    val oracle = Oracle()
+    val store = FakeStoreLink(clock, random)
+    val instances = ArrayList<FakeInstance>()
+    val targets = ArrayList<FakeTarget>()
+
+    /** Longest time in milliseconds that the platform's list lags behind. */
+    var maxListLagMillis: Long = 1_000
+    private var listVersion = 0L
+    private var incarnations = 0L
+    private val exitListeners = ArrayList<(FakeInstance) -> Unit>()
+
+    init {
+        startLog.onStart(oracle::started)
+    }
+
+    val liveInstances: List<FakeInstance> get() = instances.filter { it.alive }
+
+    fun addInstance(
+        domain: FailureDomainId,
+        id: String = "entry-${instances.size}",
+    ): FakeInstance {
+        val incarnation = ++incarnations
+        val owner = Owner(InstanceId(id), incarnation, "$id-$incarnation:1", domain)
+        val options =
+            entryOptions(owner) {
+                seed = random.nextLong()
+                wallClockOffsetMillis = WALL_CLOCK_AT_START_MILLIS
+                customize()
+            }
+        val instance = FakeInstance(options, factory, this)
+        instances.add(instance)
+        instance.deliver(Event.TimerFired)
+        publishList()
+        return instance
+    }
+
+    fun addTarget(
+        domain: FailureDomainId,
+        slots: Int = 8,
+    ): FakeTarget {
+        val target = FakeTarget("target-${targets.size}", domain, slots, clock, random, startLog)
+        targets.add(target)
+        publishList()
+        return target
+    }
+
+    /** Publishes the present list of instances; each entry instance sees it after its own lag. */
+    fun publishList() {
+        val list = InstanceList(++listVersion, listedInstances() + targets.filter { it.alive }.map { it.listed() })
+        for (instance in liveInstances) {
+            clock.schedule(random.nextLong(maxListLagMillis)) {
+                if (network.reachesPlatform(instance.owner.failureDomain)) instance.deliver(Event.InstancesListed(list))
+            }
+        }
+    }
+
+    /** Advances the virtual time by [millis]. */
+    fun advance(millis: Long) = clock.advance(millis)
+
+    /** Calls [listener] when an instance completes its graceful shutdown. */
+    fun onExit(listener: (FakeInstance) -> Unit) {
+        exitListeners.add(listener)
+    }
+
+    internal fun exited(instance: FakeInstance) {
+        exitListeners.forEach { it(instance) }
+        publishList()
+    }
+
+    internal fun report(
+        instance: FakeInstance,
+        change: StateChange,
+    ) {
+        changeListeners.forEach { it(instance, change) }
+    }
+
+    private val changeListeners = ArrayList<(FakeInstance, StateChange) -> Unit>()
+
+    /** Calls [listener] for each reported change of state. */
+    fun onChange(listener: (FakeInstance, StateChange) -> Unit) {
+        changeListeners.add(listener)
+    }
+
+    internal fun sendToPeer(
+        sender: FakeInstance,
+        effect: Effect.SendToPeer,
+    ) {
+        val from = sender.owner.failureDomain
+        val receiver = instances.lastOrNull { it.owner.peerAddress == effect.peerAddress }
+        if (receiver == null || !receiver.alive) {
+            network.deliver(from, from) { sender.deliver(Event.PeerSendFailed(effect.peerAddress, effect.message)) }
+            return
+        }
+        val to = receiver.owner.failureDomain
+        var settled = false
+        val settle = { event: Event ->
+            if (!settled) {
+                settled = true
+                sender.deliver(event)
+            }
+        }
+        network.deliver(from, to) {
+            receiver.whenRunning {
+                receiver.deliver(Event.PeerMessageReceived(effect.message))
+                network.deliver(to, from) { settle(Event.PeerSendAcknowledged(effect.peerAddress, effect.message)) }
+            }
+        }
+        clock.schedule(PEER_TIMEOUT_MILLIS) { settle(Event.PeerSendFailed(effect.peerAddress, effect.message)) }
+    }
+
+    internal fun callStore(
+        caller: FakeInstance,
+        effect: Effect.CallStore,
+    ) {
+        val isReachable = { network.reachesPlatform(caller.owner.failureDomain) }
+        store.call(effect.call, isReachable) { answer: StoreAnswer ->
+            caller.deliver(Event.StoreAnswered(effect.operationId, answer))
+        }
+    }
+
+    internal fun startTask(
+        sender: FakeInstance,
+        effect: Effect.StartTask,
+        connection: TaskConnection,
+        onAnswer: (TargetAnswer) -> Unit,
+    ) {
+        val from = sender.owner.failureDomain
+        val target = targets.first { it.address == effect.targetAddress }
+        if (!network.isConnected(from, target.failureDomain)) {
+            clock.schedule(CONNECT_TIMEOUT_MILLIS) {
+                onAnswer(TargetAnswer.NotStarted(NotStartedReason.UNREACHABLE))
+            }
+            return
+        }
+        connection.onClose { network.deliver(from, target.failureDomain) { target.disconnect(connection) } }
+        // A task on its way when the domains are cut off from each other is lost after a while, as TCP would tell.
+        clock.schedule(effect.remainingMillis + LOST_MARGIN_MILLIS) { onAnswer(TargetAnswer.Lost("no answer")) }
+        network.deliver(from, target.failureDomain) {
+            if (!connection.closed) {
+                target.start(effect, connection) { answer ->
+                    network.deliver(target.failureDomain, from) { onAnswer(answer) }
+                }
+            }
+        }
+    }
+
+    private fun listedInstances(): List<ListedInstance> =
+        liveInstances.filterNot { it.draining }.map {
+            ListedInstance(
+                id = it.owner.instanceId.value,
+                role = InstanceRole.ENTRY,
+                failureDomain = it.owner.failureDomain,
+                address = it.owner.peerAddress,
+                state = ListedState.LIVE,
+            )
+        }
+
+    companion object {
+        /** Unix time in milliseconds at virtual time 0. */
+        const val WALL_CLOCK_AT_START_MILLIS = 1_790_000_000_000L
+        private const val PEER_TIMEOUT_MILLIS = 1_000L
+        private const val CONNECT_TIMEOUT_MILLIS = 500L
+        private const val LOST_MARGIN_MILLIS = 1_000L
+    }
+}
--- /dev/null
+++ b/testing/src/main/kotlin/io/jackdawring/testing/FuzzStep.kt
@@ -0,0 +1,41 @@
+package io.jackdawring.testing
+
+/** One step of a fuzzed schedule; [first] and [second] select participants modulo their present number. */
+data class FuzzStep(
+    val action: FuzzAction,
+    val first: Int,
+    val second: Int,
+    val millis: Long,
+)
+
+/** What a [FuzzStep] does; [weight] is its relative frequency. */
+enum class FuzzAction(
+    val weight: Int,
+) {
+    OPEN_SESSION(6),
+    SUBMIT_IN_SESSION(20),
+    SUBMIT_WITH_KEY(8),
+    RESUBMIT(16),
+    RESUBMIT_OTHER_BODY(1),
+    SUBMIT_BURST(2),
+    CANCEL(2),
+    CANCEL_WAVE(1),
+    ADVANCE(30),
+    KILL(1),
+    FREEZE(2),
+    RESUME(3),
+    DRAIN(1),
+    REPLACE(3),
+    CUT_DOMAINS(2),
+    CUT_PLATFORM(1),
+    HEAL(2),
+    STORE_DOWN(1),
+    STORE_LOSES_REPLIES(1),
+    STORE_SLOW(1),
+    STORE_UP(2),
+    TARGET_LEAVES(1),
+    TARGET_DIES(1),
+    TARGET_FAILS_EVERYTHING(1),
+    TARGET_STRAGGLES(1),
+    TARGET_RESTARTS(3),
+}
--- /dev/null
+++ b/testing/src/main/kotlin/io/jackdawring/testing/Oracle.kt
@@ -0,0 +1,184 @@
+package io.jackdawring.testing
+
+import io.jackdawring.core.Outcome
+import io.jackdawring.core.RefusalReason
+import io.jackdawring.core.TaskReference
+
+/**
+ * Judges a run by what callers and targets see: starts of tasks and answers to requests.
+ *
+ * It knows nothing of the entry instances.
+ */
+class Oracle {
+    private val submissions = HashMap<String, SubmissionView>()
+    private val found = ArrayList<Violation>()
+
+    /** Everything that went wrong so far. */
+    val violations: List<Violation> get() = found
+
+    /** Number of answers seen, by the kind of outcome. */
+    val answers = HashMap<String, Int>()
+
+    /** Notes that a caller sent a request for the submission named [submission] with [tasks] tasks. */
+    fun requested(
+        submission: String,
+        requestTag: String,
+        tasks: Int,
+    ) {
+        val view = submissions.getOrPut(submission) { SubmissionView(tasks) }
+        view.openRequests++
+        view.history.add("requested: $requestTag")
+    }
+
+    /** Notes that the connection of a request broke before its answer; the submission may still run. */
+    fun disconnected(
+        submission: String,
+        requestTag: String,
+    ) {
+        val view = view(submission)
+        view.mayStillRun = true
+        view.history.add("disconnected: $requestTag")
+    }
+
+    /** Notes that a target started [task]. */
+    fun started(task: TaskReference) {
+        val name = submissionName(task.scope, task.submissionId.value)
+        val view = submissions[name]
+        if (view == null) {
+            report(Invariant.TRUTHFUL_REFUSAL, "$task started, but was never submitted")
+            return
+        }
+        if (!view.started.add(task.taskIndex)) report(Invariant.SINGLE_START, "$task started twice")
+        if (view.closed) report(Invariant.WHOLE_ANSWER, "$task started after the final answer ${view.finalAnswer}")
+        if (view.openRequests == 0 && !view.mayStillRun) {
+            report(Invariant.TRUTHFUL_REFUSAL, "$task started after 'not run'")
+        }
+    }
+
+    /** Notes the answer to a request. */
+    fun answered(
+        submission: String,
+        requestTag: String,
+        outcome: Outcome,
+    ) {
+        val view = view(submission)
+        view.openRequests--
+        view.history.add("answered: $requestTag: ${outcome.summary()}")
+        answers.merge(outcome::class.simpleName.orEmpty(), 1, Int::plus)
+        when (outcome) {
+            is Outcome.Complete -> checkComplete(submission, requestTag, view, outcome)
+            is Outcome.Failed -> checkFailed(submission, view, outcome)
+            is Outcome.Refused -> checkRefused(submission, view, outcome)
+            is Outcome.Unknown -> view.mayStillRun = true
+        }
+    }
+
+    /** Notes a second answer to the same request. */
+    fun answeredTwice(requestTag: String) = report(Invariant.OWN_ANSWER, "$requestTag was answered twice")
+
+    /** Reports a violation that another check found. */
+    fun report(
+        invariant: Invariant,
+        detail: String,
+    ) {
+        found.add(Violation(invariant, detail))
+    }
+
+    private fun checkComplete(
+        submission: String,
+        requestTag: String,
+        view: SubmissionView,
+        outcome: Outcome.Complete,
+    ) {
+        val expected = (0 until view.tasks).map { "\"$submission/$it\"" }
+        val actual = outcome.results.map { it.bytes.decodeToString() }
+        if (actual.size != expected.size) {
+            report(Invariant.WHOLE_ANSWER, "$requestTag has ${actual.size} of ${expected.size} results")
+        } else if (actual != expected) {
+            report(Invariant.OWN_ANSWER, "$requestTag got the results $actual")
+        }
+        close(submission, view, "complete")
+    }
+
+    private fun checkFailed(
+        submission: String,
+        view: SubmissionView,
+        outcome: Outcome.Failed,
+    ) {
+        if (!outcome.mayHaveRun && view.started.isNotEmpty()) {
+            report(Invariant.TRUTHFUL_REFUSAL, "$submission failed as not run, but ran ${view.started}")
+        }
+        close(submission, view, "failed")
+    }
+
+    private fun checkRefused(
+        submission: String,
+        view: SubmissionView,
+        outcome: Outcome.Refused,
+    ) {
+        // Another body under the same id was not run; the first body may have been.
+        if (outcome.reason == RefusalReason.FINGERPRINT_MISMATCH) return
+        if (view.started.isNotEmpty()) {
+            report(
+                Invariant.TRUTHFUL_REFUSAL,
+                "$submission was refused (${outcome.reason}), but ran ${view.describe()}",
+            )
+        }
+    }
+
+    private fun close(
+        submission: String,
+        view: SubmissionView,
+        answer: String,
+    ) {
+        val earlier = view.finalAnswer
+        if (earlier != null && earlier != answer) {
+            report(Invariant.WHOLE_ANSWER, "$submission was answered $earlier and then $answer")
+        }
+        view.finalAnswer = answer
+        view.closed = true
+    }
+
+    private fun view(submission: String) = checkNotNull(submissions[submission]) { "$submission was not submitted" }
+
+    private fun Outcome.summary(): String = if (this is Outcome.Complete) "${results.size} results" else toString()
+
+    private class SubmissionView(
+        val tasks: Int,
+    ) {
+        val started = HashSet<Int>()
+        val history = ArrayList<String>()
+        var openRequests = 0
+        var mayStillRun = false
+        var closed = false
+        var finalAnswer: String? = null
+
+        fun describe() = "${started.size} of $tasks tasks; ${history.joinToString()}"
+    }
+
+    companion object {
+        /** Name of a submission in the oracle; the fakes' results repeat it with the task index. */
+        fun submissionName(
+            scope: String,
+            submissionId: String,
+        ): String = "$scope/$submissionId"
+    }
+}
+
+/** What must always hold. */
+enum class Invariant {
+    SINGLE_START,
+    WHOLE_ANSWER,
+    OWN_ANSWER,
+    TRUTHFUL_REFUSAL,
+    LEAVING_TARGET,
+    GRACEFUL_SHUTDOWN,
+    CONFIGURATION,
+    ANSWER_IN_TIME,
+}
+
+/** A broken invariant. */
+data class Violation(
+    val invariant: Invariant,
+    val detail: String,
+)
