--- a/core/src/main/kotlin/io/jackdawring/core/membership/PeerMessage.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/membership/PeerMessage.kt
@@ -25,6 +25,9 @@
         override val sender: Owner,
         val members: List<MemberFact>,
         val targets: List<TargetFact>,
+        @SerialName("beats")
+        @Serializable(with = HeartbeatListSerializer::class)
+        val heartbeats: List<Heartbeat> = emptyList(),
     ) : PeerMessage
 
     /** Answer to [Digest]; it is not answered. */
@@ -34,6 +37,9 @@
         override val sender: Owner,
         val members: List<MemberFact>,
         val targets: List<TargetFact>,
+        @SerialName("beats")
+        @Serializable(with = HeartbeatListSerializer::class)
+        val heartbeats: List<Heartbeat> = emptyList(),
     ) : PeerMessage
 
     /** Asks the owner of a submission for its outcome; [correlation] is unique per sender incarnation. */
@@ -70,15 +76,19 @@
     ) : PeerMessage
 
     /**
-     * Finished records of [owner], sent by the draining instance that holds them.
+     * Finished records of [owner], sent by the draining instance that holds them, in [batches] messages.
      *
-     * The receiver answers resubmissions from them and starts nothing for them.
+     * The receiver answers resubmissions from them and starts nothing for them. [openScopes] maps each scope whose
+     * records are all in the batches to the time in milliseconds for which it must be kept.
      */
     @Serializable
     @SerialName("handOver")
     data class HandOver(
         override val sender: Owner,
         val owner: Owner,
+        val batch: Int,
+        val batches: Int,
+        val openScopes: Map<String, Long>,
         val records: List<HandedOverRecord>,
     ) : PeerMessage
 
@@ -101,14 +111,28 @@
     ) : PeerMessage
 }
 
-/** What an instance claims about a member; a fact replaces another only if (incarnation, heartbeat) is higher. */
+/**
+ * What an instance claims about a member; a fact replaces another only if (incarnation, heartbeat) is higher.
+ *
+ * [successorIncarnation] is the incarnation of [succeededBy] that took the records, null if the sender did not know it.
+ * [successionAgeMillis] is the time since [succeededBy] was named; the fact is forgotten at the session lifetime.
+ */
 @Serializable
 data class MemberFact(
+    @SerialName("o")
     val owner: Owner,
+    @SerialName("hb")
     val heartbeat: Long,
+    @SerialName("cv")
     val configurationVersion: Long,
+    @SerialName("dr")
     val draining: Boolean = false,
+    @SerialName("by")
     val succeededBy: InstanceId? = null,
+    @SerialName("byInc")
+    val successorIncarnation: Long? = null,
+    @SerialName("age")
+    val successionAgeMillis: Long = 0,
 )
 
 /** What an instance observed about a target; a fact replaces another only if (listVersion, sequence) is higher. */
