--- a/server/src/main/kotlin/io/jackdawring/server/http/HttpExchange.kt
+++ b/server/src/main/kotlin/io/jackdawring/server/http/HttpExchange.kt
@@ -14,6 +14,9 @@
      */
     fun disconnect() = respond(HttpResponseMessage(503))
 
+    /** Answers the request with the result of [build], which may run later on another thread. */
+    fun respondWith(build: () -> HttpResponseMessage) = respond(build())
+
     /** Calls [action] once if the connection closes before the answer was written. */
     fun onDisconnected(action: () -> Unit)
 }
--- a/server/src/main/kotlin/io/jackdawring/server/http/HttpServer.kt
+++ b/server/src/main/kotlin/io/jackdawring/server/http/HttpServer.kt
@@ -5,9 +5,15 @@
     /** Bound address as `ip:port`; the port is the real one if 0 was asked for. */
     val address: String
 
+    /** Number of requests that were received in full and whose answer is not written in full. */
+    val requestsInProgress: Int
+
     /** Stops accepting connections; open ones go on. */
     fun stopAccepting()
 
+    /** Closes each connection after its next answer, so that its caller connects anew, possibly elsewhere. */
+    fun closeAfterAnswers()
+
     /** Closes the listener and all connections. */
     override fun close()
 
