Close connections without an answer and start the stand-ins on Netty

An outage and a lost reply of the stand-in platform answered 503, which a client can tell from a broken connection. HttpExchange.disconnect() now closes the connection; a test over loopback sees Broken, and after a lost reply the written value. The stand-ins start on an HttpTransport, whose server options carry the target's connection limit.

--- a/server/src/main/kotlin/io/jackdawring/server/http/HttpExchange.kt
+++ b/server/src/main/kotlin/io/jackdawring/server/http/HttpExchange.kt
@@ -7,12 +7,8 @@
     /** Answers the request; only the first call has an effect. */
     fun respond(response: HttpResponseMessage)
 
-    /**
-     * Closes the connection without an answer; no effect after [respond].
-     *
-     * A server that cannot close single connections answers 503 instead.
-     */
-    fun disconnect() = respond(HttpResponseMessage(503))
+    /** Closes the connection without an answer; no effect after [respond]. */
+    fun disconnect()
 
     /** Calls [action] once if the connection closes before the answer was written. */
     fun onDisconnected(action: () -> Unit)
--- a/server/src/main/kotlin/io/jackdawring/server/http/HttpServerConnection.kt
+++ b/server/src/main/kotlin/io/jackdawring/server/http/HttpServerConnection.kt
@@ -242,6 +242,11 @@
         }
     }
 
+    /** Closes the connection at once, without the answers that are still missing. */
+    fun close() {
+        context.close()
+    }
+
     /** Writes the answers that are present up to the first request without one. */
     fun writeAnswers() {
         var wroteAny = false
--- a/server/src/main/kotlin/io/jackdawring/server/http/RealHttpExchange.kt
+++ b/server/src/main/kotlin/io/jackdawring/server/http/RealHttpExchange.kt
@@ -15,12 +15,16 @@
     private var disconnected = false
     private var written = false
 
-    val response: HttpResponseMessage? get() = answer.get()
+    val response: HttpResponseMessage? get() = answer.get().takeIf { it !== DISCONNECT }
 
     override fun respond(response: HttpResponseMessage) {
         if (answer.compareAndSet(null, response)) connection.execute { connection.writeAnswers() }
     }
 
+    override fun disconnect() {
+        if (answer.compareAndSet(null, DISCONNECT)) connection.execute { connection.close() }
+    }
+
     override fun onDisconnected(action: () -> Unit) =
         connection.execute {
             when {
@@ -41,4 +45,9 @@
         disconnectActions = null
         actions.forEach { it() }
     }
+
+    private companion object {
+        /** Takes the place of the answer, so that a later one has no effect. */
+        val DISCONNECT = HttpResponseMessage(0)
+    }
 }
--- a/standins/src/main/kotlin/io/jackdawring/standins/RealStandInTarget.kt
+++ b/standins/src/main/kotlin/io/jackdawring/standins/RealStandInTarget.kt
@@ -24,7 +24,7 @@
 internal class RealStandInTarget(
     private val options: StandInTargetOptions,
     http: HttpServer.Factory,
-    client: HttpClient,
+    private val client: HttpClient,
     private val timers: Timers,
     private val wallClockMillis: () -> Long,
 ) : StandInTarget,
@@ -78,6 +78,7 @@
     override fun close() {
         registration.close()
         server.close()
+        client.close()
         timers.close()
         startLog.close()
     }
--- a/standins/src/main/kotlin/io/jackdawring/standins/StandInPlatform.kt
+++ b/standins/src/main/kotlin/io/jackdawring/standins/StandInPlatform.kt
@@ -1,6 +1,6 @@
 package io.jackdawring.standins
 
-import io.jackdawring.server.http.HttpServer
+import io.jackdawring.server.http.HttpTransport
 
 /** The platform's store and instance list as an HTTP server, with switchable faults and counted calls. */
 interface StandInPlatform : AutoCloseable {
@@ -16,8 +16,8 @@
     override fun close()
 }
 
-/** Starts a [StandInPlatform] on a server of [http]. */
+/** Starts a [StandInPlatform] on the event loops of [transport], which stay open when it closes. */
 fun startStandInPlatform(
     options: StandInPlatformOptions,
-    http: HttpServer.Factory,
-): StandInPlatform = RealStandInPlatform(options, http, RealTimers())
+    transport: HttpTransport,
+): StandInPlatform = RealStandInPlatform(options, transport.serverFactory(), RealTimers())
--- a/standins/src/main/kotlin/io/jackdawring/standins/StandInTarget.kt
+++ b/standins/src/main/kotlin/io/jackdawring/standins/StandInTarget.kt
@@ -1,7 +1,7 @@
 package io.jackdawring.standins
 
-import io.jackdawring.server.http.HttpClient
-import io.jackdawring.server.http.HttpServer
+import io.jackdawring.server.http.HttpServerOptions
+import io.jackdawring.server.http.HttpTransport
 
 /** A target as an HTTP server whose tasks are timers, with switchable faults and a log of its starts. */
 interface StandInTarget : AutoCloseable {
@@ -26,9 +26,11 @@
     override fun close()
 }
 
-/** Starts a [StandInTarget] on a server of [http]; [client] registers it with the platform. */
+/** Starts a [StandInTarget] on the event loops of [transport], which stay open when it closes. */
 fun startStandInTarget(
     options: StandInTargetOptions,
-    http: HttpServer.Factory,
-    client: HttpClient,
-): StandInTarget = RealStandInTarget(options, http, client, RealTimers(), System::currentTimeMillis)
+    transport: HttpTransport,
+): StandInTarget {
+    val http = transport.serverFactory(HttpServerOptions(maxConnections = options.connections))
+    return RealStandInTarget(options, http, transport.client(), RealTimers(), System::currentTimeMillis)
+}
--- a/standins/src/main/kotlin/io/jackdawring/standins/StandInTargetOptions.kt
+++ b/standins/src/main/kotlin/io/jackdawring/standins/StandInTargetOptions.kt
@@ -31,7 +31,7 @@
         var platformAddress: String? = null
         var slots: Int = 8
 
-        /** Connections that the target accepts; further ones are closed or refused by the HTTP server. */
+        /** Connections that the target accepts; further ones are answered 503 and closed. */
         var connections: Int = 60
         var memoryMb: Int = 65_536
         var accelerators: Int = 0
--- /dev/null
+++ b/standins/src/test/kotlin/io/jackdawring/standins/StandInNetworkTest.kt
@@ -0,0 +1,83 @@
+package io.jackdawring.standins
+
+import io.jackdawring.server.http.HttpClient
+import io.jackdawring.server.http.HttpRequestMessage
+import io.jackdawring.server.http.HttpResult
+import io.jackdawring.server.http.HttpTransport
+import kotlinx.collections.immutable.persistentMapOf
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.DynamicTest
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.TestFactory
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.TimeUnit
+import kotlin.test.assertEquals
+
+/** Guards against stand-ins that behave otherwise over real connections than with fake exchanges. */
+class StandInNetworkTest {
+    private val transport = HttpTransport()
+    private val client: HttpClient = transport.client()
+
+    @AfterEach
+    fun closeTransport() {
+        client.close()
+        transport.close()
+    }
+
+    private fun send(
+        address: String,
+        requestLine: String,
+        body: String = "",
+    ): CompletableFuture<HttpResult> {
+        val (method, path) = requestLine.split(' ')
+        val headers = persistentMapOf("jackdaw-task" to "s/j/0")
+        val result = CompletableFuture<HttpResult>()
+        val request = HttpRequestMessage(method, path, headers = headers, body = body.encodeToByteArray())
+        client.send(address, request, TIMEOUT_MILLIS, result::complete)
+        return result
+    }
+
+    private fun CompletableFuture<HttpResult>.status(): Int? =
+        (get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS) as? HttpResult.Answered)?.response?.status
+
+    @TestFactory
+    fun `an answer that is withheld looks like a broken connection`() =
+        listOf(
+            PlatformFaults(down = true) to 404,
+            PlatformFaults(loseReplyPercent = 100) to 200,
+        ).map { (faults, statusAfterwards) ->
+            DynamicTest.dynamicTest(faults.toString()) {
+                startStandInPlatform(standInPlatformOptions { listen = "127.0.0.1:0" }, transport).use { platform ->
+                    platform.faults = faults
+                    val result = send(platform.address, "PUT /kv/a", """{"value":"x"}""")
+                    assertEquals(HttpResult.Broken::class, result.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)::class)
+                    platform.faults = PlatformFaults()
+                    assertEquals(statusAfterwards, send(platform.address, "GET /kv/a").status())
+                }
+            }
+        }
+
+    @Test
+    fun `a target is listed and runs a task`() {
+        startStandInPlatform(standInPlatformOptions { listen = "127.0.0.1:0" }, transport).use { platform ->
+            val options = standInTargetOptions("t1", "a") { platformAddress = platform.address }
+            startStandInTarget(options, transport).use { target ->
+                val request =
+                    HttpRequestMessage(
+                        "GET",
+                        "/instances",
+                        persistentMapOf("afterVersion" to "0", "waitMillis" to TIMEOUT_MILLIS.toString()),
+                    )
+                val listed = CompletableFuture<HttpResult>()
+                client.send(platform.address, request, TIMEOUT_MILLIS, listed::complete)
+                assertEquals(200, listed.status())
+                assertEquals(200, send(target.address, "POST /tasks", """{"runMillis":1}""").status())
+                assertEquals(listOf("s/j/0"), target.starts().map { it.task })
+            }
+        }
+    }
+
+    private companion object {
+        const val TIMEOUT_MILLIS = 10_000L
+    }
+}
