--- /dev/null
+++ b/load/src/main/kotlin/io/jackdawring/load/WastedMessages.kt
@@ -0,0 +1,42 @@
+package io.jackdawring.load
+
+import io.jackdawring.standins.TargetCounts
+import kotlinx.serialization.Serializable
+
+/**
+ * Messages that did not serve an answer.
+ *
+ * [refusals]: starts that a target refused as busy or leaving. [repeatedSends]: submissions that a caller sent again.
+ * [forwards]: requests sent to an entry instance that does not own their session. [cancelled]: tasks that ended because
+ * their connection closed. [discarded]: tasks that succeeded without being part of a complete answer.
+ */
+@Serializable
+data class WastedMessages(
+    val refusals: Long,
+    val repeatedSends: Long,
+    val forwards: Long,
+    val cancelled: Long,
+    val discarded: Long,
+) {
+    val total: Long get() = refusals + repeatedSends + forwards + cancelled + discarded
+
+    /** [total] over [tasks], the tasks of all distinct submissions; 0 without tasks. */
+    fun perTask(tasks: Long): Double = if (tasks == 0L) 0.0 else total.toDouble() / tasks
+
+    companion object {
+        /** Wasted messages seen by [targets] and by the callers; [deliveredTasks] are those of complete answers. */
+        fun of(
+            targets: Collection<TargetCounts>,
+            repeatedSends: Long,
+            forwards: Long,
+            deliveredTasks: Long,
+        ): WastedMessages =
+            WastedMessages(
+                refusals = targets.sumOf { it.refusedBusy + it.refusedLeaving },
+                repeatedSends = repeatedSends,
+                forwards = forwards,
+                cancelled = targets.sumOf { it.cancelled },
+                discarded = (targets.sumOf { it.succeeded } - deliveredTasks).coerceAtLeast(0),
+            )
+    }
+}
