--- a/load/src/main/kotlin/io/jackdawring/load/Demo.kt
+++ b/load/src/main/kotlin/io/jackdawring/load/Demo.kt
@@ -5,6 +5,7 @@
 import io.jackdawring.core.configuration.TeamDocument
 import io.jackdawring.server.EntryServer
 import io.jackdawring.server.http.HttpTransport
+import io.jackdawring.standins.TargetCounts
 import io.jackdawring.standins.Timers
 import io.jackdawring.standins.doubleStarts
 import io.jackdawring.standins.realTimers
@@ -210,7 +211,8 @@
                     .toLong()
             }
         val repeated = (sent.size - jobs.size).toLong()
-        val waste = WastedMessages.of(fleet.targets.map { it.counts() }, repeated, repeated, delivered)
+        val targetCounts = LocalTargetReadings(fleet.targets).counts()
+        val waste = WastedMessages.between(TargetCounts(), targetCounts, repeated, repeated, delivered)
         val starts = fleet.targets.flatMap { it.starts() }
         val double = doubleStarts(starts)
         double.forEach { (task, count) -> problems += "task $task started $count times" }
--- a/load/src/main/kotlin/io/jackdawring/load/WastedMessages.kt
+++ b/load/src/main/kotlin/io/jackdawring/load/WastedMessages.kt
@@ -24,19 +24,24 @@
     fun perTask(tasks: Long): Double = if (tasks == 0L) 0.0 else total.toDouble() / tasks
 
     companion object {
-        /** Wasted messages seen by [targets] and by the callers; [deliveredTasks] are those of complete answers. */
-        fun of(
-            targets: Collection<TargetCounts>,
+        /**
+         * Wasted messages between two readings of the targets' counts, plus those seen by the callers.
+         *
+         * [deliveredTasks] are the tasks of complete answers.
+         */
+        fun between(
+            before: TargetCounts,
+            after: TargetCounts,
             repeatedSends: Long,
             forwards: Long,
             deliveredTasks: Long,
         ): WastedMessages =
             WastedMessages(
-                refusals = targets.sumOf { it.refusedBusy + it.refusedLeaving },
+                refusals = after.refusedBusy + after.refusedLeaving - before.refusedBusy - before.refusedLeaving,
                 repeatedSends = repeatedSends,
                 forwards = forwards,
-                cancelled = targets.sumOf { it.cancelled },
-                discarded = (targets.sumOf { it.succeeded } - deliveredTasks).coerceAtLeast(0),
+                cancelled = after.cancelled - before.cancelled,
+                discarded = (after.succeeded - before.succeeded - deliveredTasks).coerceAtLeast(0),
             )
     }
 }
