Delay messages between failure domains with timers of the targets

A target has a second listener that holds messages back, and the platform lists its address to viewers of other domains.

--- a/standins/src/main/kotlin/io/jackdawring/standins/RealStandInPlatform.kt
+++ b/standins/src/main/kotlin/io/jackdawring/standins/RealStandInPlatform.kt
@@ -1,5 +1,6 @@
 package io.jackdawring.standins
 
+import io.jackdawring.core.InstanceList
 import io.jackdawring.core.ListedInstance
 import io.jackdawring.core.ListedState
 import io.jackdawring.server.http.HttpExchange
@@ -50,10 +51,18 @@
     @Volatile
     private var currentFaults = options.faults
 
+    private val farAddresses = ConcurrentHashMap<String, String>()
     private val server: HttpServer = http.start(options.listen, this)
 
+    private val views: Map<String, HttpServer> =
+        options.views.associateWith { viewer ->
+            http.start(options.listen.substringBeforeLast(':') + ":0") { handle(it, viewer) }
+        }
+
     override val address: String get() = server.address
 
+    override fun addressFor(failureDomain: String): String = (views[failureDomain] ?: server).address
+
     override var faults: PlatformFaults
         get() = currentFaults
         set(value) = apply(value)
@@ -66,15 +75,21 @@
 
     override fun close() {
         server.close()
+        views.values.forEach { it.close() }
         timers.close()
     }
 
-    override fun handle(exchange: HttpExchange) {
+    override fun handle(exchange: HttpExchange) = handle(exchange, viewer = null)
+
+    private fun handle(
+        exchange: HttpExchange,
+        viewer: String?,
+    ) {
         val path = exchange.request.path
         when {
             path == "/faults" -> switchFaults(exchange)
             path == "/counts" -> exchange.respond(jsonResponse(200, counts()))
-            else -> handleCall(exchange)
+            else -> handleCall(exchange, viewer)
         }
     }
 
@@ -100,7 +115,10 @@
         if (!faults.down && wasDown) directory.restartLeases()
     }
 
-    private fun handleCall(exchange: HttpExchange) {
+    private fun handleCall(
+        exchange: HttpExchange,
+        viewer: String?,
+    ) {
         val isRead = exchange.request.method == "GET"
         val isStore = exchange.request.path.startsWith("/kv")
         counters.count(isRead, isStore)
@@ -117,10 +135,13 @@
             return
         }
         val delay = faults.delayMillis
-        if (delay == 0L) execute(exchange) else timers.schedule(delay) { execute(exchange) }
+        if (delay == 0L) execute(exchange, viewer) else timers.schedule(delay) { execute(exchange, viewer) }
     }
 
-    private fun execute(exchange: HttpExchange) {
+    private fun execute(
+        exchange: HttpExchange,
+        viewer: String?,
+    ) {
         if (faults.down) {
             counters.callsWhileDown.incrementAndGet()
             answerAsDown(exchange)
@@ -130,7 +151,7 @@
         when {
             path == "/kv" || path == "/kv/" -> listKeys(exchange)
             path.startsWith("/kv/") -> handleKey(exchange, path.removePrefix("/kv/"))
-            path == "/instances" -> handleInstances(exchange)
+            path == "/instances" -> handleInstances(exchange, viewer)
             path.startsWith("/instances/") -> handleInstance(exchange, path.removePrefix("/instances/"))
             else -> exchange.respond(problem(404, "no resource at $path"))
         }
@@ -209,11 +230,15 @@
 
     private fun isReplyLost(): Boolean = random.nextInt(PERCENT) < faults.loseReplyPercent
 
-    private fun handleInstances(exchange: HttpExchange) {
+    private fun handleInstances(
+        exchange: HttpExchange,
+        viewer: String?,
+    ) {
         when (exchange.request.method) {
-            "GET" -> listInstances(exchange)
+            "GET" -> listInstances(exchange, viewer)
             "POST" -> {
                 val instance = exchange.bodyOrRefuse(ListedInstance.serializer()) ?: return
+                exchange.request.query["farAddress"]?.let { farAddresses[instance.id] = it }
                 directory.register(instance, exchange.request.queryLong("leaseMillis"))
                 exchange.respond(HttpResponseMessage(204))
             }
@@ -221,20 +246,34 @@
         }
     }
 
-    private fun listInstances(exchange: HttpExchange) {
+    private fun listInstances(
+        exchange: HttpExchange,
+        viewer: String?,
+    ) {
         val afterVersion = exchange.request.queryLong("afterVersion")
         if (afterVersion == null) {
-            exchange.respond(jsonResponse(200, directory.list()))
+            exchange.respond(jsonResponse(200, directory.list().seenFrom(viewer)))
             return
         }
         await(exchange) { done ->
             directory.watch(afterVersion, exchange.waitMillis()) {
                 done()
-                exchange.respond(jsonResponse(200, it))
+                exchange.respond(jsonResponse(200, it.seenFrom(viewer)))
             }
         }
     }
 
+    private fun InstanceList.seenFrom(viewer: String?): InstanceList {
+        if (viewer == null) return this
+        return copy(
+            instances =
+                instances.map { instance ->
+                    val farAddress = farAddresses[instance.id].takeIf { instance.failureDomain.value != viewer }
+                    if (farAddress == null) instance else instance.copy(address = farAddress)
+                },
+        )
+    }
+
     private fun handleInstance(
         exchange: HttpExchange,
         id: String,
--- a/standins/src/main/kotlin/io/jackdawring/standins/RealStandInTarget.kt
+++ b/standins/src/main/kotlin/io/jackdawring/standins/RealStandInTarget.kt
@@ -45,7 +45,13 @@
     private var currentModes = options.modes
     private var counts = TargetCounts()
     private val server = http.start(options.listen, this)
-    private val registration = TargetRegistration(options, server.address, client, timers)
+    private val farServer =
+        options.farOneWayMillis.takeIf { it > 0 }?.let { oneWayMillis ->
+            http.start(options.listen.substringBeforeLast(':') + ":0") { exchange ->
+                timers.schedule(oneWayMillis) { handle(DelayedExchange(exchange, timers, oneWayMillis)) }
+            }
+        }
+    private val registration = TargetRegistration(options, server.address, farServer?.address, client, timers)
 
     override val id: String get() = options.id
 
@@ -78,6 +84,7 @@
     override fun close() {
         registration.close()
         server.close()
+        farServer?.close()
         client.close()
         timers.close()
         startLog.close()
@@ -86,7 +93,7 @@
     override fun handle(exchange: HttpExchange) {
         val request = exchange.request
         when ("${request.method} ${request.path}") {
-            "POST /tasks" -> afterNetwork { unlessFrozen { accept(exchange) } }
+            "POST /tasks" -> unlessFrozen { accept(exchange) }
             "POST /control" -> {
                 control(exchange.bodyOrRefuse(TargetModeChange.serializer()) ?: return)
                 exchange.respond(jsonResponse(200, modes))
@@ -101,10 +108,6 @@
         }
     }
 
-    private fun afterNetwork(action: () -> Unit) {
-        if (options.networkOneWayMillis == 0L) action() else timers.schedule(options.networkOneWayMillis, action)
-    }
-
     private fun unlessFrozen(action: () -> Unit) {
         val held = synchronized(lock) { currentModes.frozen.also { if (it) frozenActions.add(action) } }
         if (!held) action()
@@ -205,7 +208,7 @@
         var headers = response.headers
         if (modes.usageHeaders) headers = headers.toPersistentMap().put("jackdaw-slots-in-use", inUse.toString())
         if (modes.leaving) headers = headers.toPersistentMap().put("jackdaw-leaving", "true")
-        afterNetwork { exchange.respond(HttpResponseMessage(response.status, headers, response.body)) }
+        exchange.respond(HttpResponseMessage(response.status, headers, response.body))
     }
 
     private fun parse(body: ByteArray): StandInTask? =
--- a/standins/src/main/kotlin/io/jackdawring/standins/StandInPlatformOptions.kt
+++ b/standins/src/main/kotlin/io/jackdawring/standins/StandInPlatformOptions.kt
@@ -6,6 +6,7 @@
     val seed: Long,
     val faults: PlatformFaults,
     val maxValueBytes: Int,
+    val views: List<String>,
 ) {
     /** Builds [StandInPlatformOptions]. */
     class Builder {
@@ -19,7 +20,16 @@
         /** Size limit of a value; the platform's store accepts 1 MB. */
         var maxValueBytes: Int = 1024 * 1024
 
-        fun build(): StandInPlatformOptions = StandInPlatformOptions(listen, seed, faults, maxValueBytes)
+        /**
+         * Failure domains with a listener of their own, on any port of the address in [listen].
+         *
+         * Its instance list shows the far address of instances of other failure domains that registered one with the
+         * query parameter `farAddress`.
+         */
+        var views: List<String> = emptyList()
+
+        fun build(): StandInPlatformOptions =
+            StandInPlatformOptions(listen, seed, faults, maxValueBytes, views.toList())
     }
 }
 
--- a/standins/src/main/kotlin/io/jackdawring/standins/StandInTargetOptions.kt
+++ b/standins/src/main/kotlin/io/jackdawring/standins/StandInTargetOptions.kt
@@ -16,7 +16,7 @@
     val seed: Long,
     val modes: TargetModes,
     val startLogFile: Path?,
-    val networkOneWayMillis: Long,
+    val farOneWayMillis: Long,
     val heartbeatMillis: Long,
     val leaseMillis: Long,
 ) {
@@ -46,8 +46,13 @@
         /** File that receives the start log as JSON lines, or null. */
         var startLogFile: Path? = null
 
-        /** Time by which each request and each answer is held back, in place of a network's latency. */
-        var networkOneWayMillis: Long = 0
+        /**
+         * Time by which the messages of callers in other failure domains are held back, in place of a network's latency.
+         *
+         * Above 0 the target has a second listener for them, with a connection limit of its own; the platform lists its
+         * address to viewers in other failure domains.
+         */
+        var farOneWayMillis: Long = 0
 
         /** Interval at which the registration is renewed; well below [leaseMillis], so that one may be lost. */
         var heartbeatMillis: Long = 3_000
@@ -67,7 +72,7 @@
                 seed = seed,
                 modes = modes,
                 startLogFile = startLogFile,
-                networkOneWayMillis = networkOneWayMillis,
+                farOneWayMillis = farOneWayMillis,
                 heartbeatMillis = heartbeatMillis,
                 leaseMillis = leaseMillis,
             )
--- a/standins/src/main/kotlin/io/jackdawring/standins/TargetRegistration.kt
+++ b/standins/src/main/kotlin/io/jackdawring/standins/TargetRegistration.kt
@@ -12,6 +12,7 @@
 internal class TargetRegistration(
     private val options: StandInTargetOptions,
     private val address: String,
+    private val farAddress: String?,
     private val client: HttpClient,
     private val timers: Timers,
 ) : AutoCloseable {
@@ -46,7 +47,8 @@
         body: String,
     ) {
         val platformAddress = options.platformAddress ?: return
-        val query = persistentMapOf("leaseMillis" to options.leaseMillis.toString())
+        var query = persistentMapOf("leaseMillis" to options.leaseMillis.toString())
+        farAddress?.let { query = query.put("farAddress", it) }
         val request = HttpRequestMessage(method, path, query, JSON_HEADERS, body.encodeToByteArray())
         // A failed call is not repeated: the next renewal replaces it.
         client.send(platformAddress, request, options.heartbeatMillis) {}
