--- a/load/src/main/kotlin/io/jackdawring/load/Demo.kt
+++ b/load/src/main/kotlin/io/jackdawring/load/Demo.kt
@@ -19,6 +19,9 @@
 import java.util.concurrent.TimeoutException
 import java.util.concurrent.atomic.AtomicInteger
 
+/** Runs the demo with production entry instances; returns the process exit code. */
+fun runDemo(out: PrintStream): Int = runDemo(out, EntryServer.Default)
+
 /**
  * Runs a fleet in this process, sends jobs and single requests, and prints a summary to [out].
  *
--- a/load/src/main/kotlin/io/jackdawring/load/TargetReadings.kt
+++ b/load/src/main/kotlin/io/jackdawring/load/TargetReadings.kt
@@ -73,6 +73,7 @@
         cancelled = sumOf { it.cancelled },
         refusedBusy = sumOf { it.refusedBusy },
         refusedLeaving = sumOf { it.refusedLeaving },
+        refusedConnections = sumOf { it.refusedConnections },
         running = sumOf { it.running },
         peakRunning = sumOf { it.peakRunning },
     )
--- a/load/src/main/kotlin/io/jackdawring/load/WastedMessages.kt
+++ b/load/src/main/kotlin/io/jackdawring/load/WastedMessages.kt
@@ -6,7 +6,7 @@
 /**
  * Messages that did not serve an answer.
  *
- * [refusals]: starts that a target refused as busy or leaving. [repeatedSends]: submissions that a caller sent again.
+ * [refusals]: starts that a target refused as busy, leaving or over its connection limit. [repeatedSends]: submissions that a caller sent again.
  * [forwards]: requests sent to an entry instance that does not own their session. [cancelled]: tasks that ended because
  * their connection closed. [discarded]: tasks that succeeded without being part of a complete answer.
  */
@@ -24,6 +24,9 @@
     fun perTask(tasks: Long): Double = if (tasks == 0L) 0.0 else total.toDouble() / tasks
 
     companion object {
+        private fun refusals(counts: TargetCounts): Long =
+            counts.refusedBusy + counts.refusedLeaving + counts.refusedConnections
+
         /**
          * Wasted messages between two readings of the targets' counts, plus those seen by the callers.
          *
@@ -37,7 +40,7 @@
             deliveredTasks: Long,
         ): WastedMessages =
             WastedMessages(
-                refusals = after.refusedBusy + after.refusedLeaving - before.refusedBusy - before.refusedLeaving,
+                refusals = refusals(after) - refusals(before),
                 repeatedSends = repeatedSends,
                 forwards = forwards,
                 cancelled = after.cancelled - before.cancelled,
--- a/server/src/main/kotlin/io/jackdawring/server/http/HttpExchange.kt
+++ b/server/src/main/kotlin/io/jackdawring/server/http/HttpExchange.kt
@@ -10,6 +10,9 @@
     /** Closes the connection without an answer; no effect after [respond]. */
     fun disconnect()
 
+    /** Answers the request with the result of [build], which may run later on another thread. */
+    fun respondWith(build: () -> HttpResponseMessage) = respond(build())
+
     /** Calls [action] once if the connection closes before the answer was written. */
     fun onDisconnected(action: () -> Unit)
 }
--- a/standins/src/main/kotlin/io/jackdawring/standins/DelayedExchange.kt
+++ b/standins/src/main/kotlin/io/jackdawring/standins/DelayedExchange.kt
@@ -12,4 +12,6 @@
     override fun respond(response: HttpResponseMessage) {
         timers.schedule(oneWayMillis) { exchange.respond(response) }
     }
+
+    override fun respondWith(build: () -> HttpResponseMessage) = respond(build())
 }
--- a/standins/src/main/kotlin/io/jackdawring/standins/RealStandInTarget.kt
+++ b/standins/src/main/kotlin/io/jackdawring/standins/RealStandInTarget.kt
@@ -13,6 +13,7 @@
 import kotlinx.serialization.json.JsonObject
 import kotlinx.serialization.json.JsonPrimitive
 import java.util.Random
+import java.util.concurrent.atomic.AtomicLong
 
 /** Payload of a stand-in task; [runMillis] is the nominal run time. */
 @Serializable
@@ -27,6 +28,7 @@
     private val client: HttpClient,
     private val timers: Timers,
     private val wallClockMillis: () -> Long,
+    private val refusedConnections: AtomicLong = AtomicLong(),
 ) : StandInTarget,
     HttpHandler {
     private class RunningTask(
@@ -79,7 +81,8 @@
 
     override fun starts(): List<TaskStart> = startLog.toList()
 
-    override fun counts(): TargetCounts = synchronized(lock) { counts }
+    override fun counts(): TargetCounts =
+        synchronized(lock) { counts }.copy(refusedConnections = refusedConnections.get())
 
     override fun close() {
         registration.close()
--- a/standins/src/main/kotlin/io/jackdawring/standins/StandInTarget.kt
+++ b/standins/src/main/kotlin/io/jackdawring/standins/StandInTarget.kt
@@ -1,7 +1,10 @@
 package io.jackdawring.standins
 
+import io.jackdawring.server.http.HttpResponseMessage
 import io.jackdawring.server.http.HttpServerOptions
 import io.jackdawring.server.http.HttpTransport
+import kotlinx.collections.immutable.persistentMapOf
+import java.util.concurrent.atomic.AtomicLong
 
 /** A target as an HTTP server whose tasks are timers, with switchable faults and a log of its starts. */
 interface StandInTarget : AutoCloseable {
@@ -31,6 +34,18 @@
     options: StandInTargetOptions,
     transport: HttpTransport,
 ): StandInTarget {
-    val http = transport.serverFactory(HttpServerOptions(maxConnections = options.connections))
-    return RealStandInTarget(options, http, transport.client(), RealTimers(), System::currentTimeMillis)
+    val refusedConnections = AtomicLong()
+    val serverOptions =
+        HttpServerOptions(
+            maxConnections = options.connections,
+            rejection = { status, detail, _ ->
+                // 503 means that a limit of the server kept the request from the handler, so no task has started.
+                val headers = if (status == 503) persistentMapOf("jackdaw-not-started" to "busy") else persistentMapOf()
+                if (status == 503) refusedConnections.incrementAndGet()
+                HttpResponseMessage(status, headers, detail.encodeToByteArray())
+            },
+        )
+    val http = transport.serverFactory(serverOptions)
+    val timers = RealTimers()
+    return RealStandInTarget(options, http, transport.client(), timers, System::currentTimeMillis, refusedConnections)
 }
--- a/standins/src/main/kotlin/io/jackdawring/standins/TargetCounts.kt
+++ b/standins/src/main/kotlin/io/jackdawring/standins/TargetCounts.kt
@@ -2,7 +2,11 @@
 
 import kotlinx.serialization.Serializable
 
-/** What a [StandInTarget] did since it started, offered at `GET /counts`; [running] and [peakRunning] count tasks. */
+/**
+ * What a [StandInTarget] did since it started, offered at `GET /counts`.
+ *
+ * [refusedConnections] exceeded the connection limit; [running] and [peakRunning] count tasks.
+ */
 @Serializable
 data class TargetCounts(
     val started: Long = 0,
@@ -11,6 +15,7 @@
     val cancelled: Long = 0,
     val refusedBusy: Long = 0,
     val refusedLeaving: Long = 0,
+    val refusedConnections: Long = 0,
     val running: Int = 0,
     val peakRunning: Int = 0,
 )
