--- a/load/src/main/kotlin/io/jackdawring/load/FleetOptions.kt
+++ b/load/src/main/kotlin/io/jackdawring/load/FleetOptions.kt
@@ -14,6 +14,7 @@
     val documents: List<TeamDocument>,
     val targetPolicy: TargetPolicy,
     val targetModes: (index: Int) -> TargetModes,
+    val domainOneWayMillis: Long,
 ) {
     /** Builds [FleetOptions]. */
     class Builder {
@@ -28,6 +29,9 @@
         /** Modes of the target with the given index. */
         var targetModes: (index: Int) -> TargetModes = { TargetModes() }
 
+        /** One way latency between targets and entry instances of different failure domains. */
+        var domainOneWayMillis: Long = 0
+
         fun build(): FleetOptions =
             FleetOptions(
                 failureDomains = failureDomains,
@@ -38,6 +42,7 @@
                 documents = documents.toList(),
                 targetPolicy = targetPolicy,
                 targetModes = targetModes,
+                domainOneWayMillis = domainOneWayMillis,
             )
     }
 }
--- a/load/src/main/kotlin/io/jackdawring/load/LocalFleet.kt
+++ b/load/src/main/kotlin/io/jackdawring/load/LocalFleet.kt
@@ -29,8 +29,7 @@
 
     init {
         try {
-            platform =
-                startStandInPlatform(standInPlatformOptions { listen = ANY_PORT }, transport).also(started::add)
+            platform = startStandInPlatform(platformOptions(), transport).also(started::add)
             if (options.documents.isNotEmpty()) {
                 transport.client().use { ConfigurationWriter(it, platform.address).write(options.documents) }
             }
@@ -76,6 +75,12 @@
         return null
     }
 
+    private fun platformOptions() =
+        standInPlatformOptions {
+            listen = ANY_PORT
+            views = List(options.failureDomains, ::domain)
+        }
+
     private fun startTarget(index: Int): StandInTarget =
         startStandInTarget(
             standInTargetOptions("t${index + 1}", domain(index)) {
@@ -84,6 +89,7 @@
                 connections = options.connections
                 modes = options.targetModes(index)
                 seed = index.toLong()
+                farOneWayMillis = options.domainOneWayMillis
             },
             transport,
         )
@@ -92,7 +98,7 @@
         index: Int,
         key: SessionKey,
     ) = serverOptions(InstanceId(entryId(index)), FailureDomainId(domain(index))) {
-        platformAddress = platform.address
+        platformAddress = platform.addressFor(domain(index))
         sessionKeys = listOf(key)
         targetPolicy = options.targetPolicy
     }
