--- a/standins/src/main/kotlin/io/jackdawring/standins/RealStandInTarget.kt
+++ b/standins/src/main/kotlin/io/jackdawring/standins/RealStandInTarget.kt
@@ -13,6 +13,7 @@
 import kotlinx.serialization.json.JsonObject
 import kotlinx.serialization.json.JsonPrimitive
 import java.util.Random
+import java.util.concurrent.atomic.AtomicLong
 
 /** Payload of a stand-in task; [runMillis] is the nominal run time. */
 @Serializable
@@ -24,9 +25,10 @@
 internal class RealStandInTarget(
     private val options: StandInTargetOptions,
     http: HttpServer.Factory,
-    client: HttpClient,
+    private val client: HttpClient,
     private val timers: Timers,
     private val wallClockMillis: () -> Long,
+    private val refusedConnections: AtomicLong = AtomicLong(),
 ) : StandInTarget,
     HttpHandler {
     private class RunningTask(
@@ -45,7 +47,13 @@
     private var currentModes = options.modes
     private var counts = TargetCounts()
     private val server = http.start(options.listen, this)
-    private val registration = TargetRegistration(options, server.address, client, timers)
+    private val farServer =
+        options.farOneWayMillis.takeIf { it > 0 }?.let { oneWayMillis ->
+            http.start(options.listen.substringBeforeLast(':') + ":0") { exchange ->
+                timers.schedule(oneWayMillis) { handle(DelayedExchange(exchange, timers, oneWayMillis)) }
+            }
+        }
+    private val registration = TargetRegistration(options, server.address, farServer?.address, client, timers)
 
     override val id: String get() = options.id
 
@@ -73,11 +81,14 @@
 
     override fun starts(): List<TaskStart> = startLog.toList()
 
-    override fun counts(): TargetCounts = synchronized(lock) { counts }
+    override fun counts(): TargetCounts =
+        synchronized(lock) { counts }.copy(refusedConnections = refusedConnections.get())
 
     override fun close() {
         registration.close()
         server.close()
+        farServer?.close()
+        client.close()
         timers.close()
         startLog.close()
     }
@@ -85,7 +96,7 @@
     override fun handle(exchange: HttpExchange) {
         val request = exchange.request
         when ("${request.method} ${request.path}") {
-            "POST /tasks" -> afterNetwork { unlessFrozen { accept(exchange) } }
+            "POST /tasks" -> unlessFrozen { accept(exchange) }
             "POST /control" -> {
                 control(exchange.bodyOrRefuse(TargetModeChange.serializer()) ?: return)
                 exchange.respond(jsonResponse(200, modes))
@@ -100,10 +111,6 @@
         }
     }
 
-    private fun afterNetwork(action: () -> Unit) {
-        if (options.networkOneWayMillis == 0L) action() else timers.schedule(options.networkOneWayMillis, action)
-    }
-
     private fun unlessFrozen(action: () -> Unit) {
         val held = synchronized(lock) { currentModes.frozen.also { if (it) frozenActions.add(action) } }
         if (!held) action()
@@ -204,7 +211,7 @@
         var headers = response.headers
         if (modes.usageHeaders) headers = headers.toPersistentMap().put("jackdaw-slots-in-use", inUse.toString())
         if (modes.leaving) headers = headers.toPersistentMap().put("jackdaw-leaving", "true")
-        afterNetwork { exchange.respond(HttpResponseMessage(response.status, headers, response.body)) }
+        exchange.respond(HttpResponseMessage(response.status, headers, response.body))
     }
 
     private fun parse(body: ByteArray): StandInTask? =
--- a/standins/src/test/kotlin/io/jackdawring/standins/Fakes.kt
+++ b/standins/src/test/kotlin/io/jackdawring/standins/Fakes.kt
@@ -91,6 +91,8 @@
         return object : HttpServer {
             override val address = address
 
+            override val requestsInProgress = 0
+
             override fun stopAccepting() = Unit
 
             override fun close() = Unit
