Add submit

The exit code tells complete, failed, refused, unknown and unreachable apart. A broken connection is followed by a resubmission under the same id, which never starts twice. The progress bar shows the deadline, on a terminal only.

--- a/cli/src/main/kotlin/io/jackdawring/cli/Commands.kt
+++ b/cli/src/main/kotlin/io/jackdawring/cli/Commands.kt
@@ -13,6 +13,7 @@
 import io.jackdawring.cli.commands.StandinPlatformCommand
 import io.jackdawring.cli.commands.StandinTargetCommand
 import io.jackdawring.cli.commands.StatusCommand
+import io.jackdawring.cli.commands.SubmitCommand
 import io.jackdawring.cli.commands.VersionCommand
 
 /** All subcommands in the order of the help text; new objects, because parsing changes them. */
@@ -24,6 +25,7 @@
         ConfigShowCommand(),
         StatusCommand(),
         BurnCommand(),
+        SubmitCommand(),
         LoadCommand(),
         StandinPlatformCommand(),
         StandinTargetCommand(),
--- /dev/null
+++ b/cli/src/main/kotlin/io/jackdawring/cli/commands/SubmitCommand.kt
@@ -0,0 +1,194 @@
+package io.jackdawring.cli.commands
+
+import io.jackdawring.cli.Command
+import io.jackdawring.cli.CommandContext
+import io.jackdawring.cli.ExitCode
+import io.jackdawring.cli.UsageException
+import io.jackdawring.cli.client.ApiAnswer
+import io.jackdawring.cli.client.ApiRequest
+import io.jackdawring.cli.client.SubmissionIds
+import io.jackdawring.cli.settings.ResolvedSettings
+import io.jackdawring.cli.settings.SettingTable
+import io.jackdawring.core.Submission
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.contentOrNull
+import kotlinx.serialization.json.jsonPrimitive
+import kotlinx.serialization.json.longOrNull
+import kotlinx.serialization.json.put
+import org.kohsuke.args4j.Argument
+import org.kohsuke.args4j.Option
+import java.io.File
+
+/** Submits a job and prints its answer. */
+internal class SubmitCommand :
+    Command(
+        "submit",
+        "submit a job from a file or standard input and print its answer",
+        "jackdawring submit job.json --entry 127.0.0.1:7410 --session",
+        listOf(SettingTable.entry),
+    ) {
+    @Argument(metaVar = "FILE", usage = "body of POST /v1/jobs as JSON; - or nothing for standard input")
+    var file: String = "-"
+
+    @Option(name = "--session", usage = "open a session first; the job then needs no store call")
+    var withSession: Boolean = false
+
+    @Option(name = "--id", metaVar = "ID", usage = "submission id to resubmit; without --session a UUIDv7")
+    var id: String? = null
+
+    @Option(name = "--json", usage = "print the body of the answer as it is")
+    var json: Boolean = false
+
+    override fun run(
+        context: CommandContext,
+        settings: ResolvedSettings,
+    ): ExitCode {
+        val job = readJob(context)
+        val address = settings.text(SettingTable.entry)
+        val headers = LinkedHashMap<String, String>()
+        if (withSession) {
+            when (val opened = openSession(context, address, job)) {
+                is Opened.Token -> headers["Jackdaw-Session"] = opened.value
+                is Opened.Failed -> return opened.exitCode
+            }
+        }
+        headers["Idempotency-Key"] = id ?: SubmissionIds.uuidV7(System.currentTimeMillis())
+        // A submission under an id that was given may be a repetition, so it states nothing.
+        if (id == null) headers["Jackdaw-Attempt"] = "1"
+        context.err.println("submission ${headers["Idempotency-Key"]}")
+        return follow(context, address, job, headers)
+    }
+
+    private fun readJob(context: CommandContext): JsonObject {
+        val text =
+            if (file == "-") {
+                context.input.readBytes().decodeToString()
+            } else {
+                File(file).takeIf { it.isFile && it.canRead() }?.readText()
+                    ?: throw UsageException("'$file' is no readable file")
+            }
+        return parseObject(text) ?: throw UsageException("the job is no JSON object")
+    }
+
+    private sealed interface Opened {
+        class Token(
+            val value: String,
+        ) : Opened
+
+        class Failed(
+            val exitCode: ExitCode,
+        ) : Opened
+    }
+
+    private fun openSession(
+        context: CommandContext,
+        address: String,
+        job: JsonObject,
+    ): Opened {
+        val caller = job["caller"]?.jsonPrimitive?.contentOrNull ?: throw UsageException("the job names no caller")
+        val body = buildJsonObject { put("caller", caller) }.toString()
+        val answer = context.client.send(ApiRequest("POST", address, "/v1/sessions", body))
+        val token =
+            (answer as? ApiAnswer.Answered)
+                ?.takeIf { it.status == CREATED }
+                ?.let { parseObject(it.body)?.get("session")?.jsonPrimitive?.contentOrNull }
+        if (token != null) return Opened.Token(token)
+        // Opening a session starts nothing, so no failure of it leaves an unknown outcome.
+        if (answer is ApiAnswer.Answered) return Opened.Failed(report(context, answer))
+        context.err.println("jackdawring submit: $address does not answer; nothing was run")
+        return Opened.Failed(ExitCode.UNREACHABLE)
+    }
+
+    /** Sends the job; the same id never starts twice, so that a broken connection may be followed by a resubmission. */
+    private fun follow(
+        context: CommandContext,
+        address: String,
+        job: JsonObject,
+        headers: Map<String, String>,
+    ): ExitCode {
+        val deadlineMillis =
+            (job["deadlineMillis"] as? JsonPrimitive)?.longOrNull ?: Submission.DEFAULT_DEADLINE_MILLIS
+        val endMillis = context.clock.nowMillis() + deadlineMillis + ANSWER_MARGIN_MILLIS
+        val body = JsonObject(if (withSession) job - "caller" else job).toString()
+        var sent = false
+        SubmitProgress.start(context.terminal, deadlineMillis).use {
+            while (true) {
+                val remainingMillis = endMillis - context.clock.nowMillis()
+                if (remainingMillis <= 0) return unknown(context, address)
+                val attempt = if (sent) headers - "Jackdaw-Attempt" else headers
+                val request = ApiRequest("POST", address, "/v1/jobs", body, attempt, remainingMillis)
+                when (val answer = context.client.send(request)) {
+                    is ApiAnswer.Answered -> return report(context, answer)
+                    is ApiAnswer.NotSent -> {
+                        if (sent) return unknown(context, address)
+                        context.err.println("jackdawring submit: $address cannot be reached; nothing was run")
+                        return ExitCode.UNREACHABLE
+                    }
+                    is ApiAnswer.Broken -> {
+                        sent = true
+                        context.clock.sleep(RESUBMIT_AFTER_MILLIS)
+                    }
+                }
+            }
+        }
+    }
+
+    private fun unknown(
+        context: CommandContext,
+        address: String,
+    ): ExitCode {
+        context.err.println("jackdawring submit: $address gave no answer; the job may have run")
+        return ExitCode.UNKNOWN
+    }
+
+    private fun report(
+        context: CommandContext,
+        answer: ApiAnswer.Answered,
+    ): ExitCode {
+        val document = parseObject(answer.body)
+        val outcome = document?.get("outcome")?.jsonPrimitive?.contentOrNull
+        val exitCode = exitCode(answer.status, outcome)
+        if (json || document == null || exitCode == ExitCode.OK) {
+            context.out.println(answer.body)
+        } else {
+            val title = document["title"]?.jsonPrimitive?.contentOrNull ?: "status ${answer.status}"
+            context.out.println("${exitCode.name.lowercase()}: $title")
+            DETAILS.forEach { key ->
+                document[key]?.jsonPrimitive?.contentOrNull?.let { context.out.println("$key: $it") }
+            }
+        }
+        return exitCode
+    }
+
+    private fun exitCode(
+        status: Int,
+        outcome: String?,
+    ): ExitCode =
+        when {
+            status == STATUS_OK -> ExitCode.OK
+            outcome == "failed" -> ExitCode.FAILED
+            outcome == "refused" -> ExitCode.REFUSED
+            else -> ExitCode.UNKNOWN
+        }
+
+    private fun parseObject(text: String): JsonObject? =
+        try {
+            Json.parseToJsonElement(text) as? JsonObject
+        } catch (_: SerializationException) {
+            null
+        }
+
+    private companion object {
+        const val STATUS_OK = 200
+        const val CREATED = 201
+
+        /** An answer follows its deadline closely; the rest covers the way through a second entry instance. */
+        const val ANSWER_MARGIN_MILLIS = 3_000L
+        const val RESUBMIT_AFTER_MILLIS = 200L
+        val DETAILS = listOf("detail", "mayHaveRun", "retryAfterMillis", "taskIndex")
+    }
+}
