--- /dev/null
+++ b/server/src/main/kotlin/io/jackdawring/server/burn/BurnHistory.kt
@@ -0,0 +1,112 @@
+package io.jackdawring.server.burn
+
+import io.jackdawring.core.configuration.Objective
+
+/**
+ * Samples the counters of [source] and derives burn rates; not thread-safe.
+ *
+ * Call [sample] every [FINE_INTERVAL_MILLIS]. Times are monotonic. Windows are longer than their name by up to one
+ * sample interval: 30 s up to half an hour, 10 min beyond.
+ */
+class BurnHistory(
+    private val source: BurnSource,
+) {
+    private data class Key(
+        val service: String,
+        val kind: String,
+    )
+
+    private class Rings {
+        val fine = SampleRing(FINE_SAMPLES, FINE_INTERVAL_MILLIS)
+        val coarse = SampleRing(COARSE_SAMPLES, COARSE_INTERVAL_MILLIS)
+    }
+
+    private val rings = HashMap<Key, Rings>()
+
+    /** Takes a sample of all kinds and forgets kinds that no longer have an objective. */
+    fun sample(nowMillis: Long) {
+        val counters = source.counters()
+        rings.keys.retainAll(counters.map { Key(it.service, it.kind) }.toSet())
+        counters.forEach {
+            val ofKind = rings.getOrPut(Key(it.service, it.kind)) { Rings() }
+            val sample = SampleRing.Sample(nowMillis, it.good, it.total)
+            ofKind.fine.add(sample)
+            ofKind.coarse.add(sample)
+        }
+    }
+
+    /** The report at [nowMillis], by class, service and kind. */
+    fun report(nowMillis: Long): BurnReport =
+        BurnReport(
+            source
+                .counters()
+                .map { kind(it, nowMillis) }
+                .sortedWith(compareBy({ it.priority }, { it.service }, { it.kind })),
+        )
+
+    private fun kind(
+        counters: ObjectiveCounters,
+        nowMillis: Long,
+    ): KindBurn {
+        val ofKind = rings[Key(counters.service, counters.kind)]
+        val windows = BurnWindow.entries.map { window(it, counters, ofKind, nowMillis) }
+        val rates = windows.associate { it.window to (it.burnRate ?: 0.0) }
+        return KindBurn(
+            service = counters.service,
+            kind = counters.kind,
+            priority = counters.priority,
+            objective = counters.objective,
+            windows = windows,
+            alerts =
+                BurnAlert.entries.filter {
+                    rates.getValue(it.long) > it.threshold && rates.getValue(it.short) > it.threshold
+                },
+            history = ofKind?.let { history(it.coarse, counters.objective, nowMillis) }.orEmpty(),
+        )
+    }
+
+    private fun window(
+        window: BurnWindow,
+        counters: ObjectiveCounters,
+        ofKind: Rings?,
+        nowMillis: Long,
+    ): WindowBurn {
+        val ring = if (window.lengthMillis <= FINE_LIMIT_MILLIS) ofKind?.fine else ofKind?.coarse
+        val start = ring?.before(nowMillis - window.lengthMillis) ?: return WindowBurn(window, 0, 0, 0, null)
+        val good = counters.good - start.good
+        val total = counters.total - start.total
+        val covered = minOf(window.lengthMillis, nowMillis - start.atMillis)
+        return WindowBurn(window, covered, good, total, rate(good, total, counters.objective))
+    }
+
+    private fun history(
+        ring: SampleRing,
+        objective: Objective,
+        nowMillis: Long,
+    ): List<BurnPoint> =
+        (1 until ring.size).map {
+            val from = ring[it - 1]
+            val to = ring[it]
+            BurnPoint(nowMillis - to.atMillis, rate(to.good - from.good, to.total - from.total, objective))
+        }
+
+    companion object {
+        const val FINE_INTERVAL_MILLIS = 30_000L
+        private const val COARSE_INTERVAL_MILLIS = 600_000L
+        private const val FINE_LIMIT_MILLIS = 1_800_000L
+
+        // One sample more than a window has intervals, and one for the interval in progress.
+        private const val FINE_SAMPLES = 62
+        private const val COARSE_SAMPLES = 434
+
+        private fun rate(
+            good: Long,
+            total: Long,
+            objective: Objective,
+        ): Double? {
+            if (total <= 0) return null
+            val permittedShare = (100 - objective.percent) / 100
+            return (total - good).toDouble() / total / permittedShare
+        }
+    }
+}
--- /dev/null
+++ b/server/src/main/kotlin/io/jackdawring/server/burn/BurnSource.kt
@@ -0,0 +1,18 @@
+package io.jackdawring.server.burn
+
+import io.jackdawring.core.configuration.Objective
+
+/** Gives the counters of all kinds that have an objective; they only grow while the process lives. */
+fun interface BurnSource {
+    fun counters(): List<ObjectiveCounters>
+}
+
+/** Requests of one kind since the start of the process; [good] of [total] met the [objective]. */
+data class ObjectiveCounters(
+    val service: String,
+    val kind: String,
+    val priority: Int,
+    val objective: Objective,
+    val good: Long,
+    val total: Long,
+)
--- /dev/null
+++ b/server/src/test/kotlin/io/jackdawring/server/burn/BurnHistoryTest.kt
@@ -0,0 +1,141 @@
+package io.jackdawring.server.burn
+
+import io.jackdawring.core.configuration.Objective
+import org.junit.jupiter.api.DynamicTest
+import org.junit.jupiter.api.DynamicTest.dynamicTest
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.TestFactory
+import org.w3c.dom.Element
+import javax.xml.parsers.DocumentBuilderFactory
+import kotlin.test.assertContains
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertTrue
+
+class BurnHistoryTest {
+    private val interval = BurnHistory.FINE_INTERVAL_MILLIS
+
+    /** Traffic of 10 requests per sample interval; [missesAt] of them miss at a time in minutes. */
+    private class Traffic(
+        val missesAt: (Long) -> Int,
+    ) : BurnSource {
+        var good = 0L
+        var total = 0L
+        var kindName = "allergen-check"
+
+        fun step(minute: Long) {
+            total += 10
+            good += 10 - missesAt(minute)
+        }
+
+        override fun counters() = listOf(ObjectiveCounters("orders", kindName, 1, Objective(400, 99.0), good, total))
+    }
+
+    private fun run(
+        minutes: Long,
+        traffic: Traffic,
+    ): BurnHistory {
+        val history = BurnHistory(traffic)
+        for (now in 0..minutes * 60_000 step interval) {
+            history.sample(now)
+            if (now < minutes * 60_000) traffic.step(now / 60_000)
+        }
+        return history
+    }
+
+    private class Case(
+        val name: String,
+        val minutes: Long,
+        val missesAt: (Long) -> Int,
+        val alerts: List<BurnAlert>,
+        val rates: Map<BurnWindow, Double?>,
+    )
+
+    private val days = 3 * 24 * 60L
+
+    /** Guards against alerts for what is over, alerts that come too late, and windows over the wrong time. */
+    @TestFactory
+    fun `alerts need both windows of a pair`(): List<DynamicTest> =
+        listOf(
+            Case("no misses", days, { 0 }, emptyList(), BurnWindow.entries.associateWith { 0.0 }),
+            Case("young process, all misses", 10, { 10 }, BurnAlert.entries, mapOf(BurnWindow.THREE_DAYS to 100.0)),
+            Case("long ago", days, { if (it < 60) 10 else 0 }, emptyList(), mapOf(BurnWindow.THREE_DAYS to 100.0 / 72)),
+            Case(
+                "the last hour at 20 %",
+                days,
+                { if (it >= days - 60) 2 else 0 },
+                listOf(BurnAlert.FAST),
+                mapOf(BurnWindow.FIVE_MINUTES to 20.0, BurnWindow.ONE_HOUR to 20.0, BurnWindow.SIX_HOURS to 20.0 / 6),
+            ),
+            Case(
+                "always 10 %",
+                days,
+                { 1 },
+                listOf(BurnAlert.SLOW, BurnAlert.STEADY),
+                BurnWindow.entries.associateWith { 10.0 },
+            ),
+        ).map { case ->
+            dynamicTest(case.name) {
+                val kind = run(case.minutes, Traffic(case.missesAt)).report(case.minutes * 60_000).kinds.single()
+                assertEquals(case.alerts, kind.alerts)
+                case.rates.forEach { (window, rate) ->
+                    assertEquals(rate!!, kind.windows.first { it.window == window }.burnRate!!, 1e-9, window.label)
+                }
+            }
+        }
+
+    /** Guards against memory that grows with time or with kinds that were removed. */
+    @Test
+    fun `the history is bounded and forgets removed kinds`() {
+        val traffic = Traffic { 1 }
+        val history = run(2 * days, traffic)
+        val before = history.report(2 * days * 60_000).kinds.single()
+        assertEquals(433, before.history.size)
+        assertEquals(BurnWindow.THREE_DAYS.lengthMillis, before.windows.last().coveredMillis)
+        traffic.kindName = "renamed"
+        history.sample(2 * days * 60_000 + interval)
+        val after = history.report(2 * days * 60_000 + interval).kinds.single()
+        assertEquals(emptyList(), after.history)
+        assertEquals(listOf(null), after.windows.map { it.burnRate }.distinct())
+    }
+
+    /** Guards against a page that is malformed, loads something from elsewhere, or draws outside its area. */
+    @Test
+    fun `the HTML page is well-formed and its plot stays inside the picture`() {
+        val traffic = Traffic { if (it % 700 < 30) 7 else 0 }
+        traffic.kindName = "a<b&\"c\""
+        val report = run(days, traffic).report(days * 60_000)
+        val html = report.toHtml()
+        assertFalse(Regex("(src|href)=|url\\(|@import|<script").containsMatchIn(html))
+        val text = html.substringAfter("<!DOCTYPE html>\n")
+        val document = DocumentBuilderFactory.newInstance().newDocumentBuilder().parse(text.byteInputStream())
+        val svg = document.getElementsByTagName("svg").item(0) as Element
+        val lines = svg.getElementsByTagName("polyline")
+        assertEquals(1, lines.length)
+        val points = (lines.item(0) as Element).getAttribute("points").split(' ').map { it.split(',') }
+        assertEquals(432, points.size)
+        assertTrue(points.all { it[0].toDouble() in 60.0..690.0 && it[1].toDouble() in 10.0..190.0 })
+        assertTrue(points.zipWithNext().all { (a, b) -> a[0].toDouble() <= b[0].toDouble() })
+        assertContains(report.toText(), Regex("""99\.0 % in 400 ms( +[0-9.]+){5} """))
+        assertContains(report.toJson(), "\"window\":\"FIVE_MINUTES\"")
+    }
+
+    /** Guards against a gap in the traffic that is drawn as a rate of 0, and against a division by zero. */
+    @Test
+    fun `times without requests are gaps`() {
+        val source = BurnSource { listOf(ObjectiveCounters("s", "k", 2, Objective(1, 99.0), 5, 5)) }
+        val history = BurnHistory(source)
+        for (now in 0..days * 60_000 step interval) history.sample(now)
+        val report = history.report(days * 60_000)
+        assertEquals(
+            listOf(null),
+            report.kinds
+                .single()
+                .windows
+                .map { it.burnRate }
+                .distinct(),
+        )
+        assertFalse("<polyline" in report.toHtml())
+        assertContains(BurnReport(emptyList()).toHtml(), "No kind has an objective")
+    }
+}
