List the service of the local fleet's targets

Entry instances send a target only tasks of the services that the platform lists for it, so a fleet without them refused every job. The demo now prints the reason of an answer that is not complete.

--- a/load/src/main/kotlin/io/jackdawring/load/CallerClient.kt
+++ b/load/src/main/kotlin/io/jackdawring/load/CallerClient.kt
@@ -36,17 +36,19 @@
         }
     }
 
-    /** Submits [job] at [entry] and passes the answer to [onAnswer]. */
+    /** Submits [job] at [entry] and passes the answer, with a reason unless it is complete, to [onAnswer]. */
     fun submit(
         entry: String,
         session: String,
         job: JobSpec,
-        onAnswer: (JobAnswer) -> Unit,
+        onAnswer: (answer: JobAnswer, detail: String) -> Unit,
     ) {
         val headers = mapOf("jackdaw-session" to session, "idempotency-key" to job.submissionId)
         // The entry instance answers at the deadline; the margin covers its answer's way to the caller.
         val timeoutMillis = job.deadlineMillis + ANSWER_MARGIN_MILLIS
-        send(entry, "/v1/jobs", headers, body(job), timeoutMillis) { onAnswer(answer(job, it)) }
+        send(entry, "/v1/jobs", headers, body(job), timeoutMillis) { result ->
+            onAnswer(answer(job, result), detail(result))
+        }
     }
 
     private fun send(
@@ -108,6 +110,16 @@
             }
     }
 
+private fun detail(result: HttpResult): String =
+    when (result) {
+        is HttpResult.NotSent -> result.detail
+        is HttpResult.Broken -> result.detail
+        is HttpResult.Answered -> {
+            val response = result.response
+            if (response.status == 200) "" else "${response.status} ${jsonObject(response)?.text("detail").orEmpty()}"
+        }
+    }
+
 private fun isWhole(
     job: JobSpec,
     response: HttpResponseMessage,
--- a/load/src/main/kotlin/io/jackdawring/load/Demo.kt
+++ b/load/src/main/kotlin/io/jackdawring/load/Demo.kt
@@ -75,7 +75,10 @@
         val job: JobSpec,
         val label: String,
         val answer: CompletableFuture<JobAnswer>,
-    )
+    ) {
+        @Volatile
+        var detail: String = ""
+    }
 
     private val sent = ArrayList<Sent>()
     private val slowdowns = KINDS.associateWith { SlowdownRecorder() }
@@ -183,10 +186,11 @@
         val request = Sent(job, label, CompletableFuture())
         sent += request
         val startNanos = System.nanoTime()
-        callers.submit(entry.callerAddress, session, job) { answer ->
+        callers.submit(entry.callerAddress, session, job) { answer, detail ->
             if (answer == JobAnswer.COMPLETE && measured) {
                 slowdowns.getValue(job.kind).record(System.nanoTime() - startNanos, job.idealMillis(0))
             }
+            request.detail = detail
             request.answer.complete(answer)
         }
         return request
@@ -200,7 +204,7 @@
     private fun report(fleet: LocalFleet) {
         val answers = sent.groupingBy { it.answer.get() }.eachCount()
         sent.filter { it.answer.get() != JobAnswer.COMPLETE }.forEach {
-            problems += "${it.label} ${it.job.submissionId} was answered ${it.answer.get()}"
+            problems += "${it.label} ${it.job.submissionId} was answered ${it.answer.get()} ${it.detail}"
         }
         val jobs = sent.distinctBy { it.job.submissionId }
         val tasks =
--- a/load/src/main/kotlin/io/jackdawring/load/LoadRun.kt
+++ b/load/src/main/kotlin/io/jackdawring/load/LoadRun.kt
@@ -183,7 +183,7 @@
             val entry = if (options.balancing == Balancing.REQUESTS) nextEntry() else session.owner
             if (entry != session.owner) forwards.increment()
             if (planned.resubmit && sendsLeft == MAX_SENDS) scheduleResubmission(planned.job, session, entry)
-            callers.submit(entry, session.token, planned.job) { answer ->
+            callers.submit(entry, session.token, planned.job) { answer, _ ->
                 if (answer in SESSION_LOST) sessions.remove(planned.caller)
                 // Nothing of the job was sent, so a caller sends it again in a session of another entry instance.
                 if (answer == JobAnswer.NOT_SENT && sendsLeft > 1) {
@@ -206,7 +206,7 @@
             val entry = nextEntryExcept(firstEntry)
             repeatedSends.increment()
             if (entry != session.owner) forwards.increment()
-            callers.submit(entry, session.token, job) { answer ->
+            callers.submit(entry, session.token, job) { answer, _ ->
                 resubmissions.count(answer)
                 close()
             }
--- a/load/src/main/kotlin/io/jackdawring/load/LocalFleet.kt
+++ b/load/src/main/kotlin/io/jackdawring/load/LocalFleet.kt
@@ -87,6 +87,7 @@
                 platformAddress = platform.address
                 slots = options.slots
                 connections = options.connections
+                services = options.documents.flatMap { document -> document.services.map { it.service } }
                 modes = options.targetModes(index)
                 seed = index.toLong()
                 farOneWayMillis = options.domainOneWayMillis
--- a/standins/src/main/kotlin/io/jackdawring/standins/StandInTargetOptions.kt
+++ b/standins/src/main/kotlin/io/jackdawring/standins/StandInTargetOptions.kt
@@ -36,7 +36,7 @@
         var memoryMb: Int = 65_536
         var accelerators: Int = 0
 
-        /** Services whose tasks the target runs; empty for all. */
+        /** Services that the platform lists for the target; entry instances send it no tasks of other services. */
         var services: List<String> = emptyList()
 
         /** Seed of the choice of stragglers. */
