--- a/load/src/main/kotlin/io/jackdawring/load/ScenarioOptions.kt
+++ b/load/src/main/kotlin/io/jackdawring/load/ScenarioOptions.kt
@@ -8,6 +8,7 @@
     val scenarios: List<Scenario>,
     val policies: List<TargetPolicy>,
     val durationMillis: Long,
+    val jvmWarmUpMillis: Long,
     val seed: Long,
 ) {
     /** Builds [ScenarioOptions]; by default everything runs. */
@@ -25,10 +26,20 @@
 
         /** Time during which each combination of deployment, scenario and policy sends jobs; its first fifth warms up. */
         var durationMillis: Long = 10_000
+
+        /** Length of a run before the first one whose result is dropped, so that no row shows interpreted code; 0 for none. */
+        var jvmWarmUpMillis: Long = 3_000
         var seed: Long = 1
 
         fun build(): ScenarioOptions =
-            ScenarioOptions(deployments.toList(), scenarios.toList(), policies.toList(), durationMillis, seed)
+            ScenarioOptions(
+                deployments = deployments.toList(),
+                scenarios = scenarios.toList(),
+                policies = policies.toList(),
+                durationMillis = durationMillis,
+                jvmWarmUpMillis = jvmWarmUpMillis,
+                seed = seed,
+            )
     }
 }
 
--- a/load/src/main/kotlin/io/jackdawring/load/ScenarioTool.kt
+++ b/load/src/main/kotlin/io/jackdawring/load/ScenarioTool.kt
@@ -22,12 +22,28 @@
     out: PrintStream,
     entryServers: EntryServer.Factory,
 ): Int {
+    if (options.jvmWarmUpMillis > 0) {
+        ScenarioRun(
+            options.jvmWarmUpMillis,
+            options.seed,
+            options.deployments.first(),
+            Scenario.USUAL,
+            options.policies.first(),
+        ).run(entryServers)
+    }
     out.println(TABLE_HEAD)
     var correct = true
     for (deployment in options.deployments) {
         for (scenario in options.scenarios) {
             for (policy in options.policies) {
-                val report = ScenarioRun(options, deployment, scenario, policy).run(entryServers)
+                val report =
+                    ScenarioRun(
+                        options.durationMillis,
+                        options.seed,
+                        deployment,
+                        scenario,
+                        policy,
+                    ).run(entryServers)
                 val name = ROW_NAME.format(deployment.name.lowercase(), scenario.label, policyName(policy))
                 out.println(name + (report?.let(::row) ?: "the fleet did not become ready"))
                 correct = correct && report != null && report.correct
@@ -43,7 +59,8 @@
 
 /** One combination of deployment, scenario and policy. */
 internal class ScenarioRun(
-    private val options: ScenarioOptions,
+    private val durationMillis: Long,
+    private val seed: Long,
     private val deployment: Deployment,
     private val scenario: Scenario,
     private val policy: TargetPolicy,
@@ -64,7 +81,7 @@
                     val load = loadOptions(fleet)
                     val callers = CallerClient(client, timers, load.callerOneWayMillis)
                     // On a thread of its own, because closing an entry instance waits and would hold up the timers.
-                    timers.schedule(options.durationMillis / 2) { Thread { scenario.atHalfTime(fleet) }.start() }
+                    timers.schedule(durationMillis / 2) { Thread { scenario.atHalfTime(fleet) }.start() }
                     LoadRun(load, callers, timers, LocalTargetReadings(fleet.targets)).run()
                 }
             }
@@ -83,18 +100,18 @@
             domainOneWayMillis = Deployment.DOMAIN_ONE_WAY_MILLIS
         }
 
-    internal fun loadOptions(fleet: LocalFleet) =
+    private fun loadOptions(fleet: LocalFleet) =
         loadOptions {
             entries = fleet.entries.map { it.callerAddress }
             service = deployment.service
             classes = deployment.classes
             pattern = LoadPattern.OpenLoop(jobsPerSecond())
-            durationMillis = options.durationMillis
-            warmUpMillis = options.durationMillis / WARM_UP_SHARE
+            durationMillis = this@ScenarioRun.durationMillis
+            warmUpMillis = durationMillis / WARM_UP_SHARE
             callers = CALLERS
             tasksPerJob = TASKS_PER_JOB
             callerOneWayMillis = deployment.callerOneWayMillis
-            seed = options.seed
+            seed = this@ScenarioRun.seed
         }
 
     private fun jobsPerSecond(): Double {
--- a/load/src/test/kotlin/io/jackdawring/load/ScenarioTest.kt
+++ b/load/src/test/kotlin/io/jackdawring/load/ScenarioTest.kt
@@ -49,6 +49,7 @@
                                 scenarios = listOf(Scenario.HALF)
                                 policies = listOf(TargetPolicy.RoundRobin)
                                 durationMillis = 200
+                                jvmWarmUpMillis = 0
                             }
                         val out = ByteArrayOutputStream()
                         assertEquals(code, runScenarios(options, PrintStream(out), entryServers), out.toString())
