--- a/server/src/main/kotlin/io/jackdawring/server/logging/StateChangeLog.kt
+++ b/server/src/main/kotlin/io/jackdawring/server/logging/StateChangeLog.kt
@@ -35,6 +35,10 @@
             "configuration version ${change.version} is in force"
         }
 
+        is StateChange.ConfigurationRejected -> {
+            "configuration version ${change.version} is rejected: ${change.reason}"
+        }
+
         is StateChange.MemberChanged -> {
             "entry instance ${change.instanceId.value} is ${change.state}"
         }
--- a/standins/src/test/kotlin/io/jackdawring/standins/Fakes.kt
+++ b/standins/src/test/kotlin/io/jackdawring/standins/Fakes.kt
@@ -95,6 +95,8 @@
 
             override fun stopAccepting() = Unit
 
+            override fun closeAfterAnswers() = Unit
+
             override fun close() = Unit
         }
     }
