--- a/cli/src/main/kotlin/io/jackdawring/cli/Main.kt
+++ b/cli/src/main/kotlin/io/jackdawring/cli/Main.kt
@@ -1,13 +1,18 @@
 package io.jackdawring.cli
 
+import ch.qos.logback.classic.Level
+import ch.qos.logback.classic.Logger
 import io.jackdawring.cli.client.RealApiClient
 import io.jackdawring.server.logging.LogFormat
 import io.jackdawring.server.logging.configureLogging
+import org.slf4j.LoggerFactory
 import kotlin.system.exitProcess
 
 /** Entry point of the one binary. */
 fun main(args: Array<String>) {
     configureLogging(LogFormat.TEXT)
+    // State changes matter to operators of a server, which sets its own logging; the demo would print hundreds.
+    (LoggerFactory.getLogger("io.jackdawring") as Logger).level = Level.WARN
     val context =
         CommandContext(
             out = System.out,
--- a/cli/src/main/kotlin/io/jackdawring/cli/commands/LoadCommand.kt
+++ b/cli/src/main/kotlin/io/jackdawring/cli/commands/LoadCommand.kt
@@ -63,7 +63,7 @@
 internal class DemoCommand :
     Command(
         "demo",
-        "start a small fleet on loopback, break parts of it, and show the outcomes",
+        "run a small fleet in this process, send jobs to it, and print a summary",
         "jackdawring demo",
     ) {
     override fun run(
