Choose targets by adaptive windows

The first target pool knew only fixed shares and scanned all targets. The pool now starts tasks within its fair share of a target's slots without a report, borrows slots above it while two stay free, and bounds the expected busy refusals of borrowed slots by a budget. Refusal probabilities are learnt from the reported usage. Targets are indexed by service and room. Failing targets are isolated and probed, at most half of a service. Facts about targets are kept by version and spread for a limited number of rounds.

--- a/core/src/main/kotlin/io/jackdawring/core/target/RealTargetPool.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/target/RealTargetPool.kt
@@ -5,60 +5,93 @@
 import io.jackdawring.core.InstanceRole
 import io.jackdawring.core.ListedInstance
 import io.jackdawring.core.ListedState
+import io.jackdawring.core.NotStartedReason
 import io.jackdawring.core.StateChange
 import io.jackdawring.core.TargetAnswer
 import io.jackdawring.core.TargetId
 import io.jackdawring.core.TargetStatus
 import io.jackdawring.core.membership.TargetFact
 import io.jackdawring.core.membership.TargetFactState
+import java.util.TreeSet
+import kotlin.math.max
 import kotlin.math.min
+import kotlin.random.Random
 
-/** Target pool with a fixed share of slots per target; scans all targets. */
+/** Target pool that learns free slots, speed and health of every target from the answers. */
 internal class RealTargetPool(
     private val options: EntryOptions,
     private val report: (StateChange) -> Unit,
 ) : TargetPool {
-    private val targets = LinkedHashMap<TargetId, Target>()
+    private val random = Random(options.seed)
+    private val targets = LinkedHashMap<TargetId, PooledTarget>()
+    private val services = HashMap<String, ServiceTargets>()
+    private val facts = TargetFacts()
+    private val health = TargetHealth(random, ::onHealthChanged)
+    private val adaptive = AdaptiveChooser(random)
+    private val chooser: TargetChooser = baselineChooser(options.targetPolicy, random) ?: adaptive
+
+    /** Starts on registrations that have since been replaced; their answers say nothing about the new one. */
+    private val startsOnReplaced = HashMap<TargetId, Int>()
+
+    /** Targets whose fair share is suspended after a refusal. */
+    private val suspended = TreeSet(compareBy<PooledTarget>({ it.shareRetryAtMillis }, { it.id.value }))
     private var listVersion = -1L
     private var entryInstances = 1
+    private var retryAtMillis: Long? = null
+    private var lastSeenMillis = 0L
 
     override fun applyList(
         list: InstanceList,
         nowMillis: Long,
     ) {
         if (list.version <= listVersion) return
+        val firstList = listVersion < 0
         listVersion = list.version
         val listed = list.instances.filter { it.role == InstanceRole.TARGET }.associateBy { TargetId(it.id) }
-        targets.values.removeIf { it.id !in listed && it.inFlight == 0 }
-        targets.values.forEach { if (it.id !in listed) it.leaving = true }
-        for ((id, instance) in listed) {
-            val target = targets.getOrPut(id) { Target(id, instance) }
-            target.leaving = instance.state == ListedState.LEAVING
-            target.listed = instance
-        }
+        targets.values.filter { it.id !in listed }.forEach(::unlist)
+        for ((id, instance) in listed) applyListed(id, instance, if (firstList) 0 else list.version, nowMillis)
+        facts.forgetUnlisted(listVersion) { it in listed }
+        services.values.forEach(ServiceTargets::updateSizes)
     }
 
     override fun applyFact(
         fact: TargetFact,
         nowMillis: Long,
     ): Boolean {
-        val target = targets[fact.targetId] ?: return false
-        if (fact.state != TargetFactState.LEAVING || target.leaving || fact.listVersion < listVersion) return false
-        target.leaving = true
-        return true
+        val target = targets[fact.targetId]
+        // A fact from before the present registration is about another process.
+        if (target != null && fact.listVersion < target.registeredInVersion) return false
+        val known = facts[fact.targetId]
+        val news = facts.accept(fact)
+        if (target == null || !target.listed || target.instance.address != fact.address) return news
+        if (news) {
+            applyState(target, fact, nowMillis)
+        } else if (target.leaving != null && fact.state != TargetFactState.LEAVING && fact.sameVersionAs(known)) {
+            // Two instances chose the same sequence; only a higher one can replace the peer's fact.
+            publish(target, TargetFactState.LEAVING)
+        }
+        return news
     }
 
-    override fun takeFacts(): List<TargetFact> = emptyList()
+    override fun takeFacts(): List<TargetFact> = facts.take()
 
     override fun shareWith(entryInstances: Int) {
-        this.entryInstances = maxOf(1, entryInstances)
+        val instances = max(1, entryInstances)
+        facts.shareWith(instances)
+        if (instances == this.entryInstances) return
+        this.entryInstances = instances
+        for (target in targets.values) {
+            target.share(instances)
+            index(target)
+        }
     }
 
     override fun availability(need: TaskNeed): Availability {
-        val usable = targets.values.filter { !it.leaving && need.service in it.listed.services }
+        val service = services[need.service] ?: return Availability.NO_TARGETS
         return when {
-            usable.isEmpty() -> Availability.NO_TARGETS
-            usable.none { it.fits(need) } -> Availability.NEVER
+            service.accepting.isEmpty() -> Availability.NO_TARGETS
+            !service.everyTargetFits(need) && service.accepting.none { it.fits(need) } -> Availability.NEVER
+            service.accepting.none { it.health == Health.USABLE || it.probeDue } -> Availability.NO_TARGETS
             else -> Availability.POSSIBLE
         }
     }
@@ -67,12 +100,15 @@
         need: TaskNeed,
         nowMillis: Long,
     ): ChosenTarget? {
-        val target =
-            targets.values
-                .filter { it.inFlight < window(it) && it.fits(need) && nowMillis >= it.unusableUntilMillis }
-                .minByOrNull { it.inFlight } ?: return null
+        val service = services[need.service] ?: return null
+        val target = probe(service, need, nowMillis) ?: chooser.choose(service, need, nowMillis)
+        if (target == null) {
+            if (retryAtMillis == null) retryAtMillis = nowMillis + RETRY_MILLIS
+            return null
+        }
         target.inFlight++
-        return ChosenTarget(target.id, target.listed.address)
+        index(target)
+        return ChosenTarget(target.id, target.instance.address)
     }
 
     override fun complete(
@@ -82,59 +118,353 @@
         elapsedMillis: Long,
         nowMillis: Long,
     ) {
+        lastSeenMillis = nowMillis
+        if (endStartOnReplaced(targetId)) return
         val target = targets[targetId] ?: return
-        target.inFlight = maxOf(0, target.inFlight - 1)
-        if (answer?.usage?.leaving == true) target.leaving = true
-        if (answer is TargetAnswer.NotStarted) {
-            target.unusableUntilMillis = nowMillis + UNUSABLE_MILLIS
-        }
-        if (target.leaving) report(StateChange.TargetChanged(targetId, "leaving"))
+        val inFlightBefore = target.inFlight
+        target.inFlight = max(0, target.inFlight - 1)
+        learnUsage(target, need, answer, inFlightBefore, nowMillis)
+        learnHealth(target, need, answer, elapsedMillis, nowMillis)
+        if (answer?.usage?.leaving == true) leave(target, listVersion, nowMillis)
+        index(target)
+        if (!target.listed && target.inFlight == 0) targets.remove(targetId)
     }
 
-    override fun nextTimerMillis(): Long? =
-        targets.values
-            .map { it.unusableUntilMillis }
-            .filter { it > 0 }
-            .minOrNull()
+    override fun nextTimerMillis(): Long? {
+        val dueMillis =
+            min(health.nextDueMillis() ?: Long.MAX_VALUE, min(retryAtMillis ?: Long.MAX_VALUE, nextShareRetryMillis()))
+        return if (dueMillis == Long.MAX_VALUE) null else dueMillis
+    }
+
+    private fun nextShareRetryMillis(): Long =
+        if (suspended.isEmpty()) Long.MAX_VALUE else suspended.first().shareRetryAtMillis
 
     override fun onTimer(nowMillis: Long) {
-        targets.values.forEach { if (it.unusableUntilMillis <= nowMillis) it.unusableUntilMillis = 0 }
+        health.onTimer(nowMillis)
+        while (suspended.isNotEmpty() && suspended.first().shareRetryAtMillis <= nowMillis) {
+            val target = suspended.pollFirst()
+            target.shareRefused = false
+            index(target)
+        }
+        if ((retryAtMillis ?: Long.MAX_VALUE) <= nowMillis) retryAtMillis = null
     }
 
     override fun capacity(service: String): PoolCapacity {
-        val usable = targets.values.filter { !it.leaving && service in it.listed.services }
-        return PoolCapacity(usable.sumOf(::window), usable.sumOf { it.inFlight }, 1.0)
+        val known = services[service] ?: return PoolCapacity(0, 0, 1.0)
+        return PoolCapacity(max(known.inFlight + known.room, known.fairShares), known.inFlight, known.slowness)
     }
 
     override fun status(): List<TargetStatus> =
         targets.values.map {
-            val state = if (it.leaving) "leaving" else "usable"
-            TargetStatus(it.id, it.listed.failureDomain, state, it.inFlight, window(it), 1.0)
+            val state =
+                when {
+                    !it.listed -> "unlisted"
+                    it.leaving != null -> "leaving"
+                    else -> it.health.name.lowercase()
+                }
+            TargetStatus(
+                it.id,
+                it.instance.failureDomain,
+                state,
+                it.inFlight,
+                it.window,
+                it.slowness(lastSeenMillis),
+            )
+        }
+
+    private fun applyListed(
+        id: TargetId,
+        instance: ListedInstance,
+        registeredInVersion: Long,
+        nowMillis: Long,
+    ) {
+        val known = targets[id]
+        val target =
+            when {
+                known == null -> register(id, instance, registeredInVersion, nowMillis)
+                known.isReplacedBy(instance, nowMillis) -> replace(known, instance, nowMillis)
+                else -> known
+            }
+        target.listedAsLeaving = instance.state == ListedState.LEAVING
+        if (target.instance != instance) update(target, instance)
+        if (target.listedAsLeaving) leave(target, listVersion, nowMillis)
+        index(target)
+    }
+
+    /**
+     * Whether the list shows that a new process took the place of this registration.
+     *
+     * A list that merely still says "live" may be older than the target's own word that it is leaving.
+     */
+    private fun PooledTarget.isReplacedBy(
+        instance: ListedInstance,
+        nowMillis: Long,
+    ): Boolean {
+        val sinceMillis = leaving?.sinceMillis ?: nowMillis
+        val live = instance.state == ListedState.LIVE
+        return instance.address != this.instance.address ||
+            !listed ||
+            (live && (listedAsLeaving || nowMillis - sinceMillis >= LEAVING_MEMORY_MILLIS))
+    }
+
+    private fun register(
+        id: TargetId,
+        instance: ListedInstance,
+        registeredInVersion: Long,
+        nowMillis: Long,
+    ): PooledTarget {
+        val local = instance.failureDomain == options.self.failureDomain
+        val target = PooledTarget(id, instance, registeredInVersion, local, servicesOf(instance))
+        targets[id] = target
+        target.share(entryInstances)
+        report(StateChange.TargetChanged(id, "usable"))
+        index(target)
+        val fact = facts[id]
+        if (fact != null && fact.address == instance.address && fact.listVersion >= registeredInVersion) {
+            applyState(target, fact, nowMillis)
         }
+        return target
+    }
 
-    private fun window(target: Target): Int {
-        val slots = (target.listed.slots + entryInstances - 1) / entryInstances
-        return min(slots, maxOf(1, target.listed.connections / entryInstances))
+    private fun replace(
+        old: PooledTarget,
+        instance: ListedInstance,
+        nowMillis: Long,
+    ): PooledTarget {
+        unlist(old)
+        if (old.inFlight > 0) startsOnReplaced.merge(old.id, old.inFlight, Int::plus)
+        val target = register(old.id, instance, listVersion, nowMillis)
+        if (old.leaving != null && target.leaving == null) publish(target, TargetFactState.RECOVERED)
+        return target
     }
 
-    private class Target(
-        val id: TargetId,
-        var listed: ListedInstance,
+    private fun update(
+        target: PooledTarget,
+        instance: ListedInstance,
     ) {
-        var inFlight = 0
-        var leaving = false
-        var unusableUntilMillis = 0L
+        remove(target)
+        target.instance = instance
+        target.services = servicesOf(instance)
+        target.share(entryInstances)
+    }
+
+    private fun unlist(target: PooledTarget) {
+        target.listed = false
+        health.forget(target)
+        suspended -= target
+        index(target)
+        if (target.inFlight == 0) targets.remove(target.id)
+    }
 
-        fun fits(need: TaskNeed): Boolean =
-            !leaving &&
-                need.service in listed.services &&
-                need.memoryMb <= listed.memoryMb &&
-                need.accelerators <= listed.accelerators
+    private fun servicesOf(instance: ListedInstance): List<ServiceTargets> =
+        instance.services.distinct().map { services.getOrPut(it, ::ServiceTargets) }
+
+    private fun leave(
+        target: PooledTarget,
+        knownInVersion: Long,
+        nowMillis: Long,
+    ) {
+        if (target.leaving != null) return
+        target.leaving = PooledTarget.Leaving(knownInVersion, nowMillis)
+        health.forget(target)
+        index(target)
+        report(StateChange.TargetChanged(target.id, "leaving"))
+        if (facts[target.id]?.state != TargetFactState.LEAVING) publish(target, TargetFactState.LEAVING)
     }
 
+    private fun applyState(
+        target: PooledTarget,
+        fact: TargetFact,
+        nowMillis: Long,
+    ) {
+        val leaving = target.leaving
+        when {
+            fact.state == TargetFactState.LEAVING -> leave(target, fact.listVersion, nowMillis)
+            leaving == null && fact.state == TargetFactState.ISOLATED -> health.isolatedByPeer(target, nowMillis)
+            leaving == null -> health.recoveredAtPeer(target)
+            fact.state == TargetFactState.RECOVERED &&
+                fact.listVersion > leaving.listVersion &&
+                !target.listedAsLeaving -> replace(target, target.instance, nowMillis)
+            // The peer did not know that the target is leaving; tell it with a higher sequence.
+            else -> publish(target, TargetFactState.LEAVING)
+        }
+    }
+
+    private fun publish(
+        target: PooledTarget,
+        state: TargetFactState,
+    ) = facts.publish(target.id, target.instance, listVersion, state)
+
+    private fun onHealthChanged(target: PooledTarget) {
+        index(target)
+        if (!target.probeDue) report(StateChange.TargetChanged(target.id, target.health.name.lowercase()))
+    }
+
+    private fun probe(
+        service: ServiceTargets,
+        need: TaskNeed,
+        nowMillis: Long,
+    ): PooledTarget? {
+        if (service.probes.isEmpty()) return null
+        val target = service.probes.firstOrNull { it.fits(need) && mayProbe(it, service, need, nowMillis) }
+        target?.probeInFlight = true
+        return target
+    }
+
+    private fun mayProbe(
+        target: PooledTarget,
+        service: ServiceTargets,
+        need: TaskNeed,
+        nowMillis: Long,
+    ): Boolean =
+        need.idempotent ||
+            // A refused connection provably starts nothing.
+            target.health == Health.UNREACHABLE ||
+            // No idempotent task came within a further interval, since it would have become the probe.
+            nowMillis >= target.blockedUntilMillis + target.blockMillis ||
+            service.accepting.none { it.health == Health.USABLE }
+
+    private fun endStartOnReplaced(targetId: TargetId): Boolean {
+        val starts = startsOnReplaced[targetId] ?: return false
+        if (starts > 1) startsOnReplaced[targetId] = starts - 1 else startsOnReplaced -= targetId
+        return true
+    }
+
+    private fun learnUsage(
+        target: PooledTarget,
+        need: TaskNeed,
+        answer: TargetAnswer?,
+        inFlightBefore: Int,
+        nowMillis: Long,
+    ) {
+        val busy = answer is TargetAnswer.NotStarted && answer.reason == NotStartedReason.BUSY
+        val slotsInUse = answer?.usage?.slotsInUse
+        val slots = target.instance.slots
+        val ageMillis = target.ageMillis(nowMillis)
+        val freeBefore = slots - target.othersInUse - inFlightBefore
+        if (busy) {
+            adaptive.refusals.learn(freeBefore + 1, ageMillis, true)
+            target.othersInUse = max(0, slots - target.inFlight)
+            target.windowChangedAtMillis = nowMillis
+            if (target.inFlight < target.fairShare) suspendShare(target, nowMillis)
+        } else if (slotsInUse != null) {
+            // The slot of the ended task was ours, so others can have at most the rest.
+            target.othersInUse = max(0, min(slotsInUse - target.inFlight, slots - inFlightBefore))
+            if (target.othersInUse + inFlightBefore < slots) allowShare(target)
+            adaptive.refusals.learn(freeBefore, ageMillis, slots - target.othersInUse - inFlightBefore <= 0)
+        } else {
+            if (answer is TargetAnswer.Succeeded) growWithoutUsage(target, freeBefore, nowMillis)
+            return
+        }
+        target.knownAtMillis = nowMillis
+        services[need.service]?.lastAnswered = target
+    }
+
+    /** After a refusal within the fair share, tries the share again after a growing time or a report of a free slot. */
+    private fun suspendShare(
+        target: PooledTarget,
+        nowMillis: Long,
+    ) {
+        suspended -= target
+        target.shareRefused = true
+        val millis = min(SHARE_RETRY_LAST_MILLIS, SHARE_RETRY_FIRST_MILLIS shl min(target.refusalsInRow++, 10))
+        target.shareRetryAtMillis = nowMillis + millis + random.nextLong(millis)
+        suspended += target
+    }
+
+    private fun allowShare(target: PooledTarget) {
+        if (target.shareRefused) suspended -= target
+        target.shareRefused = false
+        target.refusalsInRow = 0
+    }
+
+    /** Lets the window of a target that does not report its usage grow by one while there is demand. */
+    private fun growWithoutUsage(
+        target: PooledTarget,
+        freeBefore: Int,
+        nowMillis: Long,
+    ) {
+        adaptive.refusals.learn(freeBefore + 1, target.ageMillis(nowMillis), false)
+        if (target.knownAtMillis >= 0) target.knownAtMillis = nowMillis
+        val demand = target.services.any { nowMillis - it.noRoomAtMillis < DEMAND_MILLIS }
+        val mayGrow = nowMillis - target.windowChangedAtMillis >= GROW_INTERVAL_MILLIS
+        if (demand && mayGrow && target.othersInUse > 0) {
+            target.othersInUse--
+            target.windowChangedAtMillis = nowMillis
+        }
+        target.services.forEach { it.lastAnswered = target }
+    }
+
+    private fun learnHealth(
+        target: PooledTarget,
+        need: TaskNeed,
+        answer: TargetAnswer?,
+        elapsedMillis: Long,
+        nowMillis: Long,
+    ) {
+        when (answer) {
+            null -> health.probeWithoutResult(target)
+            is TargetAnswer.Succeeded -> {
+                learnSlowness(target, need, elapsedMillis, nowMillis)
+                if (health.succeeded(target, nowMillis)) publish(target, TargetFactState.RECOVERED)
+            }
+            is TargetAnswer.TaskFailed, is TargetAnswer.Lost ->
+                if (health.failed(target, nowMillis)) publish(target, TargetFactState.ISOLATED)
+            is TargetAnswer.NotStarted ->
+                when (answer.reason) {
+                    NotStartedReason.BUSY -> health.busy(target, nowMillis)
+                    NotStartedReason.LEAVING -> leave(target, listVersion, nowMillis)
+                    NotStartedReason.UNREACHABLE -> health.unreachable(target, nowMillis)
+                }
+        }
+    }
+
+    private fun learnSlowness(
+        target: PooledTarget,
+        need: TaskNeed,
+        elapsedMillis: Long,
+        nowMillis: Long,
+    ) {
+        val service = services[need.service] ?: return
+        if (need.expectedMillis <= 0) return
+        val runMillis = max(0.0, elapsedMillis - target.distanceMillis)
+        val ratio = max(ServiceTargets.MIN_RATIO, runMillis / need.expectedMillis)
+        target.learnSlowness(service.normalise(need, ratio), nowMillis)
+    }
+
+    private fun remove(target: PooledTarget) {
+        val old = target.indexed
+        target.indexed = IndexedState.ABSENT
+        target.services.forEach { it.index(target, old, IndexedState.ABSENT) }
+    }
+
+    /** Updates the sets and sums of the target's services after a change of [target]. */
+    private fun index(target: PooledTarget) {
+        val old = target.indexed
+        val new = target.indexedState()
+        if (old == new) return
+        target.indexed = new
+        target.services.forEach { it.index(target, old, new) }
+    }
+
+    private fun TargetFact.sameVersionAs(other: TargetFact?): Boolean =
+        other != null && listVersion == other.listVersion && sequence == other.sequence
+
     companion object {
         val Factory = TargetPool.Factory { options, report -> RealTargetPool(options, report) }
 
-        const val UNUSABLE_MILLIS = 100L
+        /** Completions drive the queue; this slow timer serves an instance without any start in flight. */
+        const val RETRY_MILLIS = 50L
+
+        /** A target cannot take this long to leave, so a newer list that still shows it live is right by then. */
+        const val LEAVING_MEMORY_MILLIS = 600_000L
+
+        /** The instances that borrowed the slot give it back within about one run time. */
+        const val SHARE_RETRY_FIRST_MILLIS = 300L
+        const val SHARE_RETRY_LAST_MILLIS = 3_000L
+
+        /** Without usage reports only refusals show that a window is too large, so it grows slowly. */
+        const val GROW_INTERVAL_MILLIS = 1_000L
+        const val DEMAND_MILLIS = 100L
     }
 }
--- /dev/null
+++ b/core/src/test/kotlin/io/jackdawring/core/target/FleetModel.kt
@@ -0,0 +1,285 @@
+package io.jackdawring.core.target
+
+import io.jackdawring.core.FailureDomainId
+import io.jackdawring.core.InstanceId
+import io.jackdawring.core.InstanceList
+import io.jackdawring.core.InstanceRole
+import io.jackdawring.core.ListedInstance
+import io.jackdawring.core.NotStartedReason
+import io.jackdawring.core.Owner
+import io.jackdawring.core.Payload
+import io.jackdawring.core.TargetAnswer
+import io.jackdawring.core.TargetId
+import io.jackdawring.core.TargetPolicy
+import io.jackdawring.core.TargetUsage
+import io.jackdawring.core.entryOptions
+import io.jackdawring.core.queue.QueuedJob
+import io.jackdawring.core.queue.RealTaskQueue
+import java.util.PriorityQueue
+import kotlin.math.ln
+import kotlin.random.Random
+
+internal fun ownerIn(
+    domain: String,
+    id: String = "e1",
+) = Owner(InstanceId(id), 1, "127.0.0.1:9000", FailureDomainId(domain))
+
+internal fun listedTarget(
+    id: String,
+    domain: String = "a",
+    services: List<String> = listOf("orders"),
+) = ListedInstance(id, InstanceRole.TARGET, FailureDomainId(domain), "10.0.0.1:$id", services = services)
+
+/** What one run of [FleetModel] is made of. */
+internal data class Scenario(
+    val policy: TargetPolicy = TargetPolicy.AdaptiveWindow,
+    /** Offered work over the capacity of all slots. */
+    val load: Double = 0.8,
+    val entryInstances: Int = 8,
+    val targets: Int = 30,
+    /** Run time factors of the targets are spread from 1 / spread to spread. */
+    val speedSpread: Double = 1.0,
+    val meanTasksPerJob: Double = 3.0,
+    val bigJobPercent: Int = 1,
+    val bigJobTasks: Int = 300,
+    val seconds: Int = 20,
+    val reportsUsage: Boolean = true,
+    val seed: Long = 1,
+)
+
+/** Measured results of one run; the slowdown of a job is its time over the run time of its longest task. */
+internal data class ModelResult(
+    val tasks: Int,
+    val refusalsPerTask: Double,
+    val meanSlowdown: Double,
+    val topClassP50: Double,
+    val topClassP99: Double,
+    val utilisation: Double,
+) {
+    override fun toString() =
+        "refusals/task %.4f mean %.3f top p50 %.3f top p99 %.3f used %.3f tasks %d"
+            .format(refusalsPerTask, meanSlowdown, topClassP50, topClassP99, utilisation, tasks)
+}
+
+/** Entry instances that share targets, in virtual time; each instance has its own pool and queue. */
+internal class FleetModel(
+    private val scenario: Scenario,
+) {
+    private val random = Random(scenario.seed)
+    private val events = PriorityQueue<Scheduled>(compareBy({ it.atMillis }, { it.order }))
+    private var order = 0L
+    private var nowMillis = 0L
+    private val targets = List(scenario.targets) { ModelTarget(it, speed()) }
+    private val entries = List(scenario.entryInstances) { ModelEntry(it) }
+    private var starts = 0
+    private var refusals = 0
+    private var busyMillis = 0.0
+    private val slowdowns = ArrayList<Double>()
+    private val topSlowdowns = ArrayList<Double>()
+    private val warmUpMillis = scenario.seconds * 1_000L / 4
+    private val endMillis = scenario.seconds * 1_000L
+
+    fun run(): ModelResult {
+        scheduleArrival()
+        while (events.isNotEmpty() && events.peek().atMillis <= endMillis) {
+            val next = events.poll()
+            nowMillis = next.atMillis
+            next.action()
+        }
+        topSlowdowns.sort()
+        val slotMillis = (endMillis - warmUpMillis) * SLOTS * scenario.targets.toDouble()
+        return ModelResult(
+            starts,
+            refusals / starts.toDouble(),
+            slowdowns.average(),
+            topSlowdowns[topSlowdowns.size / 2],
+            topSlowdowns[topSlowdowns.size * 99 / 100],
+            busyMillis / slotMillis,
+        )
+    }
+
+    private fun speed(): Double = Math.pow(scenario.speedSpread, random.nextDouble(-1.0, 1.0))
+
+    private fun at(
+        atMillis: Long,
+        action: () -> Unit,
+    ) {
+        events += Scheduled(atMillis, order++, action)
+    }
+
+    private fun scheduleArrival() {
+        val big = scenario.bigJobPercent / 100.0
+        val tasksPerJob = scenario.meanTasksPerJob * (1 - big) + scenario.bigJobTasks * big
+        val millisPerJob = tasksPerJob * MEAN_RUN_MILLIS / (SLOTS * scenario.targets * scenario.load)
+        val gapMillis = -ln(1 - random.nextDouble()) * millisPerJob
+        nextArrival += gapMillis
+        at(nextArrival.toLong()) {
+            arrive()
+            scheduleArrival()
+        }
+    }
+
+    private var nextArrival = 0.0
+
+    private fun arrive() {
+        val isBig = random.nextDouble() * 100 < scenario.bigJobPercent
+        // A fifth of the small jobs is of the highest class; large jobs are of the lowest.
+        val priority = if (isBig) 3 else listOf(1, 2, 2, 3, 3)[random.nextInt(5)]
+        val tasks = if (isBig) scenario.bigJobTasks else 1 + random.nextInt(scenario.meanTasksPerJob.toInt() * 2 - 1)
+        val runs = List(tasks) { 50 + (-ln(1 - random.nextDouble()) * (MEAN_RUN_MILLIS - 50)).toLong() }
+        entries[random.nextInt(entries.size)].submit(ModelJob(order++, priority, runs, nowMillis))
+    }
+
+    private class Scheduled(
+        val atMillis: Long,
+        val order: Long,
+        val action: () -> Unit,
+    )
+
+    private class ModelTarget(
+        index: Int,
+        val slowness: Double,
+    ) {
+        val id = TargetId("t$index")
+        val domain = "abc"[index % 3].toString()
+        var inUse = 0
+    }
+
+    private class ModelJob(
+        override val sequence: Long,
+        override val priority: Int,
+        val runs: List<Long>,
+        val arrivedMillis: Long,
+    ) : QueuedJob {
+        val waiting = ArrayDeque(runs)
+        var ended = 0
+        override val team = "team${sequence % 5}"
+        override val weight = 1
+        override val service = "orders"
+        override val pendingTasks get() = waiting.size
+        override val expectedMillisPerTask get() = waiting.firstOrNull() ?: 0
+        override val needKey: Any get() = priority
+    }
+
+    private inner class ModelEntry(
+        index: Int,
+    ) {
+        private val domain = "abc"[index % 3].toString()
+        private val pool =
+            RealTargetPool.Factory.create(
+                entryOptions(ownerIn(domain, "e$index")) {
+                    seed = scenario.seed * 100 + index
+                    targetPolicy = scenario.policy
+                },
+            ) {}
+        private val queue = RealTaskQueue()
+        private var timerAtMillis = Long.MAX_VALUE
+
+        init {
+            pool.shareWith(scenario.entryInstances)
+            val list = InstanceList(1, targets.map { listedTarget(it.id.value, it.domain) })
+            pool.applyList(list, 0)
+        }
+
+        fun submit(job: ModelJob) {
+            queue.put(job)
+            dispatch()
+        }
+
+        private fun dispatch() {
+            queue.dispatch(::place)
+            val dueMillis = pool.nextTimerMillis() ?: return
+            if (dueMillis >= timerAtMillis && timerAtMillis > nowMillis) return
+            timerAtMillis = dueMillis
+            at(dueMillis) {
+                pool.onTimer(nowMillis)
+                dispatch()
+            }
+        }
+
+        private fun place(queued: QueuedJob): Boolean {
+            val job = queued as ModelJob
+            val run = job.waiting.first()
+            val need = TaskNeed("orders", 0, 0, run, job.priority, true)
+            val chosen = pool.choose(need, nowMillis) ?: return false
+            job.waiting.removeFirst()
+            send(job, need, targets.first { it.id == chosen.targetId }, run)
+            return true
+        }
+
+        private fun send(
+            job: ModelJob,
+            need: TaskNeed,
+            target: ModelTarget,
+            run: Long,
+        ) {
+            val oneWay = if (target.domain == domain) 0L else 1L
+            val sentMillis = nowMillis
+            val counted = nowMillis >= warmUpMillis
+            at(nowMillis + oneWay) {
+                if (target.inUse >= SLOTS) {
+                    if (counted) refusals++
+                    val usage = usage(target)
+                    at(nowMillis + maxOf(1, oneWay)) {
+                        refused(job, need, target, sentMillis, run, usage)
+                    }
+                } else {
+                    target.inUse++
+                    if (counted) starts++
+                    val runMillis = (run * target.slowness).toLong()
+                    if (counted) busyMillis += minOf(runMillis, endMillis - nowMillis).toDouble()
+                    at(nowMillis + runMillis) {
+                        target.inUse--
+                        val usage = usage(target)
+                        at(nowMillis + oneWay) { succeeded(job, need, target, sentMillis, usage) }
+                    }
+                }
+            }
+        }
+
+        private fun usage(target: ModelTarget) = if (scenario.reportsUsage) TargetUsage(target.inUse, false) else null
+
+        private fun refused(
+            job: ModelJob,
+            need: TaskNeed,
+            target: ModelTarget,
+            sentMillis: Long,
+            run: Long,
+            usage: TargetUsage?,
+        ) {
+            val answer = TargetAnswer.NotStarted(NotStartedReason.BUSY, usage)
+            pool.complete(target.id, need, answer, nowMillis - sentMillis, nowMillis)
+            queue.taskEnded(job.team)
+            job.waiting.addFirst(run)
+            queue.put(job)
+            dispatch()
+        }
+
+        private fun succeeded(
+            job: ModelJob,
+            need: TaskNeed,
+            target: ModelTarget,
+            sentMillis: Long,
+            usage: TargetUsage?,
+        ) {
+            val answer = TargetAnswer.Succeeded(RESULT, usage)
+            pool.complete(target.id, need, answer, nowMillis - sentMillis, nowMillis)
+            queue.taskEnded(job.team)
+            if (++job.ended == job.runs.size) finish(job)
+            dispatch()
+        }
+
+        private fun finish(job: ModelJob) {
+            if (job.arrivedMillis < warmUpMillis) return
+            val slowdown = (nowMillis - job.arrivedMillis).toDouble() / job.runs.max()
+            slowdowns += slowdown
+            if (job.priority == 1) topSlowdowns += slowdown
+        }
+    }
+
+    private companion object {
+        const val SLOTS = 8
+        const val MEAN_RUN_MILLIS = 200.0
+        val RESULT = Payload.of("1")
+    }
+}
--- /dev/null
+++ b/core/src/test/kotlin/io/jackdawring/core/target/FleetModelTest.kt
@@ -0,0 +1,73 @@
+package io.jackdawring.core.target
+
+import io.jackdawring.core.TargetPolicy
+import kotlin.test.Test
+import kotlin.test.assertTrue
+
+class FleetModelTest {
+    private val normal = Scenario()
+    private val scenarios =
+        listOf(
+            "normal" to normal,
+            "small jobs" to normal.copy(bigJobPercent = 0),
+            "bursts of 1,200" to normal.copy(bigJobPercent = 2, bigJobTasks = 1_200),
+            "speeds 0.5 to 2" to normal.copy(speedSpread = 2.0),
+            "9 instances" to normal.copy(entryInstances = 9),
+        )
+
+    private fun measure(
+        name: String,
+        scenario: Scenario,
+    ): ModelResult {
+        val result = FleetModel(scenario).run()
+        println("load %.1f %-16s %s".format(scenario.load, name, result))
+        return result
+    }
+
+    /** Guards against windows that waste messages, and against windows that are so careful that slots stay idle. */
+    @Test
+    fun `the adaptive window wastes few messages and little capacity`() {
+        for (load in listOf(0.5, 0.8, 2.0)) {
+            for ((name, scenario) in scenarios) {
+                val result = measure(name, scenario.copy(load = load))
+                assertTrue(result.refusalsPerTask <= 0.02, "$name at $load: $result")
+                if (load == 0.8) assertTrue(result.meanSlowdown <= 1.15, "$name: $result")
+                if (load > 1) assertTrue(result.utilisation >= 0.85, "$name: $result")
+            }
+        }
+    }
+
+    /** Guards against a fleet that stands still when targets report nothing about their usage. */
+    @Test
+    fun `targets that report no usage are used`() {
+        for (load in listOf(0.8, 2.0)) {
+            val result = measure("no usage reports", normal.copy(load = load, reportsUsage = false))
+            assertTrue(result.utilisation >= load.coerceAtMost(1.0) * 0.9, "$result")
+        }
+    }
+
+    /** Guards against a highest class that waits behind lower ones; the aim is a p99 of 1.2. */
+    @Test
+    fun `the highest class keeps room at twice the capacity`() {
+        for (seed in 1L..3L) {
+            val result = measure("seed $seed", normal.copy(load = 2.0, seed = seed))
+            assertTrue(result.topClassP99 <= 1.3, "$result")
+        }
+    }
+
+    /** Keeps the baselines running; their results are only printed. */
+    @Test
+    fun `baselines for comparison`() {
+        val baselines =
+            listOf(
+                TargetPolicy.StaticShare,
+                TargetPolicy.Random,
+                TargetPolicy.RoundRobin,
+                TargetPolicy.LeastInFlight,
+            )
+        for (policy in baselines) {
+            val result = measure("$policy", normal.copy(load = 0.8, policy = policy, seconds = 5))
+            assertTrue(result.tasks > 0, "$policy")
+        }
+    }
+}
