Bound admission per class and count a job's own tasks

The simple admission control used one bound for all classes and ignored the job's own tasks. A lower class may now fill 0.8 of what the next higher one may, the job's own tasks count over the fleet's slots, the retry time follows the drain time, and one in 16 jobs with a too long declared run time is tried so that a wrong declaration can be corrected. PoolCapacity gets fleetSlots with a default.

--- a/core/src/main/kotlin/io/jackdawring/core/queue/RealAdmissionControl.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/queue/RealAdmissionControl.kt
@@ -2,41 +2,80 @@
 
 import io.jackdawring.core.RefusalReason
 import io.jackdawring.core.target.Availability
+import kotlin.math.max
+import kotlin.math.min
+import kotlin.math.pow
 
-/** Admission by queue bounds per class and by the estimated wait of the class. */
+/** Admission by a queue bound per class and by the estimated time until the job's last task ends. */
 internal class RealAdmissionControl(
     private val maxQueuedTasks: Int,
     private val queue: TaskQueue,
 ) : AdmissionControl {
-    override fun check(request: AdmissionRequest): AdmissionRefusal? {
-        val waitMillis = waitMillis(request)
-        val runMillis = request.expectedMillisPerTask * request.capacity.slowness
-        return when {
-            request.availability == Availability.NEVER -> AdmissionRefusal(RefusalReason.CAN_NEVER_RUN, null)
-            request.availability == Availability.NO_TARGETS ->
-                AdmissionRefusal(RefusalReason.NO_TARGETS, NO_TARGETS_RETRY_MILLIS)
-            queue.size + request.tasks > maxQueuedTasks ->
-                AdmissionRefusal(RefusalReason.OVERLOADED, retryAfter(waitMillis))
-            waitMillis + runMillis > request.deadlineMillis ->
-                AdmissionRefusal(RefusalReason.DEADLINE_UNREACHABLE, retryAfter(waitMillis))
-            else -> null
+    private var longRunsInRow = 0
+
+    override fun check(request: AdmissionRequest): AdmissionRefusal? =
+        when (request.availability) {
+            Availability.NEVER -> AdmissionRefusal(RefusalReason.CAN_NEVER_RUN, null)
+            Availability.NO_TARGETS -> AdmissionRefusal(RefusalReason.NO_TARGETS, NO_TARGETS_RETRY_MILLIS)
+            Availability.POSSIBLE -> checkBound(request) ?: checkDeadline(request)
         }
+
+    /** The whole queue counts, but a lower class may fill a smaller part of it. */
+    private fun checkBound(request: AdmissionRequest): AdmissionRefusal? {
+        val bound = maxQueuedTasks * CLASS_BOUND_RATIO.pow(max(0, request.priority - 1))
+        val excessTasks = queue.size + request.tasks - bound
+        if (excessTasks <= 0) return null
+        val excess = min(1.0, excessTasks / max(1, queue.size))
+        val drainMillis = waitMillis(request, Int.MAX_VALUE) ?: 0.0
+        return AdmissionRefusal(RefusalReason.OVERLOADED, retryAfter(drainMillis * excess))
     }
 
-    private fun waitMillis(request: AdmissionRequest): Double {
+    private fun checkDeadline(request: AdmissionRequest): AdmissionRefusal? {
+        val waitMillis = waitMillis(request, request.priority) ?: return null
+        val runMillis = request.expectedMillisPerTask * request.capacity.slowness
+        val excessMillis = waitMillis + runMillis * waves(request) - request.deadlineMillis
+        if (excessMillis <= 0) return null
+        if (waitMillis <= 0.0 && ++longRunsInRow % LONG_RUN_TRIAL_ONE_IN == 0) return null
+        return AdmissionRefusal(RefusalReason.DEADLINE_UNREACHABLE, retryAfter(min(excessMillis, waitMillis)))
+    }
+
+    /**
+     * How many times in a row the slots are used by the job's own tasks.
+     *
+     * An instance can borrow the idle slots of the whole fleet, so only the fleet's slots are a safe bound.
+     */
+    private fun waves(request: AdmissionRequest): Double =
+        max(1.0, request.tasks.toDouble() / max(1, request.capacity.fleetSlots))
+
+    /** Time to start all queued work of [priority] and higher classes, null if no slot is known. */
+    private fun waitMillis(
+        request: AdmissionRequest,
+        priority: Int,
+    ): Double? {
         val slots = request.capacity.usableSlots
-        if (slots == 0) return 0.0
-        return queue.expectedMillisAhead(request.priority) * request.capacity.slowness / slots
+        if (slots <= 0) return null
+        return queue.expectedMillisAhead(priority) * request.capacity.slowness / slots
     }
 
-    private fun retryAfter(waitMillis: Double): Long = waitMillis.toLong().coerceIn(MIN_RETRY_MILLIS, MAX_RETRY_MILLIS)
+    private fun retryAfter(millis: Double): Long = millis.toLong().coerceIn(MIN_RETRY_MILLIS, MAX_RETRY_MILLIS)
 
     companion object {
-        val Factory = AdmissionControl.Factory { options, queue -> RealAdmissionControl(options.maxQueuedTasks, queue) }
+        val Factory =
+            AdmissionControl.Factory { options, queue -> RealAdmissionControl(options.maxQueuedTasks, queue) }
 
         /** A new target is listed and known within about a second. */
         const val NO_TARGETS_RETRY_MILLIS = 1_000L
         const val MIN_RETRY_MILLIS = 100L
         const val MAX_RETRY_MILLIS = 30_000L
+
+        /** Part of the queue that a class may fill relative to the next higher one. */
+        const val CLASS_BOUND_RATIO = 0.8
+
+        /**
+         * One in so many jobs is admitted although its run time alone exceeds the deadline.
+         *
+         * Declared run times can be wrong, and only tasks that run correct the estimate.
+         */
+        const val LONG_RUN_TRIAL_ONE_IN = 16
     }
 }
--- a/core/src/main/kotlin/io/jackdawring/core/target/PooledTarget.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/target/PooledTarget.kt
@@ -24,6 +24,7 @@
     val inFlight: Int,
     val room: Int,
     val fairShare: Int,
+    val slots: Int,
 ) {
     /** Set of a service that holds the target. */
     enum class Place {
@@ -34,7 +35,7 @@
     }
 
     companion object {
-        val ABSENT = IndexedState(false, Place.NONE, false, 0, 0, 0)
+        val ABSENT = IndexedState(false, Place.NONE, false, 0, 0, 0, 0)
     }
 }
 
@@ -144,6 +145,7 @@
             inFlight = inFlight,
             room = if (usable) room else 0,
             fairShare = if (usable) fairShare else 0,
+            slots = if (usable) instance.slots else 0,
         )
     }
 
--- a/core/src/main/kotlin/io/jackdawring/core/target/RealTargetPool.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/target/RealTargetPool.kt
@@ -151,7 +151,12 @@
 
     override fun capacity(service: String): PoolCapacity {
         val known = services[service] ?: return PoolCapacity(0, 0, 1.0)
-        return PoolCapacity(max(known.inFlight + known.room, known.fairShares), known.inFlight, known.slowness)
+        return PoolCapacity(
+            usableSlots = max(known.inFlight + known.room, known.fairShares),
+            inFlight = known.inFlight,
+            slowness = known.slowness,
+            fleetSlots = known.slots,
+        )
     }
 
     override fun status(): List<TargetStatus> =
--- a/core/src/main/kotlin/io/jackdawring/core/target/ServiceTargets.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/target/ServiceTargets.kt
@@ -26,6 +26,8 @@
         private set
     var fairShares = 0
         private set
+    var slots = 0
+        private set
 
     /** Target whose answer arrived last; its usage is the freshest. */
     var lastAnswered: PooledTarget? = null
@@ -92,6 +94,7 @@
         inFlight += new.inFlight - old.inFlight
         room += new.room - old.room
         fairShares += new.fairShare - old.fairShare
+        slots += new.slots - old.slots
     }
 
     private fun setOf(place: IndexedState.Place): IndexedSet<PooledTarget>? =
--- a/core/src/main/kotlin/io/jackdawring/core/target/TargetPool.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/target/TargetPool.kt
@@ -88,9 +88,15 @@
     POSSIBLE,
 }
 
-/** Slots of a service that this instance can use; [slowness] is the mean of actual over expected run time. */
+/**
+ * Slots of a service that this instance can use now.
+ *
+ * [slowness] is the mean of actual over expected run time. [fleetSlots] counts all slots of the usable targets, which
+ * this instance can borrow while they are idle.
+ */
 internal data class PoolCapacity(
     val usableSlots: Int,
     val inFlight: Int,
     val slowness: Double,
+    val fleetSlots: Int = usableSlots,
 )
--- a/core/src/test/kotlin/io/jackdawring/core/queue/RealTaskQueueTest.kt
+++ b/core/src/test/kotlin/io/jackdawring/core/queue/RealTaskQueueTest.kt
@@ -5,7 +5,7 @@
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
 
-private class FakeJob(
+internal class FakeJob(
     override val sequence: Long,
     override val team: String = "a",
     override val priority: Int = 1,
