Dispatch only services that may have more room

Every dispatch tried all needs again. With 160 teams of one service each and no room anywhere, a dispatch cost 216 to 324 us with one job per team and 981 to 1,048 us with 20 jobs per team. The queue now remembers which needs found no room, TargetPool.complete() returns the services that may have more room, and the new TaskQueue.dispatch(services, place) offers only those: 4.7 and 5.2 us per dispatch.

--- a/core/src/main/kotlin/io/jackdawring/core/queue/RealTaskQueue.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/queue/RealTaskQueue.kt
@@ -12,6 +12,7 @@
     private val classes = TreeMap<Int, PriorityClass>()
     private val teams = HashMap<String, TeamState>()
     private val entries = HashMap<Long, Entry>()
+    private val needs = Needs()
     private var placements = 0L
     private var dispatching = false
 
@@ -33,13 +34,26 @@
     }
 
     override fun dispatch(place: (QueuedJob) -> Boolean) {
-        // A nested call has nothing to add: the outer one goes on until no job can place a task.
         if (dispatching) return
+        needs.unblockAll()
+        dispatchUnblocked(place)
+    }
+
+    override fun dispatch(
+        services: Collection<String>,
+        place: (QueuedJob) -> Boolean,
+    ) {
+        if (dispatching) return
+        services.forEach(needs::unblock)
+        dispatchUnblocked(place)
+    }
+
+    /** A nested call has nothing to add, because the outer one goes on until no job can place a task. */
+    private fun dispatchUnblocked(place: (QueuedJob) -> Boolean) {
         dispatching = true
         try {
-            val needsWithoutRoom = HashSet<Any>()
             for (priority in classes.keys.toList()) {
-                classes[priority]?.let { dispatchClass(it, needsWithoutRoom, place) }
+                classes[priority]?.let { dispatchClass(it, place) }
             }
         } finally {
             dispatching = false
@@ -49,32 +63,31 @@
     override fun taskEnded(team: String) {
         val state = teams[team] ?: return
         state.update { inFlight = maxOf(0, inFlight - 1) }
+        state.classes.values.forEach(TeamClass::unpark)
     }
 
     override fun setQuota(
         team: String,
         maxInFlight: Int,
     ) {
-        team(team).maxInFlight = maxInFlight
+        val state = team(team)
+        state.maxInFlight = maxInFlight
+        state.classes.values.forEach(TeamClass::unpark)
     }
 
     private fun dispatchClass(
         priorityClass: PriorityClass,
-        needsWithoutRoom: MutableSet<Any>,
         place: (QueuedJob) -> Boolean,
     ) {
-        val parked = ArrayList<TeamClass>()
         while (true) {
             val next = priorityClass.teams.firstOrNull() ?: break
-            val entry = if (next.team.hasQuota) next.first(needsWithoutRoom) else null
+            val entry = if (next.team.hasQuota) next.first() else null
             if (entry == null) {
                 next.park()
-                parked += next
             } else if (!placeOne(next.team, entry, place) && entries[entry.job.sequence] === entry) {
-                needsWithoutRoom += entry.needKey
+                needs.block(entry)
             }
         }
-        parked.forEach(TeamClass::unpark)
     }
 
     /** Counts the placement before the call, because [place] may report the end of the task right away. */
@@ -105,7 +118,7 @@
         if (team.weight != job.weight) team.update { weight = job.weight }
         val teamClass =
             team.classes.getOrPut(job.priority) {
-                TeamClass(team, classes.getOrPut(job.priority, ::PriorityClass))
+                TeamClass(team, job.priority, classes.getOrPut(job.priority, ::PriorityClass), needs)
             }
         val entry = Entry(job, teamClass)
         entries[job.sequence] = entry
@@ -156,32 +169,45 @@
 /** Jobs of one team in one class, by need. */
 private class TeamClass(
     val team: TeamState,
+    private val priority: Int,
     private val priorityClass: PriorityClass,
+    private val needs: Needs,
 ) {
     private val jobsByNeed = HashMap<Any, TreeSet<Entry>>()
+
+    /** Whether the team is left out until its quota or one of its needs may have room. */
     private var parked = false
 
     fun add(entry: Entry) {
-        jobsByNeed.getOrPut(entry.needKey) { TreeSet(ENTRY_ORDER) } += entry
+        val jobs =
+            jobsByNeed.getOrPut(entry.needKey) {
+                needs.register(entry.needKey, this)
+                TreeSet(ENTRY_ORDER)
+            }
+        jobs += entry
         priorityClass.pendingTasks += entry.pendingTasks
         priorityClass.expectedMillis += entry.expectedMillis
+        if (!needs.isBlocked(entry.needKey, priority)) parked = false
         link()
     }
 
     fun remove(entry: Entry) {
         val jobs = jobsByNeed.getValue(entry.needKey)
         jobs -= entry
-        if (jobs.isEmpty()) jobsByNeed -= entry.needKey
+        if (jobs.isEmpty()) {
+            jobsByNeed -= entry.needKey
+            needs.unregister(entry.needKey, this)
+        }
         priorityClass.pendingTasks -= entry.pendingTasks
         priorityClass.expectedMillis -= entry.expectedMillis
         if (jobsByNeed.isEmpty()) unlink()
     }
 
-    /** The job with the fewest unstarted tasks whose need is not in [needsWithoutRoom]. */
-    fun first(needsWithoutRoom: Set<Any>): Entry? {
+    /** The job with the fewest unstarted tasks whose need may have room. */
+    fun first(): Entry? {
         var best: Entry? = null
         for ((need, jobs) in jobsByNeed) {
-            if (need in needsWithoutRoom) continue
+            if (needs.isBlocked(need, priority)) continue
             val candidate = jobs.first()
             if (best == null || ENTRY_ORDER.compare(candidate, best) < 0) best = candidate
         }
@@ -194,6 +220,7 @@
     }
 
     fun unpark() {
+        if (!parked) return
         parked = false
         link()
     }
@@ -207,6 +234,55 @@
     }
 }
 
+/** Needs that found no room, and the teams that wait for each need. */
+private class Needs {
+    private val teams = HashMap<Any, MutableSet<TeamClass>>()
+
+    /** Highest class (lowest number) that found no room for a need. */
+    private val blockedFrom = HashMap<Any, Int>()
+    private val blockedByService = HashMap<String, MutableSet<Any>>()
+
+    fun register(
+        need: Any,
+        teamClass: TeamClass,
+    ) {
+        teams.getOrPut(need, ::HashSet) += teamClass
+    }
+
+    fun unregister(
+        need: Any,
+        teamClass: TeamClass,
+    ) {
+        val waiting = teams[need] ?: return
+        waiting -= teamClass
+        if (waiting.isEmpty()) teams -= need
+    }
+
+    fun isBlocked(
+        need: Any,
+        priority: Int,
+    ): Boolean = priority >= (blockedFrom[need] ?: Int.MAX_VALUE)
+
+    fun block(entry: Entry) {
+        blockedFrom.merge(entry.needKey, entry.job.priority, ::minOf)
+        blockedByService.getOrPut(entry.job.service, ::HashSet) += entry.needKey
+    }
+
+    fun unblock(service: String) {
+        blockedByService.remove(service)?.forEach(::release)
+    }
+
+    fun unblockAll() {
+        blockedFrom.keys.toList().forEach(::release)
+        blockedByService.clear()
+    }
+
+    private fun release(need: Any) {
+        blockedFrom -= need
+        teams[need]?.forEach(TeamClass::unpark)
+    }
+}
+
 /** A job with the values that its position was computed from. */
 private class Entry(
     val job: QueuedJob,
--- a/core/src/main/kotlin/io/jackdawring/core/queue/TaskQueue.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/queue/TaskQueue.kt
@@ -31,6 +31,16 @@
      */
     fun dispatch(place: (QueuedJob) -> Boolean)
 
+    /**
+     * Like [dispatch], but offers jobs that found no room earlier only if they belong to [services].
+     *
+     * It costs nothing for the other services; a full [dispatch] is needed now and then in case their room changed.
+     */
+    fun dispatch(
+        services: Collection<String>,
+        place: (QueuedJob) -> Boolean,
+    )
+
     /** Counts the end of a task that was placed for [team]. */
     fun taskEnded(team: String)
 
@@ -61,7 +71,8 @@
     /**
      * Need of the next unstarted task; read at every put and after every placement.
      *
-     * When one job finds no room, jobs with an equal key are skipped until the end of the dispatch.
+     * When one job finds no room, jobs with an equal key and the same or a lower class are skipped until the end of the
+     * dispatch. Equal keys must have the same [service].
      */
     val needKey: Any get() = service
 }
--- a/core/src/main/kotlin/io/jackdawring/core/target/RealTargetPool.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/target/RealTargetPool.kt
@@ -117,10 +117,10 @@
         answer: TargetAnswer?,
         elapsedMillis: Long,
         nowMillis: Long,
-    ) {
+    ): Collection<String> {
         lastSeenMillis = nowMillis
-        if (endStartOnReplaced(targetId)) return
-        val target = targets[targetId] ?: return
+        if (endStartOnReplaced(targetId)) return emptyList()
+        val target = targets[targetId] ?: return emptyList()
         val inFlightBefore = target.inFlight
         target.inFlight = max(0, target.inFlight - 1)
         learnUsage(target, need, answer, inFlightBefore, nowMillis)
@@ -128,6 +128,7 @@
         if (answer?.usage?.leaving == true) leave(target, listVersion, nowMillis)
         index(target)
         if (!target.listed && target.inFlight == 0) targets.remove(targetId)
+        return target.instance.services
     }
 
     override fun nextTimerMillis(): Long? {
--- a/core/src/main/kotlin/io/jackdawring/core/target/TargetPool.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/target/TargetPool.kt
@@ -40,7 +40,8 @@
     /**
      * Returns the slot of a start and learns from its [answer].
      *
-     * [elapsedMillis] is the time since the start. [answer] is null if this instance cancelled the start.
+     * [elapsedMillis] is the time since the start. [answer] is null if this instance cancelled the start. Returns the
+     * services that may have more room now.
      */
     fun complete(
         targetId: TargetId,
@@ -48,7 +49,7 @@
         answer: TargetAnswer?,
         elapsedMillis: Long,
         nowMillis: Long,
-    )
+    ): Collection<String>
 
     /** Time at which [choose] may succeed again although no start has completed, or null. */
     fun nextTimerMillis(): Long?
--- a/core/src/test/kotlin/io/jackdawring/core/queue/RealTaskQueueTest.kt
+++ b/core/src/test/kotlin/io/jackdawring/core/queue/RealTaskQueueTest.kt
@@ -86,6 +86,47 @@
         assertEquals(500, queue.place(1_000).size, "the next dispatch tries the need again")
     }
 
+    /** Guards against dispatches that try all blocked services again, and against jobs that are forgotten by this. */
+    @Test
+    fun `a dispatch for services offers only what may have room`() {
+        val queue = queueOf(*(0..9L).map { FakeJob(it, "t$it", 2, 5, service = "s$it") }.toTypedArray())
+        val rooms = HashMap<String, Int>()
+        val offered = mutableListOf<Long>()
+        val place = { job: QueuedJob ->
+            offered += job.sequence
+            val room = rooms[job.service] ?: 0
+            if (room > 0) {
+                rooms[job.service] = room - 1
+                (job as FakeJob).pendingTasks--
+            }
+            room > 0
+        }
+
+        fun offeredBy(dispatch: () -> Unit): List<Long> {
+            offered.clear()
+            dispatch()
+            return offered.toList()
+        }
+        assertEquals(10, offeredBy { queue.dispatch(place) }.size)
+        assertEquals(emptyList(), offeredBy { queue.dispatch(emptyList(), place) })
+        rooms["s3"] = 2
+        assertEquals(listOf<Long>(3, 3, 3), offeredBy { queue.dispatch(listOf("s3"), place) })
+        queue.put(FakeJob(10, "t10", 2, 1, service = "s4"))
+        queue.put(FakeJob(11, "t4", 1, 1, service = "s4"))
+        queue.put(FakeJob(12, "t4", 2, 1, service = "free"))
+        rooms["free"] = 1
+        assertEquals(
+            listOf<Long>(11, 12),
+            offeredBy { queue.dispatch(emptyList(), place) },
+            "a higher class is offered",
+        )
+        queue.taskEnded("t3")
+        assertEquals(emptyList(), offeredBy { queue.dispatch(listOf("free"), place) })
+        rooms += (0..9).associate { "s$it" to 100 }
+        queue.dispatch(place)
+        assertEquals(0, queue.size)
+    }
+
     /** Guards against a team that exceeds its quota, and against a quota that stays used after tasks ended. */
     @Test
     fun `a quota limits tasks in flight over all classes`() {
@@ -163,8 +204,8 @@
         random: Random,
     ) {
         var room = random.nextInt(8)
-        queue.dispatch { offered ->
-            if (room == 0) return@dispatch false
+        val place = place@{ offered: QueuedJob ->
+            if (room == 0) return@place false
             val best = jobs.filter { it.priority == jobs.minOf(FakeJob::priority) }
             val leastInFlight = best.minOf { inFlight[it.team] ?: 0 }
             assertTrue(offered in best, "a higher class waits")
@@ -176,5 +217,6 @@
             inFlight.merge(offered.team, 1, Int::plus)
             true
         }
+        if (random.nextBoolean()) queue.dispatch(place) else queue.dispatch(listOf("orders"), place)
     }
 }
