--- a/core/src/main/kotlin/io/jackdawring/core/target/TargetPool.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/target/TargetPool.kt
@@ -40,7 +40,8 @@
     /**
      * Returns the slot of a start and learns from its [answer].
      *
-     * [elapsedMillis] is the time since the start. [answer] is null if this instance cancelled the start.
+     * [elapsedMillis] is the time since the start. [answer] is null if this instance cancelled the start. Returns the
+     * services that may have more room now.
      */
     fun complete(
         targetId: TargetId,
@@ -48,7 +49,7 @@
         answer: TargetAnswer?,
         elapsedMillis: Long,
         nowMillis: Long,
-    )
+    ): Collection<String>
 
     /** Time at which [choose] may succeed again although no start has completed, or null. */
     fun nextTimerMillis(): Long?
@@ -88,9 +89,15 @@
     POSSIBLE,
 }
 
-/** Slots of a service that this instance can use; [slowness] is the mean of actual over expected run time. */
+/**
+ * Slots of a service that this instance can use now.
+ *
+ * [slowness] is the mean of actual over expected run time. [fleetSlots] counts all slots of the usable targets, which
+ * this instance can borrow while they are idle.
+ */
 internal data class PoolCapacity(
     val usableSlots: Int,
     val inFlight: Int,
     val slowness: Double,
+    val fleetSlots: Int = usableSlots,
 )
