--- a/server/src/main/kotlin/io/jackdawring/server/http/HttpConnectionPool.kt
+++ b/server/src/main/kotlin/io/jackdawring/server/http/HttpConnectionPool.kt
@@ -16,6 +16,7 @@
     private val address: String,
     private val socketAddress: InetSocketAddress,
     private val options: HttpClientOptions,
+    private val onEmpty: (HttpConnectionPool) -> Unit,
 ) {
     private val idle = ArrayDeque<HttpClientConnection>()
     private val open = HashSet<HttpClientConnection>()
@@ -67,7 +68,7 @@
                 object : ChannelInitializer<SocketChannel>() {
                     override fun initChannel(channel: SocketChannel) {
                         connection = HttpClientConnection(this@HttpConnectionPool, address, options)
-                        connection.install(channel)
+                        connection.install(channel, socketAddress.address.hostAddress, socketAddress.port)
                     }
                 },
             ).connect(socketAddress)
@@ -122,6 +123,7 @@
     }
 
     private fun serveWaiting() {
+        if (open.isEmpty() && connecting == 0 && waiting.isEmpty()) onEmpty(this)
         val maximum = options.maxConnectionsPerAddress ?: return
         if (closed || open.size + connecting >= maximum) return
         takeWaiting()?.let(::connect)
