--- a/server/src/main/kotlin/io/jackdawring/server/http/RealHttpExchange.kt
+++ b/server/src/main/kotlin/io/jackdawring/server/http/RealHttpExchange.kt
@@ -15,12 +15,16 @@
     private var disconnected = false
     private var written = false
 
-    val response: HttpResponseMessage? get() = answer.get()
+    val response: HttpResponseMessage? get() = answer.get().takeIf { it !== DISCONNECT }
 
     override fun respond(response: HttpResponseMessage) {
         if (answer.compareAndSet(null, response)) connection.execute { connection.writeAnswers() }
     }
 
+    override fun disconnect() {
+        if (answer.compareAndSet(null, DISCONNECT)) connection.execute { connection.close() }
+    }
+
     /** Builds the answer on the event loop, so that the encoding of large answers does not hold up the caller. */
     override fun respondWith(build: () -> HttpResponseMessage) = connection.execute { respond(build()) }
 
@@ -44,4 +48,9 @@
         disconnectActions = null
         actions.forEach { it() }
     }
+
+    private companion object {
+        /** Takes the place of the answer, so that a later one has no effect. */
+        val DISCONNECT = HttpResponseMessage(0)
+    }
 }
