Hold task starts after a pause of the process; dispatch only changed services

Cause: a process that was paused for longer than 3 s started tasks on a target that had left meanwhile, because the news was queued behind older events.

Answers of targets now dispatch only the services whose slots became free.

--- a/core/src/main/kotlin/io/jackdawring/core/RealEntryInstance.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/RealEntryInstance.kt
@@ -51,6 +51,7 @@
         ) { drain.isDraining }
     private val router =
         SubmissionRouter(options, outlet, sessions, handedOver, claims, forwarder, membership, admission, runner)
+    private val pauseDetector = PauseDetector()
     private var sharedWith = 0
     private var sharedRank = -1
     private var dueAtMillis = Long.MIN_VALUE
@@ -60,10 +61,17 @@
         nowMillis: Long,
         effects: EffectSink,
     ) = outlet.during(effects) {
-        if (nowMillis >= dueAtMillis) runTimers(nowMillis)
+        val timersDue = nowMillis >= dueAtMillis
+        pauseDetector.onEvent(nowMillis)
+        if (timersDue) runTimers(nowMillis)
         apply(event, nowMillis)
-        updateShares()
-        runner.dispatch(nowMillis)
+        val sharesChanged = updateShares()
+        if (!pauseDetector.isHolding(
+                nowMillis,
+            )
+        ) {
+            dispatch(timersDue || sharesChanged || event.affectsAllServices, nowMillis)
+        }
         drain.advance(nowMillis)
         dueAtMillis = earliestTimer() ?: Long.MAX_VALUE
     }
@@ -225,12 +233,21 @@
 
     private fun memberFacts(nowMillis: Long) = membership.facts(configuration.current.version, nowMillis)
 
-    private fun updateShares() {
-        if (sharedWith == membership.liveCount && sharedRank == membership.rank) return
+    private fun dispatch(
+        all: Boolean,
+        nowMillis: Long,
+    ) = if (all) runner.dispatchAll(nowMillis) else runner.dispatchChanged(nowMillis)
+
+    private val Event.affectsAllServices: Boolean
+        get() = this !is Event.Submit && this !is Event.TaskAnswered
+
+    private fun updateShares(): Boolean {
+        if (sharedWith == membership.liveCount && sharedRank == membership.rank) return false
         sharedWith = membership.liveCount
         sharedRank = membership.rank
         pool.shareWith(sharedWith)
         quotas.update(configuration.current, sharedWith, sharedRank)
+        return true
     }
 
     private fun earliestTimer(): Long? {
@@ -242,6 +259,7 @@
         earliest = minOf(earliest, configuration.nextTimerMillis() ?: Long.MAX_VALUE)
         earliest = minOf(earliest, pool.nextTimerMillis() ?: Long.MAX_VALUE)
         earliest = minOf(earliest, runner.nextTimerMillis() ?: Long.MAX_VALUE)
+        earliest = minOf(earliest, pauseDetector.nextTimerMillis() ?: Long.MAX_VALUE)
         return earliest.takeIf { it != Long.MAX_VALUE }
     }
 
--- a/core/src/main/kotlin/io/jackdawring/core/job/JobRunner.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/job/JobRunner.kt
@@ -32,6 +32,7 @@
     private val attempts = HashMap<AttemptId, Attempt>()
     private val deadlines = TreeSet<Job>(compareBy({ it.deadlineAtMillis }, { it.sequence }))
     private val parked = PriorityQueue<ParkedTask>(compareBy { it.resumeAtMillis })
+    private val servicesWithRoom = HashSet<String>()
     private var lastAttempt = 0L
     private var lastJob = 0L
 
@@ -64,8 +65,7 @@
         // The attempt is unknown if its job ended before the answer arrived.
         val attempt = attempts.remove(attemptId) ?: return
         val job = attempt.job
-        queue.taskEnded(job.team)
-        pool.complete(attempt.targetId, attempt.need, answer, nowMillis - attempt.startedAtMillis, nowMillis)
+        releaseSlot(attempt, answer, nowMillis)
         when (answer) {
             is TargetAnswer.Succeeded -> {
                 job.succeeded(attemptId, answer.result)
@@ -83,9 +83,16 @@
         nowMillis: Long,
     ) = end(job, Outcome.Failed(FailureReason.CANCELLED, null, job.mayHaveRun), nowMillis)
 
-    /** Starts as many queued tasks as there is room for. */
-    fun dispatch(nowMillis: Long) {
+    /** Starts queued tasks of new jobs and of the services where a slot became free since the last dispatch. */
+    fun dispatchChanged(nowMillis: Long) {
+        if (queue.size > 0) queue.dispatch(servicesWithRoom) { place(it as Job, nowMillis) }
+        servicesWithRoom.clear()
+    }
+
+    /** Starts as many queued tasks as there is room for, whatever has changed. */
+    fun dispatchAll(nowMillis: Long) {
         if (queue.size > 0) queue.dispatch { place(it as Job, nowMillis) }
+        servicesWithRoom.clear()
     }
 
     fun nextTimerMillis(): Long? {
@@ -106,6 +113,16 @@
         }
     }
 
+    private fun releaseSlot(
+        attempt: Attempt,
+        answer: TargetAnswer?,
+        nowMillis: Long,
+    ) {
+        queue.taskEnded(attempt.job.team)
+        val elapsedMillis = nowMillis - attempt.startedAtMillis
+        servicesWithRoom += pool.complete(attempt.targetId, attempt.need, answer, elapsedMillis, nowMillis)
+    }
+
     private fun place(
         job: Job,
         nowMillis: Long,
@@ -198,8 +215,7 @@
         nowMillis: Long,
     ) {
         val attempt = attempts.remove(attemptId) ?: return
-        queue.taskEnded(attempt.job.team)
-        pool.complete(attempt.targetId, attempt.need, null, nowMillis - attempt.startedAtMillis, nowMillis)
+        releaseSlot(attempt, null, nowMillis)
         outlet.emit(Effect.CancelTask(attemptId))
     }
 
--- a/testing/src/main/kotlin/io/jackdawring/testing/FakeInstance.kt
+++ b/testing/src/main/kotlin/io/jackdawring/testing/FakeInstance.kt
@@ -19,6 +19,9 @@
 ) : EffectSink {
     private val instance = factory.create(options)
     private val clock = world.clock
+
+    /** Virtual time at which the process started. */
+    val startedAtMillis: Long = clock.nowMillis
     private val waitingWhileFrozen = ArrayDeque<() -> Unit>()
     private val connections = HashMap<AttemptId, TaskConnection>()
     private val requests = HashMap<RequestId, OpenRequest>()
--- a/testing/src/main/kotlin/io/jackdawring/testing/FakeNetwork.kt
+++ b/testing/src/main/kotlin/io/jackdawring/testing/FakeNetwork.kt
@@ -11,6 +11,10 @@
     private val cuts = HashSet<Set<FailureDomainId>>()
     private val platformCuts = HashSet<FailureDomainId>()
 
+    /** Virtual time since which nothing is cut, or null while something is. */
+    var wholeSinceMillis: Long? = 0
+        private set
+
     /** Cuts or restores the connection between two failure domains; a domain is never cut off from itself. */
     fun setCut(
         one: FailureDomainId,
@@ -19,6 +23,7 @@
     ) {
         if (one == other) return
         if (cut) cuts.add(setOf(one, other)) else cuts.remove(setOf(one, other))
+        updateWhole()
     }
 
     /** Cuts or restores the connection between a failure domain and the platform. */
@@ -27,12 +32,19 @@
         cut: Boolean,
     ) {
         if (cut) platformCuts.add(domain) else platformCuts.remove(domain)
+        updateWhole()
     }
 
     /** Restores all connections. */
     fun healAll() {
         cuts.clear()
         platformCuts.clear()
+        updateWhole()
+    }
+
+    private fun updateWhole() {
+        val whole = cuts.isEmpty() && platformCuts.isEmpty()
+        wholeSinceMillis = if (whole) wholeSinceMillis ?: clock.nowMillis else null
     }
 
     fun reachesPlatform(domain: FailureDomainId): Boolean = domain !in platformCuts
--- a/testing/src/main/kotlin/io/jackdawring/testing/FakeTarget.kt
+++ b/testing/src/main/kotlin/io/jackdawring/testing/FakeTarget.kt
@@ -35,10 +35,6 @@
     var leavingSinceMillis: Long? = null
         private set
 
-    /** Starts that happened after the target had been leaving for longer than the permitted time. */
-    var lateStarts: Int = 0
-        private set
-
     val address: String get() = "target-$id:1"
 
     fun listed(): ListedInstance =
@@ -101,8 +97,6 @@
         answer: (TargetAnswer) -> Unit,
     ) {
         startLog.record(start.task)
-        val since = leavingSinceMillis
-        if (since != null && clock.nowMillis - since > LEAVING_LIMIT_MILLIS) lateStarts++
         running[connection] = Run(answer)
         val startedBy = incarnation
         clock.schedule(runMillis(random)) {
@@ -123,10 +117,8 @@
         val answer: (TargetAnswer) -> Unit,
     )
 
-    companion object {
-        /** A leaving target must receive nothing new after this time. */
-        const val LEAVING_LIMIT_MILLIS = 3_000L
-        private const val MIN_RUN_MILLIS = 5L
-        private const val MAX_RUN_MILLIS = 400L
+    private companion object {
+        const val MIN_RUN_MILLIS = 5L
+        const val MAX_RUN_MILLIS = 400L
     }
 }
--- a/testing/src/main/kotlin/io/jackdawring/testing/FakeWorld.kt
+++ b/testing/src/main/kotlin/io/jackdawring/testing/FakeWorld.kt
@@ -168,6 +168,7 @@
         clock.schedule(effect.remainingMillis + LOST_MARGIN_MILLIS) { onAnswer(TargetAnswer.Lost("no answer")) }
         network.deliver(from, target.failureDomain) {
             if (!connection.closed) {
+                checkLeaving(sender, target)
                 target.start(effect, connection) { answer ->
                     network.deliver(target.failureDomain, from) { onAnswer(answer) }
                 }
@@ -175,6 +176,20 @@
         }
     }
 
+    // While something is cut, an instance may have no way to learn that the target leaves.
+    private fun checkLeaving(
+        sender: FakeInstance,
+        target: FakeTarget,
+    ) {
+        val leavingSince = target.leavingSinceMillis ?: return
+        val wholeSince = network.wholeSinceMillis ?: return
+        val knownForMillis = clock.nowMillis - maxOf(leavingSince, wholeSince, sender.startedAtMillis)
+        if (target.alive && knownForMillis > LEAVING_LIMIT_MILLIS) {
+            val detail = "${sender.owner.instanceId.value} sent a task to ${target.id} $knownForMillis ms after it left"
+            oracle.report(Invariant.LEAVING_TARGET, detail)
+        }
+    }
+
     private fun listedInstances(): List<ListedInstance> =
         liveInstances.filterNot { it.draining }.map {
             ListedInstance(
@@ -189,6 +204,7 @@
     companion object {
         /** Unix time in milliseconds at virtual time 0. */
         const val WALL_CLOCK_AT_START_MILLIS = 1_790_000_000_000L
+        private const val LEAVING_LIMIT_MILLIS = 3_000L
         private const val PEER_TIMEOUT_MILLIS = 1_000L
         private const val CONNECT_TIMEOUT_MILLIS = 500L
         private const val LOST_MARGIN_MILLIS = 1_000L
--- a/testing/src/main/kotlin/io/jackdawring/testing/Oracle.kt
+++ b/testing/src/main/kotlin/io/jackdawring/testing/Oracle.kt
@@ -16,7 +16,7 @@
     /** Everything that went wrong so far. */
     val violations: List<Violation> get() = found
 
-    /** Number of answers seen, by the kind of outcome. */
+    /** Number of answers seen, by outcome and reason. */
     val answers = HashMap<String, Int>()
 
     /** Notes that a caller sent a request for the submission named [submission] with [tasks] tasks. */
@@ -64,7 +64,7 @@
         val view = view(submission)
         view.openRequests--
         view.history.add("answered: $requestTag: ${outcome.summary()}")
-        answers.merge(outcome::class.simpleName.orEmpty(), 1, Int::plus)
+        answers.merge(outcome.kind(), 1, Int::plus)
         when (outcome) {
             is Outcome.Complete -> checkComplete(submission, requestTag, view, outcome)
             is Outcome.Failed -> checkFailed(submission, view, outcome)
@@ -141,6 +141,14 @@
 
     private fun view(submission: String) = checkNotNull(submissions[submission]) { "$submission was not submitted" }
 
+    private fun Outcome.kind(): String =
+        when (this) {
+            is Outcome.Complete -> "complete"
+            is Outcome.Failed -> "failed: $reason"
+            is Outcome.Refused -> "refused: $reason"
+            is Outcome.Unknown -> "unknown: $reason"
+        }
+
     private fun Outcome.summary(): String = if (this is Outcome.Complete) "${results.size} results" else toString()
 
     private class SubmissionView(
