Keep the leaving fact when tasks of a leaving target fail

Three failures of tasks that still ran on a leaving target isolated it and published "isolated" with a higher sequence, which replaced the fact that it is leaving. Answers of targets that accept nothing no longer change windows or health. A return learnt from a peer's fact is passed on unchanged; only an instance whose own list shows the return publishes it.

--- a/core/src/main/kotlin/io/jackdawring/core/target/RealTargetPool.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/target/RealTargetPool.kt
@@ -123,9 +123,12 @@
         val target = targets[targetId] ?: return emptyList()
         val inFlightBefore = target.inFlight
         target.inFlight = max(0, target.inFlight - 1)
-        learnUsage(target, need, answer, inFlightBefore, nowMillis)
-        learnHealth(target, need, answer, elapsedMillis, nowMillis)
-        if (answer?.usage?.leaving == true) leave(target, listVersion, nowMillis)
+        // Failures of a leaving target must not replace the fact that it is leaving.
+        if (target.accepting) {
+            learnUsage(target, need, answer, inFlightBefore, nowMillis)
+            learnHealth(target, need, answer, elapsedMillis, nowMillis)
+            if (answer?.usage?.leaving == true) leave(target, listVersion, nowMillis)
+        }
         index(target)
         if (!target.listed && target.inFlight == 0) targets.remove(targetId)
         return target.instance.services
@@ -191,6 +194,8 @@
                 known.isReplacedBy(instance, nowMillis) -> replace(known, instance, nowMillis)
                 else -> known
             }
+        val returned = known?.leaving != null && target.leaving == null && instance.state == ListedState.LIVE
+        if (returned) publish(target, TargetFactState.RECOVERED)
         target.listedAsLeaving = instance.state == ListedState.LEAVING
         if (target.instance != instance) update(target, instance)
         if (target.listedAsLeaving) leave(target, listVersion, nowMillis)
@@ -239,9 +244,7 @@
     ): PooledTarget {
         unlist(old)
         if (old.inFlight > 0) startsOnReplaced.merge(old.id, old.inFlight, Int::plus)
-        val target = register(old.id, instance, listVersion, nowMillis)
-        if (old.leaving != null && target.leaving == null) publish(target, TargetFactState.RECOVERED)
-        return target
+        return register(old.id, instance, listVersion, nowMillis)
     }
 
     private fun update(
--- a/core/src/test/kotlin/io/jackdawring/core/target/RealTargetPoolTest.kt
+++ b/core/src/test/kotlin/io/jackdawring/core/target/RealTargetPoolTest.kt
@@ -305,6 +305,31 @@
         }
     }
 
+    /** Guards against failures during shutdown that replace the fact that the target is leaving. */
+    @Test
+    fun `failing tasks of a leaving target do not change its fact`() {
+        val pool = pool("t1")
+        repeat(4) { pool.chooseId() }
+        pool.end("t1", notStarted(NotStartedReason.LEAVING))
+        repeat(3) { pool.end("t1", failed) }
+        assertEquals(listOf(TargetFactState.LEAVING), pool.takeFacts().map { it.state })
+        assertEquals("leaving", pool.state("t1"))
+        assertNull(pool.nextTimerMillis())
+    }
+
+    /** Guards against a returned target that stays unused where the list lags. */
+    @Test
+    fun `a return seen by a peer counts if its list is newer`() {
+        for ((listVersion, usable) in listOf(1L to false, 2L to true)) {
+            val pool = pool("t1")
+            pool.applyFact(fact(TargetFactState.LEAVING, 1, 1), 0)
+            pool.applyFact(fact(TargetFactState.RECOVERED, listVersion, 2), 0)
+            assertEquals(usable, pool.isUsed("t1", 0))
+            val expected = if (usable) TargetFactState.RECOVERED else TargetFactState.LEAVING
+            assertEquals(expected, pool.takeFacts().single().state)
+        }
+    }
+
     /** Guards against an isolation that never ends because the peer that reported it is gone. */
     @Test
     fun `an isolation reported by a peer is probed here`() {
