Share the remainder of the slots exactly among the instances

The remainder now goes to other instances at every target, by rank. shareWith() gets an optional rank; without it the remainder is shared approximately. A target whose usage is unknown gets one start outside the share.

--- a/core/src/main/kotlin/io/jackdawring/core/target/AdaptiveChooser.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/target/AdaptiveChooser.kt
@@ -83,7 +83,7 @@
         service: ServiceTargets,
         nowMillis: Long,
     ): Boolean {
-        if (service.inFlight >= service.fairShares * STARVED_SHARE) return false
+        if (service.inFlight >= max(1.0, service.fairShares * STARVED_SHARE)) return false
         val outdated = nowMillis > service.nextForcedMillis + FORCED_INTERVAL_MILLIS
         if (outdated) service.nextForcedMillis = nowMillis + FORCED_INTERVAL_MILLIS
         return nowMillis >= service.nextForcedMillis
@@ -97,7 +97,13 @@
     ) {
         if (!target.fits(need)) return
         val probability = probability(target, nowMillis)
-        if (probability > (if (target.hasOwnShare) max(limit, MAX_OWN_SHARE_PROBABILITY) else limit)) return
+        val accepted =
+            when {
+                target.hasOwnShare -> max(limit, MAX_OWN_SHARE_PROBABILITY)
+                target.knownAtMillis < 0 -> max(limit, min(MAX_UNKNOWN_PROBABILITY, budget))
+                else -> limit
+            }
+        if (probability > accepted) return
         val cost = target.cost(need, nowMillis) + probability * REFUSAL_COST_MILLIS
         if (best == null || cost < bestCost) {
             best = target
@@ -112,6 +118,8 @@
     ): Double {
         val ageMillis = target.ageMillis(nowMillis)
         if (target.hasOwnShare) return OWN_SHARE_RISK * refusals.probability(target.free, ageMillis)
+        // Nothing is known: the first start shows the usage, more would be guesses.
+        if (ageMillis < 0) return if (target.free > 0) refusals.probability(target.free, ageMillis) else 1.0
         return refusals.probability(if (target.withinShare) target.free else target.free - margin, ageMillis)
     }
 
@@ -142,6 +150,9 @@
         const val OWN_SHARE_RISK = 0.5
         const val MAX_OWN_SHARE_PROBABILITY = 0.45
 
+        /** Targets that have not answered yet are worth a higher risk, because only a start shows their usage. */
+        const val MAX_UNKNOWN_PROBABILITY = 0.5
+
         /** A refusal wastes a message and uses up the retry budget, so a longer run time is preferred to the risk. */
         const val REFUSAL_COST_MILLIS = 1_000.0
 
--- a/core/src/main/kotlin/io/jackdawring/core/target/PooledTarget.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/target/PooledTarget.kt
@@ -91,8 +91,8 @@
     /** Most starts of this instance, from its share of the connections; at least 1. */
     var maxInFlight = 1
 
-    /** Fair share of the slots; at least 1. */
-    var fairShare = 1
+    /** Fair share of the slots; 0 if there are more instances than slots and it is the turn of others. */
+    var fairShare = 0
 
     /** How the services last indexed and counted this target. */
     var indexed = IndexedState.ABSENT
@@ -149,10 +149,16 @@
         )
     }
 
-    fun share(entryInstances: Int) {
-        fairShare = max(1, (instance.slots + entryInstances - 1) / entryInstances)
+    /** Sets the shares; the remainder of the slots goes to other instances at every target. */
+    fun share(
+        entryInstances: Int,
+        rank: Int,
+    ) {
+        val turn = (id.value.hashCode().mod(entryInstances) + rank).mod(entryInstances)
+        val remainder = instance.slots % entryInstances
+        fairShare = instance.slots / entryInstances + (if (turn < remainder) 1 else 0)
         maxInFlight = max(1, instance.connections / entryInstances)
-        if (knownAtMillis < 0) othersInUse = max(0, instance.slots - fairShare)
+        if (knownAtMillis < 0) othersInUse = max(0, instance.slots - max(1, fairShare))
     }
 
     fun ageMillis(nowMillis: Long): Long = if (knownAtMillis < 0) -1 else max(0, nowMillis - knownAtMillis)
--- a/core/src/main/kotlin/io/jackdawring/core/target/RealTargetPool.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/target/RealTargetPool.kt
@@ -37,6 +37,7 @@
     private val suspended = TreeSet(compareBy<PooledTarget>({ it.shareRetryAtMillis }, { it.id.value }))
     private var listVersion = -1L
     private var entryInstances = 1
+    private var rank = 0
     private var retryAtMillis: Long? = null
     private var lastSeenMillis = 0L
 
@@ -75,13 +76,21 @@
 
     override fun takeFacts(): List<TargetFact> = facts.take()
 
-    override fun shareWith(entryInstances: Int) {
+    override fun shareWith(
+        entryInstances: Int,
+        rank: Int?,
+    ) {
         val instances = max(1, entryInstances)
-        facts.shareWith(instances)
-        if (instances == this.entryInstances) return
+        val newRank =
+            rank ?: options.self.instanceId.value
+                .hashCode()
+                .mod(instances)
+        if (instances == this.entryInstances && newRank == this.rank) return
         this.entryInstances = instances
+        this.rank = newRank
+        facts.shareWith(instances)
         for (target in targets.values) {
-            target.share(instances)
+            target.share(instances, newRank)
             index(target)
         }
     }
@@ -227,7 +236,7 @@
         val local = instance.failureDomain == options.self.failureDomain
         val target = PooledTarget(id, instance, registeredInVersion, local, servicesOf(instance))
         targets[id] = target
-        target.share(entryInstances)
+        target.share(entryInstances, rank)
         report(StateChange.TargetChanged(id, "usable"))
         index(target)
         val fact = facts[id]
@@ -254,7 +263,7 @@
         remove(target)
         target.instance = instance
         target.services = servicesOf(instance)
-        target.share(entryInstances)
+        target.share(entryInstances, rank)
     }
 
     private fun unlist(target: PooledTarget) {
@@ -360,7 +369,11 @@
             // The slot of the ended task was ours, so others can have at most the rest.
             target.othersInUse = max(0, min(slotsInUse - target.inFlight, slots - inFlightBefore))
             if (target.othersInUse + inFlightBefore < slots) allowShare(target)
-            adaptive.refusals.learn(freeBefore, ageMillis, slots - target.othersInUse - inFlightBefore <= 0)
+            if (ageMillis < 0) {
+                adaptive.refusals.learn(freeBefore + 1, ageMillis, false)
+            } else {
+                adaptive.refusals.learn(freeBefore, ageMillis, slots - target.othersInUse - inFlightBefore <= 0)
+            }
         } else {
             if (answer is TargetAnswer.Succeeded) growWithoutUsage(target, freeBefore, nowMillis)
             return
--- a/core/src/main/kotlin/io/jackdawring/core/target/TargetPool.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/target/TargetPool.kt
@@ -25,8 +25,16 @@
     /** Facts to put into the next digest; each is returned for a limited number of rounds. */
     fun takeFacts(): List<TargetFact>
 
-    /** Sets the number of entry instances that share every target, this one included. */
-    fun shareWith(entryInstances: Int)
+    /**
+     * Sets the number of entry instances that share every target, this one included.
+     *
+     * [rank] is the position of this instance among them, from 0; without it the remainder of slots that cannot be
+     * divided evenly is only shared out approximately.
+     */
+    fun shareWith(
+        entryInstances: Int,
+        rank: Int? = null,
+    )
 
     /** Whether any usable target can ever meet [need], and whether one has room now. */
     fun availability(need: TaskNeed): Availability
--- a/core/src/test/kotlin/io/jackdawring/core/target/FleetModel.kt
+++ b/core/src/test/kotlin/io/jackdawring/core/target/FleetModel.kt
@@ -46,6 +46,7 @@
     val bigJobTasks: Int = 300,
     val seconds: Int = 20,
     val reportsUsage: Boolean = true,
+    val ranked: Boolean = true,
     val seed: Long = 1,
 )
 
@@ -177,7 +178,7 @@
         private var timerAtMillis = Long.MAX_VALUE
 
         init {
-            pool.shareWith(scenario.entryInstances)
+            pool.shareWith(scenario.entryInstances, if (scenario.ranked) index else null)
             val list = InstanceList(1, targets.map { listedTarget(it.id.value, it.domain) })
             pool.applyList(list, 0)
         }
--- a/core/src/test/kotlin/io/jackdawring/core/target/FleetModelTest.kt
+++ b/core/src/test/kotlin/io/jackdawring/core/target/FleetModelTest.kt
@@ -13,6 +13,7 @@
             "bursts of 1,200" to normal.copy(bigJobPercent = 2, bigJobTasks = 1_200),
             "speeds 0.5 to 2" to normal.copy(speedSpread = 2.0),
             "9 instances" to normal.copy(entryInstances = 9),
+            "24 instances" to normal.copy(entryInstances = 24),
         )
 
     private fun measure(
--- a/core/src/test/kotlin/io/jackdawring/core/target/RealTargetPoolTest.kt
+++ b/core/src/test/kotlin/io/jackdawring/core/target/RealTargetPoolTest.kt
@@ -122,6 +122,19 @@
         }
     }
 
+    /** Guards against shares that add up to more or less than the slots, which causes refusals or idle slots. */
+    @Test
+    fun `the shares of all instances add up to the slots`() {
+        val ids = List(20) { "t$it" }.toTypedArray()
+        for (instances in listOf(1, 3, 8, 9, 24)) {
+            val shares =
+                (0 until instances).map { rank ->
+                    pool(*ids).also { it.shareWith(instances, rank) }.status().associate { it.targetId to it.window }
+                }
+            for (id in ids) assertEquals(8, shares.sumOf { it.getValue(TargetId(id)) }, "$instances instances, $id")
+        }
+    }
+
     /** Guards against idle slots that a burst at one instance cannot use, and against use of slots of others. */
     @Test
     fun `usage reports open and close the window`() {
