--- a/core/src/main/kotlin/io/jackdawring/core/target/RealTargetPool.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/target/RealTargetPool.kt
@@ -37,6 +37,7 @@
     private val suspended = TreeSet(compareBy<PooledTarget>({ it.shareRetryAtMillis }, { it.id.value }))
     private var listVersion = -1L
     private var entryInstances = 1
+    private var rank = 0
     private var retryAtMillis: Long? = null
     private var lastSeenMillis = 0L
 
@@ -75,13 +76,21 @@
 
     override fun takeFacts(): List<TargetFact> = facts.take()
 
-    override fun shareWith(entryInstances: Int) {
+    override fun shareWith(
+        entryInstances: Int,
+        rank: Int?,
+    ) {
         val instances = max(1, entryInstances)
-        facts.shareWith(instances)
-        if (instances == this.entryInstances) return
+        val newRank =
+            rank ?: options.self.instanceId.value
+                .hashCode()
+                .mod(instances)
+        if (instances == this.entryInstances && newRank == this.rank) return
         this.entryInstances = instances
+        this.rank = newRank
+        facts.shareWith(instances)
         for (target in targets.values) {
-            target.share(instances)
+            target.share(instances, newRank)
             index(target)
         }
     }
@@ -123,9 +132,12 @@
         val target = targets[targetId] ?: return emptyList()
         val inFlightBefore = target.inFlight
         target.inFlight = max(0, target.inFlight - 1)
-        learnUsage(target, need, answer, inFlightBefore, nowMillis)
-        learnHealth(target, need, answer, elapsedMillis, nowMillis)
-        if (answer?.usage?.leaving == true) leave(target, listVersion, nowMillis)
+        // Failures of a leaving target must not replace the fact that it is leaving.
+        if (target.accepting) {
+            learnUsage(target, need, answer, inFlightBefore, nowMillis)
+            learnHealth(target, need, answer, elapsedMillis, nowMillis)
+            if (answer?.usage?.leaving == true) leave(target, listVersion, nowMillis)
+        }
         index(target)
         if (!target.listed && target.inFlight == 0) targets.remove(targetId)
         return target.instance.services
@@ -191,6 +203,8 @@
                 known.isReplacedBy(instance, nowMillis) -> replace(known, instance, nowMillis)
                 else -> known
             }
+        val returned = known?.leaving != null && target.leaving == null && instance.state == ListedState.LIVE
+        if (returned) publish(target, TargetFactState.RECOVERED)
         target.listedAsLeaving = instance.state == ListedState.LEAVING
         if (target.instance != instance) update(target, instance)
         if (target.listedAsLeaving) leave(target, listVersion, nowMillis)
@@ -222,13 +236,12 @@
         val local = instance.failureDomain == options.self.failureDomain
         val target = PooledTarget(id, instance, registeredInVersion, local, servicesOf(instance))
         targets[id] = target
-        target.share(entryInstances)
-        report(StateChange.TargetChanged(id, "usable"))
+        target.share(entryInstances, rank)
+        // The targets of the first list are no change.
+        if (registeredInVersion > 0) report(StateChange.TargetChanged(id, "usable"))
         index(target)
         val fact = facts[id]
-        if (fact != null && fact.address == instance.address && fact.listVersion >= registeredInVersion) {
-            applyState(target, fact, nowMillis)
-        }
+        if (fact != null && target.isMeantBy(fact)) applyState(target, fact, nowMillis)
         return target
     }
 
@@ -239,9 +252,7 @@
     ): PooledTarget {
         unlist(old)
         if (old.inFlight > 0) startsOnReplaced.merge(old.id, old.inFlight, Int::plus)
-        val target = register(old.id, instance, listVersion, nowMillis)
-        if (old.leaving != null && target.leaving == null) publish(target, TargetFactState.RECOVERED)
-        return target
+        return register(old.id, instance, listVersion, nowMillis)
     }
 
     private fun update(
@@ -251,7 +262,7 @@
         remove(target)
         target.instance = instance
         target.services = servicesOf(instance)
-        target.share(entryInstances)
+        target.share(entryInstances, rank)
     }
 
     private fun unlist(target: PooledTarget) {
@@ -275,7 +286,9 @@
         health.forget(target)
         index(target)
         report(StateChange.TargetChanged(target.id, "leaving"))
-        if (facts[target.id]?.state != TargetFactState.LEAVING) publish(target, TargetFactState.LEAVING)
+        val known = facts[target.id]
+        val isKnown = known != null && known.state == TargetFactState.LEAVING && target.isMeantBy(known)
+        if (!isKnown) publish(target, TargetFactState.LEAVING)
     }
 
     private fun applyState(
@@ -357,7 +370,11 @@
             // The slot of the ended task was ours, so others can have at most the rest.
             target.othersInUse = max(0, min(slotsInUse - target.inFlight, slots - inFlightBefore))
             if (target.othersInUse + inFlightBefore < slots) allowShare(target)
-            adaptive.refusals.learn(freeBefore, ageMillis, slots - target.othersInUse - inFlightBefore <= 0)
+            if (ageMillis < 0) {
+                adaptive.refusals.learn(freeBefore + 1, ageMillis, false)
+            } else {
+                adaptive.refusals.learn(freeBefore, ageMillis, slots - target.othersInUse - inFlightBefore <= 0)
+            }
         } else {
             if (answer is TargetAnswer.Succeeded) growWithoutUsage(target, freeBefore, nowMillis)
             return
@@ -453,6 +470,10 @@
         target.services.forEach { it.index(target, old, new) }
     }
 
+    /** Whether [fact] is about this registration and not about an earlier process. */
+    private fun PooledTarget.isMeantBy(fact: TargetFact): Boolean =
+        fact.address == instance.address && fact.listVersion >= registeredInVersion
+
     private fun TargetFact.sameVersionAs(other: TargetFact?): Boolean =
         other != null && listVersion == other.listVersion && sequence == other.sequence
 
