--- a/core/src/main/kotlin/io/jackdawring/core/target/TargetPool.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/target/TargetPool.kt
@@ -25,8 +25,16 @@
     /** Facts to put into the next digest; each is returned for a limited number of rounds. */
     fun takeFacts(): List<TargetFact>
 
-    /** Sets the number of entry instances that share every target, this one included. */
-    fun shareWith(entryInstances: Int)
+    /**
+     * Sets the number of entry instances that share every target, this one included.
+     *
+     * [rank] is the position of this instance among them, from 0; without it the remainder of slots that cannot be
+     * divided evenly is only shared out approximately.
+     */
+    fun shareWith(
+        entryInstances: Int,
+        rank: Int? = null,
+    )
 
     /** Whether any usable target can ever meet [need], and whether one has room now. */
     fun availability(need: TaskNeed): Availability
@@ -40,7 +48,8 @@
     /**
      * Returns the slot of a start and learns from its [answer].
      *
-     * [elapsedMillis] is the time since the start. [answer] is null if this instance cancelled the start.
+     * [elapsedMillis] is the time since the start. [answer] is null if this instance cancelled the start. Returns the
+     * services that may have more room now.
      */
     fun complete(
         targetId: TargetId,
@@ -48,7 +57,7 @@
         answer: TargetAnswer?,
         elapsedMillis: Long,
         nowMillis: Long,
-    )
+    ): Collection<String>
 
     /** Time at which [choose] may succeed again although no start has completed, or null. */
     fun nextTimerMillis(): Long?
@@ -88,9 +97,15 @@
     POSSIBLE,
 }
 
-/** Slots of a service that this instance can use; [slowness] is the mean of actual over expected run time. */
+/**
+ * Slots of a service that this instance can use now.
+ *
+ * [slowness] is the mean of actual over expected run time. [fleetSlots] counts all slots of the usable targets, which
+ * this instance can borrow while they are idle.
+ */
 internal data class PoolCapacity(
     val usableSlots: Int,
     val inFlight: Int,
     val slowness: Double,
+    val fleetSlots: Int = usableSlots,
 )
