--- a/load/src/main/kotlin/io/jackdawring/load/LoadRun.kt
+++ b/load/src/main/kotlin/io/jackdawring/load/LoadRun.kt
@@ -184,7 +184,7 @@
             if (entry != session.owner) forwards.increment()
             if (planned.resubmit && sendsLeft == MAX_SENDS) scheduleResubmission(planned.job, session, entry)
             callers.submit(entry, session.token, planned.job) { answer, _ ->
-                if (answer in SESSION_LOST) sessions.remove(planned.caller)
+                if (answer in SESSION_LOST) forget(planned.caller, session)
                 // Nothing of the job was sent, so a caller sends it again in a session of another entry instance.
                 if (answer == JobAnswer.NOT_SENT && sendsLeft > 1) {
                     repeatedSends.increment()
@@ -196,6 +196,14 @@
         }
     }
 
+    /** Makes [caller] open a new session, unless it has replaced [session] already. */
+    private fun forget(
+        caller: Int,
+        session: Session,
+    ) {
+        sessions.computeIfPresent(caller) { _, present -> present.takeIf { it.getNow(null) !== session } }
+    }
+
     private fun scheduleResubmission(
         job: JobSpec,
         session: Session,
--- a/standins/src/main/kotlin/io/jackdawring/standins/RealStandInPlatform.kt
+++ b/standins/src/main/kotlin/io/jackdawring/standins/RealStandInPlatform.kt
@@ -10,6 +10,7 @@
 import kotlinx.serialization.Serializable
 import java.util.Random
 import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicBoolean
 import java.util.concurrent.atomic.AtomicLong
 
 @Serializable
@@ -46,7 +47,7 @@
     private val readCap = RateCap()
     private val writeCap = RateCap()
     private val counters = PlatformCounters()
-    private val waiting = ConcurrentHashMap.newKeySet<HttpExchange>()
+    private val waiting = ConcurrentHashMap<HttpExchange, TimerHandle>()
 
     @Volatile
     private var currentFaults = options.faults
@@ -110,7 +111,10 @@
         directory.lagMillis = faults.listLagMillis
         if (faults.down && !wasDown) {
             directory.suspendLeases()
-            waiting.forEach(::answerAsDown)
+            waiting.keys.forEach { exchange ->
+                waiting.remove(exchange)?.cancel()
+                answerAsDown(exchange)
+            }
         }
         if (!faults.down && wasDown) directory.restartLeases()
     }
@@ -295,12 +299,16 @@
         exchange: HttpExchange,
         watch: (done: () -> Unit) -> TimerHandle,
     ) {
-        waiting.add(exchange)
-        val handle = watch { waiting.remove(exchange) }
-        exchange.onDisconnected {
-            waiting.remove(exchange)
-            handle.cancel()
-        }
+        val ended = AtomicBoolean()
+        val handle =
+            watch {
+                ended.set(true)
+                waiting.remove(exchange)
+            }
+        waiting[exchange] = handle
+        // The watch may have ended on another thread before it was added.
+        if (ended.get()) waiting.remove(exchange)
+        exchange.onDisconnected { waiting.remove(exchange)?.cancel() }
     }
 
     private fun HttpExchange.waitMillis(): Long = (request.queryLong("waitMillis") ?: 0).coerceIn(0, MAX_WAIT_MILLIS)
--- a/standins/src/main/kotlin/io/jackdawring/standins/Timers.kt
+++ b/standins/src/main/kotlin/io/jackdawring/standins/Timers.kt
@@ -1,6 +1,7 @@
 package io.jackdawring.standins
 
 import java.util.concurrent.ScheduledThreadPoolExecutor
+import java.util.concurrent.ThreadPoolExecutor
 import java.util.concurrent.TimeUnit
 
 /** Runs actions later on a thread of its own, so that event loops never wait. */
@@ -30,6 +31,8 @@
     private val executor =
         ScheduledThreadPoolExecutor(1) { task -> Thread(task, "standin-timers").apply { isDaemon = true } }.apply {
             removeOnCancelPolicy = true
+            // After close() new actions are dropped: late answers of a closed stand-in have no receiver.
+            rejectedExecutionHandler = ThreadPoolExecutor.DiscardPolicy()
         }
 
     override fun nowMillis(): Long = System.nanoTime() / 1_000_000
@@ -38,8 +41,6 @@
         delayMillis: Long,
         action: () -> Unit,
     ): TimerHandle {
-        // After close() the executor drops new actions: late answers of a closed stand-in have no receiver.
-        if (executor.isShutdown) return TimerHandle {}
         val future = executor.schedule(action, delayMillis, TimeUnit.MILLISECONDS)
         return TimerHandle { future.cancel(false) }
     }
--- a/standins/src/test/kotlin/io/jackdawring/standins/StandInPlatformTest.kt
+++ b/standins/src/test/kotlin/io/jackdawring/standins/StandInPlatformTest.kt
@@ -116,6 +116,9 @@
             Triple("a deletion", 404) { http, _ -> http.call("DELETE /kv/a/b") },
             Triple("the end of the lease", 404) { _, timers -> timers.advance(500) },
             Triple("an outage", -1) { http, _ -> http.call("PUT /faults", """{"down":true}""") },
+            Triple("an outage with answers", 503) { http, _ ->
+                http.call("PUT /faults", """{"down":true,"downMode":"503"}""")
+            },
         )
 
     @TestFactory
@@ -130,7 +133,7 @@
                 http.call("PUT /kv/other", """{"value":"x"}""")
                 assertEquals(0 to 1, watch.status to platform.counts().waitingWatches)
                 wake(http, timers)
-                assertEquals(status, watch.status)
+                assertEquals(status to 0, watch.status to platform.counts().waitingWatches)
             }
         }
 
