--- a/cli/src/main/kotlin/io/jackdawring/cli/commands/OperatorCommands.kt
+++ b/cli/src/main/kotlin/io/jackdawring/cli/commands/OperatorCommands.kt
@@ -86,13 +86,43 @@
         "jackdawring burn --operator 127.0.0.1:7412",
         listOf(SettingTable.operator),
     ) {
+    @Option(name = "--json", usage = "print the report as it is")
+    var json: Boolean = false
+
     override fun run(
         context: CommandContext,
         settings: ResolvedSettings,
     ): ExitCode {
-        context.out.println(context.readOperator(name, settings, "/v1/burn") ?: return ExitCode.UNREACHABLE)
+        val body = context.readOperator(name, settings, "/v1/burn") ?: return ExitCode.UNREACHABLE
+        if (json) {
+            context.out.println(body)
+            return ExitCode.OK
+        }
+        val rows =
+            try {
+                BurnRow.parse(body)
+            } catch (_: SerializationException) {
+                context.err.println("jackdawring burn: the answer is no burn report")
+                return ExitCode.FAILED
+            }
+        print(context, rows)
         return ExitCode.OK
     }
+
+    private fun print(
+        context: CommandContext,
+        rows: List<BurnRow>,
+    ) {
+        if (rows.isEmpty()) context.out.println("no kind has an objective")
+        rows.forEach { row ->
+            context.out.println("${row.service}/${row.kind}: ${row.percent} % within ${row.latencyMillis} ms")
+            row.windows.forEach {
+                val rate = it.burnRate?.let { rate -> "%.2f".format(Locale.ROOT, rate) } ?: "-"
+                val line = arrayOf<Any>(it.minutes, rate, it.good, it.total)
+                context.out.println("  last %3d min: burn rate %8s, %d of %d met".format(Locale.ROOT, *line))
+            }
+        }
+    }
 }
 
 /** Body of [path] at the operator listener, or null after a message that it could not be read. */
--- a/cli/src/test/kotlin/io/jackdawring/cli/ConfigCommandsTest.kt
+++ b/cli/src/test/kotlin/io/jackdawring/cli/ConfigCommandsTest.kt
@@ -189,4 +189,21 @@
         assertContains(status, "e1 in a: ready, configuration 1, store reachable")
         assertContains(status, Regex("t1 +a +usable +1/4 1.50"))
     }
+
+    /** Guards against a report that cannot be read, and against a missing rate that looks like a rate of 0. */
+    @Test
+    fun `burn prints a line for each window`() {
+        val row =
+            """{"service":"orders","kind":"k","latencyMillis":400,"percent":99.9,"windows":[""" +
+                """{"minutes":5,"good":49,"total":72,"burnRate":319.444},""" +
+                """{"minutes":60,"good":0,"total":0,"burnRate":null}]}"""
+
+        fun burn(body: String) = runCli("burn", client = { ApiAnswer.Answered(200, body) })
+        val out = burn("[$row]").out
+        assertContains(out, "orders/k: 99.9 % within 400 ms")
+        assertContains(out, Regex("last +5 min: burn rate +319.44, 49 of 72 met"))
+        assertContains(out, Regex("last +60 min: burn rate +-, 0 of 0 met"))
+        assertContains(burn("[]").out, "no kind has an objective")
+        assertEquals(ExitCode.FAILED, burn("oops").exitCode)
+    }
 }
