--- a/core/src/main/kotlin/io/jackdawring/core/RealEntryInstance.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/RealEntryInstance.kt
@@ -245,7 +245,7 @@
         if (sharedWith == membership.liveCount && sharedRank == membership.rank) return false
         sharedWith = membership.liveCount
         sharedRank = membership.rank
-        pool.shareWith(sharedWith)
+        pool.shareWith(sharedWith, sharedRank)
         quotas.update(configuration.current, sharedWith, sharedRank)
         return true
     }
--- a/testing/src/main/kotlin/io/jackdawring/testing/FakeStoreLink.kt
+++ b/testing/src/main/kotlin/io/jackdawring/testing/FakeStoreLink.kt
@@ -26,6 +26,9 @@
     var calls: Int = 0
         private set
 
+    /** The published head of the configuration, or null if there is none. */
+    fun head(): ConfigurationHead? = store.value(ConfigurationCodec.HEAD_KEY)?.let(ConfigurationCodec::decodeHead)
+
     /** Calls the store and hands the answer, or that there is none, to [onAnswer] exactly once. */
     fun call(
         call: StoreCall,
--- a/testing/src/main/kotlin/io/jackdawring/testing/FakeWorld.kt
+++ b/testing/src/main/kotlin/io/jackdawring/testing/FakeWorld.kt
@@ -75,9 +75,14 @@
         return target
     }
 
+    /** The platform's list as operators see it. */
+    var publishedList = InstanceList(0, emptyList())
+        private set
+
     /** Publishes the present list of instances; each entry instance sees it after its own lag. */
     fun publishList() {
         val list = InstanceList(++listVersion, listedInstances() + targets.filter { it.alive }.map { it.listed() })
+        publishedList = list
         for (instance in liveInstances) {
             clock.schedule(random.nextLong(maxListLagMillis)) {
                 if (network.reachesPlatform(instance.owner.failureDomain)) instance.deliver(Event.InstancesListed(list))
@@ -190,14 +195,15 @@
         }
     }
 
+    // A draining instance removes itself from the list only when it exits.
     private fun listedInstances(): List<ListedInstance> =
-        liveInstances.filterNot { it.draining }.map {
+        liveInstances.map {
             ListedInstance(
                 id = it.owner.instanceId.value,
                 role = InstanceRole.ENTRY,
                 failureDomain = it.owner.failureDomain,
                 address = it.owner.peerAddress,
-                state = ListedState.LIVE,
+                state = if (it.draining) ListedState.LEAVING else ListedState.LIVE,
             )
         }
 
--- a/testing/src/main/kotlin/io/jackdawring/testing/FuzzRun.kt
+++ b/testing/src/main/kotlin/io/jackdawring/testing/FuzzRun.kt
@@ -19,6 +19,7 @@
 ) {
     private val domains = DOMAIN_NAMES.map(::FailureDomainId)
     val world = FakeWorld(seed, domains, factory)
+    val operators = FakeOperators(world)
     private val sessions = ArrayList<SessionClaims>()
     private val sent = ArrayList<SentSubmission>()
     private val pending = ArrayList<PendingRequest>()
@@ -56,6 +57,7 @@
                 }
             FuzzAction.CANCEL_WAVE -> cancelWave(step)
             FuzzAction.ADVANCE -> world.advance(step.millis)
+            FuzzAction.PUBLISH -> operators.publish()
             FuzzAction.KILL -> killUnlessLast(step)
             FuzzAction.FREEZE -> instance(step.first)?.freeze()
             FuzzAction.RESUME -> world.liveInstances.filter { it.frozen }.let { pick(it, step.first)?.resume() }
@@ -232,6 +234,8 @@
         world.liveInstances.filter { it.frozen }.forEach { it.resume() }
         heal()
         storeUp()
+        world.advance(CONFIGURATION_LIMIT_MILLIS)
+        operators.checkConverged()
         world.advance(Submission.MAX_DEADLINE_MILLIS + FINISH_MARGIN_MILLIS)
         pending.filter { !it.answered && it.at.alive }.forEach {
             world.oracle.report(Invariant.ANSWER_IN_TIME, "${it.tag} was never answered")
@@ -291,6 +295,7 @@
         const val LOST_REPLY_PERCENT = 30
         const val MAX_STRAGGLER_MILLIS = 8_000L
         const val SETTLE_MILLIS = 5_000L
+        const val CONFIGURATION_LIMIT_MILLIS = 4_000L
         const val FINISH_MARGIN_MILLIS = 15_000L
 
         // A forwarded request may wait for an acknowledgement (1 s) after the time that its deadline allows.
--- a/testing/src/main/kotlin/io/jackdawring/testing/FuzzStep.kt
+++ b/testing/src/main/kotlin/io/jackdawring/testing/FuzzStep.kt
@@ -1,5 +1,7 @@
 package io.jackdawring.testing
 
+import kotlin.random.Random
+
 /** One step of a fuzzed schedule; [first] and [second] select participants modulo their present number. */
 data class FuzzStep(
     val action: FuzzAction,
@@ -21,6 +23,7 @@
     CANCEL(2),
     CANCEL_WAVE(1),
     ADVANCE(30),
+    PUBLISH(3),
     KILL(1),
     FREEZE(2),
     RESUME(3),
@@ -39,3 +42,21 @@
     TARGET_STRAGGLES(1),
     TARGET_RESTARTS(3),
 }
+
+/** A schedule of [count] steps with the weights of the actions. */
+fun randomSteps(
+    random: Random,
+    count: Int,
+): List<FuzzStep> =
+    List(count) {
+        FuzzStep(weighted.random(random), nextIndex(random), nextIndex(random), nextMillis(random))
+    }
+
+private val weighted = FuzzAction.entries.flatMap { action -> List(action.weight) { action } }
+
+private fun nextIndex(random: Random) = random.nextInt(MAX_INDEX)
+
+private fun nextMillis(random: Random) = random.nextLong(1, MAX_ADVANCE_MILLIS)
+
+private const val MAX_INDEX = 1_000
+private const val MAX_ADVANCE_MILLIS = 2_000L
--- a/testing/src/main/kotlin/io/jackdawring/testing/Oracle.kt
+++ b/testing/src/main/kotlin/io/jackdawring/testing/Oracle.kt
@@ -117,13 +117,10 @@
         outcome: Outcome.Refused,
     ) {
         // Another body under the same id was not run; the first body may have been.
-        if (outcome.reason == RefusalReason.FINGERPRINT_MISMATCH) return
-        if (view.started.isNotEmpty()) {
-            report(
-                Invariant.TRUTHFUL_REFUSAL,
-                "$submission was refused (${outcome.reason}), but ran ${view.describe()}",
-            )
-        }
+        if (outcome.reason == RefusalReason.FINGERPRINT_MISMATCH || view.started.isEmpty()) return
+        val cutOff = outcome.reason == RefusalReason.DRAINING
+        val invariant = if (cutOff) Invariant.GRACEFUL_SHUTDOWN else Invariant.TRUTHFUL_REFUSAL
+        report(invariant, "$submission was refused (${outcome.reason}), but ran ${view.describe()}")
     }
 
     private fun close(
