--- a/testing/src/main/kotlin/io/jackdawring/testing/FakeOperators.kt
+++ b/testing/src/main/kotlin/io/jackdawring/testing/FakeOperators.kt
@@ -109,7 +109,8 @@
         version: Long,
     ) {
         if (version in 1 until acceptedVersion) {
-            val detail = "${instance.owner.instanceId.value} has version $version although $acceptedVersion was accepted"
+            val name = instance.owner.instanceId.value
+            val detail = "$name has version $version although $acceptedVersion was accepted"
             world.oracle.report(Invariant.CONFIGURATION, detail)
         }
     }
