--- a/load/src/main/kotlin/io/jackdawring/load/LoadReport.kt
+++ b/load/src/main/kotlin/io/jackdawring/load/LoadReport.kt
@@ -6,8 +6,8 @@
 /**
  * Result of a load run.
  *
- * [maxSendLagMillis] is how late the load tool sent a job at worst; response times count from the intended start and
- * contain it. [wasted] and [doubleStarts] are null if the targets could not be read.
+ * [meanSendLagMillis] and [maxSendLagMillis] are how late the load tool sent jobs; response times count from the
+ * intended start and contain it. [wasted] and [doubleStarts] are null if the targets could not be read.
  */
 @Serializable
 data class LoadReport(
@@ -18,6 +18,7 @@
     val wastedPerTask: Double?,
     val doubleStarts: Int?,
     val sessionsFailed: Long,
+    val meanSendLagMillis: Double,
     val maxSendLagMillis: Long,
 ) {
     /** Whether no answer was wrong and no task started twice. */
@@ -62,7 +63,8 @@
             )
         }
         appendLine("tasks: $tasks, tasks started twice: ${doubleStarts ?: "not known"}")
-        appendLine("sessions that could not be opened: $sessionsFailed, worst send lag: $maxSendLagMillis ms")
+        appendLine("sessions that could not be opened: $sessionsFailed")
+        appendLine("send lag: mean %.3f ms, worst %d ms".format(Locale.ROOT, meanSendLagMillis, maxSendLagMillis))
     }
 
 private fun describe(answers: Map<JobAnswer, Long>): String =
--- a/load/src/main/kotlin/io/jackdawring/load/LoadRun.kt
+++ b/load/src/main/kotlin/io/jackdawring/load/LoadRun.kt
@@ -41,6 +41,7 @@
     private val forwards = LongAdder()
     private val sessionsFailed = LongAdder()
     private val maxSendLagNanos = AtomicLong()
+    private val totalSendLagNanos = LongAdder()
 
     /** One for the generator and one for each request without an answer. */
     private val open = AtomicLong(1)
@@ -76,6 +77,8 @@
             wastedPerTask = wasted?.perTask(tasks.sum()),
             doubleStarts = targets?.starts()?.let { starts -> doubleStarts(starts.filter { runId in it.task }).size },
             sessionsFailed = sessionsFailed.sum(),
+            meanSendLagMillis =
+                totalSendLagNanos.sum() / NANOS_PER_MILLI / records.values.sumOf { it.jobs.sum() }.coerceAtLeast(1),
             maxSendLagMillis = TimeUnit.NANOSECONDS.toMillis(maxSendLagNanos.get()),
         )
     }
@@ -130,8 +133,7 @@
             val waitNanos = planned.intendedNanos - elapsedNanos()
             if (waitNanos > 0) {
                 val next = planned
-                // Rounded up, because a timer that fires early would only be scheduled again.
-                timers.schedule(TimeUnit.NANOSECONDS.toMillis(waitNanos) + 1) { sendOpenLoop(next) }
+                timers.scheduleNanos(waitNanos) { sendOpenLoop(next) }
                 return
             }
             send(planned) {}
@@ -157,6 +159,7 @@
     ) {
         val lagNanos = elapsedNanos() - planned.intendedNanos
         maxSendLagNanos.accumulateAndGet(lagNanos, ::maxOf)
+        totalSendLagNanos.add(lagNanos)
         records.getValue(planned.job.kind).jobs.increment()
         tasks.add(
             planned.job.runMillis.size
@@ -245,6 +248,7 @@
 
     private companion object {
         const val RADIX = 36
+        const val NANOS_PER_MILLI = 1e6
         const val MAX_SENDS = 3
         const val END_MARGIN_MILLIS = 5_000L
 
--- a/standins/src/main/kotlin/io/jackdawring/standins/Timers.kt
+++ b/standins/src/main/kotlin/io/jackdawring/standins/Timers.kt
@@ -9,11 +9,17 @@
     /** Monotonic time. */
     fun nowMillis(): Long
 
+    /** Runs [action] after [delayNanos]. */
+    fun scheduleNanos(
+        delayNanos: Long,
+        action: () -> Unit,
+    ): TimerHandle
+
     /** Runs [action] after [delayMillis]. */
     fun schedule(
         delayMillis: Long,
         action: () -> Unit,
-    ): TimerHandle
+    ): TimerHandle = scheduleNanos(TimeUnit.MILLISECONDS.toNanos(delayMillis), action)
 
     override fun close()
 }
@@ -37,11 +43,11 @@
 
     override fun nowMillis(): Long = System.nanoTime() / 1_000_000
 
-    override fun schedule(
-        delayMillis: Long,
+    override fun scheduleNanos(
+        delayNanos: Long,
         action: () -> Unit,
     ): TimerHandle {
-        val future = executor.schedule(action, delayMillis, TimeUnit.MILLISECONDS)
+        val future = executor.schedule(action, delayNanos, TimeUnit.NANOSECONDS)
         return TimerHandle { future.cancel(false) }
     }
 
--- a/standins/src/test/kotlin/io/jackdawring/standins/Fakes.kt
+++ b/standins/src/test/kotlin/io/jackdawring/standins/Fakes.kt
@@ -11,6 +11,7 @@
 import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.collections.immutable.toImmutableMap
 import java.util.PriorityQueue
+import java.util.concurrent.TimeUnit
 
 /** Timers on a virtual clock; actions run inside [advance]. */
 internal class FakeTimers : Timers {
@@ -26,11 +27,11 @@
 
     override fun nowMillis(): Long = now
 
-    override fun schedule(
-        delayMillis: Long,
+    override fun scheduleNanos(
+        delayNanos: Long,
         action: () -> Unit,
     ): TimerHandle {
-        val entry = Entry(now + delayMillis, order++, action).also(entries::add)
+        val entry = Entry(now + TimeUnit.NANOSECONDS.toMillis(delayNanos), order++, action).also(entries::add)
         return TimerHandle { entries.remove(entry) }
     }
 
