--- a/load/src/test/kotlin/io/jackdawring/load/JobGeneratorTest.kt
+++ b/load/src/test/kotlin/io/jackdawring/load/JobGeneratorTest.kt
@@ -43,7 +43,7 @@
             DynamicTest.dynamicTest(name) {
                 val (expected, measure) = expectation
                 val mean = measure(jobs())
-                // Five standard errors of the widest distribution, the run time, at this number of jobs.
+                // The seed is fixed; the tolerance leaves room for sampling error at this number of jobs.
                 assertTrue(abs(mean / expected - 1) < 0.05, "$mean instead of $expected")
             }
         }
