--- a/server/src/main/kotlin/io/jackdawring/server/logging/StateChangeLog.kt
+++ b/server/src/main/kotlin/io/jackdawring/server/logging/StateChangeLog.kt
@@ -36,7 +36,7 @@
         }
 
         is StateChange.ConfigurationRejected -> {
-            "configuration version ${change.version} is rejected: ${change.reason}"
+            "configuration version ${change.version} was not applied: ${change.reason}"
         }
 
         is StateChange.MemberChanged -> {
