--- a/core/src/main/kotlin/io/jackdawring/core/RealEntryInstance.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/RealEntryInstance.kt
@@ -219,8 +219,10 @@
     }
 
     private fun gossip(nowMillis: Long) {
+        membership.setTasksInFlight(runner.tasksInFlight)
         val peers = membership.takeGossipPeers(nowMillis)
         if (peers.isEmpty()) return
+        pool.learnFleetLoad(membership.othersInFlight, nowMillis)
         val digest =
             PeerMessage.Digest(self, memberFacts(nowMillis), pool.takeFacts(), membership.heartbeats(nowMillis))
         peers.forEach { outlet.emit(Effect.SendToPeer(it, digest)) }
--- a/core/src/main/kotlin/io/jackdawring/core/membership/FactSelection.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/membership/FactSelection.kt
@@ -28,7 +28,7 @@
             .filter { !it.isSuspect && it.fact.succeededBy == null }
             .sortedByDescending { it.advancedMillis }
             .take(MAX_HEARTBEATS)
-            .map { Heartbeat(it.token, it.heartbeat) }
+            .map { Heartbeat(it.token, it.heartbeat, it.tasksInFlight) }
 
     private interface Choice {
         val fact: MemberFact
--- a/core/src/main/kotlin/io/jackdawring/core/membership/Heartbeat.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/membership/Heartbeat.kt
@@ -10,10 +10,15 @@
 import java.security.MessageDigest
 import java.util.Base64
 
-/** Latest heartbeat of the incarnation with [token], without the rest of its [MemberFact]. */
+/**
+ * Latest heartbeat of the incarnation with [token], without the rest of its [MemberFact].
+ *
+ * [tasksInFlight] is the number of its tasks that ran at the time of the heartbeat.
+ */
 data class Heartbeat(
     val token: String,
     val heartbeat: Long,
+    val tasksInFlight: Int = 0,
 ) {
     companion object {
         /** 36 bits: the chance that two of 30 incarnations share a token is below 1 in 100 million. */
@@ -28,7 +33,7 @@
     }
 }
 
-/** Writes heartbeats as one string, because a digest carries one for every member: `<token><base 36 number> …`. */
+/** Writes heartbeats as one string, because a digest carries one for every member: `<token><heartbeat>.<tasks> …` in base 36. */
 object HeartbeatListSerializer : KSerializer<List<Heartbeat>> {
     override val descriptor =
         PrimitiveSerialDescriptor("io.jackdawring.core.membership.HeartbeatList", PrimitiveKind.STRING)
@@ -36,18 +41,28 @@
     override fun serialize(
         encoder: Encoder,
         value: List<Heartbeat>,
-    ) = encoder.encodeString(value.joinToString(" ") { it.token + it.heartbeat.toString(RADIX) })
+    ) = encoder.encodeString(value.joinToString(" ") { format(it) })
 
     override fun deserialize(decoder: Decoder): List<Heartbeat> {
         val text = decoder.decodeString()
         return if (text.isEmpty()) emptyList() else text.split(' ').map { parse(it) }
     }
 
+    private fun format(heartbeat: Heartbeat): String {
+        val tasks = if (heartbeat.tasksInFlight == 0) "" else SEPARATOR + heartbeat.tasksInFlight.toString(RADIX)
+        return heartbeat.token + heartbeat.heartbeat.toString(RADIX) + tasks
+    }
+
     private fun parse(text: String): Heartbeat {
-        val heartbeat = text.drop(Heartbeat.TOKEN_CHARS).toLongOrNull(RADIX)
-        if (heartbeat == null) throw SerializationException("heartbeat '$text' is not a token and a base 36 number")
-        return Heartbeat(text.take(Heartbeat.TOKEN_CHARS), heartbeat)
+        val numbers = text.drop(Heartbeat.TOKEN_CHARS).split(SEPARATOR)
+        val heartbeat = numbers[0].toLongOrNull(RADIX)
+        val tasksInFlight = if (numbers.size > 1) numbers[1].toIntOrNull(RADIX) else 0
+        if (heartbeat == null || tasksInFlight == null) {
+            throw SerializationException("heartbeat '$text' is not a token and base 36 numbers")
+        }
+        return Heartbeat(text.take(Heartbeat.TOKEN_CHARS), heartbeat, tasksInFlight)
     }
 
+    private const val SEPARATOR = "."
     private const val RADIX = 36
 }
--- a/core/src/main/kotlin/io/jackdawring/core/membership/Member.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/membership/Member.kt
@@ -9,6 +9,9 @@
 
     /** Highest heartbeat heard; can be ahead of that of [fact]. */
     var heartbeat: Long = fact.heartbeat
+
+    /** Number of tasks in flight at the time of [heartbeat]. */
+    var tasksInFlight: Int = fact.tasksInFlight
     var silent = false
     var sendFailed = false
 
--- a/core/src/main/kotlin/io/jackdawring/core/membership/Membership.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/membership/Membership.kt
@@ -12,6 +12,9 @@
     /** Number of live entry instances, this one included. */
     val liveCount: Int
 
+    /** Number of tasks that the other live instances ran at the times of their last heartbeats. */
+    val othersInFlight: Int
+
     /** Position of this instance among the live ones in id order, from 0. */
     val rank: Int
 
@@ -46,6 +49,9 @@
         nowMillis: Long,
     )
 
+    /** Tells how many tasks this instance runs, for its next facts. */
+    fun setTasksInFlight(tasksInFlight: Int)
+
     /** Facts for a digest: always that of this instance, changed ones first, the others in turn. */
     fun facts(
         configurationVersion: Long,
--- a/core/src/main/kotlin/io/jackdawring/core/membership/PeerMessage.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/membership/PeerMessage.kt
@@ -115,6 +115,7 @@
  * What an instance claims about a member; a fact replaces another only if (incarnation, heartbeat) is higher.
  *
  * [successorIncarnation] is the incarnation of [succeededBy] that took the records, null if the sender did not know it.
+ * [tasksInFlight] is the number of tasks that [owner] ran at the time of the heartbeat.
  * [successionAgeMillis] is the time since [succeededBy] was named; the fact is forgotten at the session lifetime.
  */
 @Serializable
@@ -133,6 +134,8 @@
     val successorIncarnation: Long? = null,
     @SerialName("age")
     val successionAgeMillis: Long = 0,
+    @SerialName("n")
+    val tasksInFlight: Int = 0,
 )
 
 /** What an instance observed about a target; a fact replaces another only if (listVersion, sequence) is higher. */
--- a/core/src/main/kotlin/io/jackdawring/core/membership/RealMembership.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/membership/RealMembership.kt
@@ -47,6 +47,9 @@
     private var nextSweepMillis = DUE_AT_ONCE
     private val sweepIntervalMillis = maxOf(1, options.gossipIntervalMillis / SWEEPS_PER_GOSSIP_INTERVAL)
 
+    private var tasksInFlight = 0
+    override val othersInFlight: Int get() = members.values.sumOf { if (it.isLive) it.tasksInFlight else 0 }
+
     override var liveCount = 1
         private set
     override var rank = 0
@@ -146,7 +149,7 @@
             member.fact = fact.copy(owner = member.fact.owner)
             if (member.describe() != before) reportState(member, member.describe())
         }
-        advance(member, fact.heartbeat, nowMillis)
+        advance(member, fact.heartbeat, fact.tasksInFlight, nowMillis)
     }
 
     override fun mergeHeartbeats(
@@ -154,7 +157,7 @@
         nowMillis: Long,
     ) {
         for (beat in heartbeats) {
-            byToken[beat.token]?.let { advance(it, beat.heartbeat, nowMillis) }
+            byToken[beat.token]?.let { advance(it, beat.heartbeat, beat.tasksInFlight, nowMillis) }
         }
         recount()
     }
@@ -162,9 +165,11 @@
     private fun advance(
         member: Member,
         newHeartbeat: Long,
+        tasksInFlight: Int,
         nowMillis: Long,
     ) {
         if (newHeartbeat <= member.heartbeat) return
+        member.tasksInFlight = tasksInFlight
         member.heartbeat = newHeartbeat
         member.advancedMillis = nowMillis
         failedAddresses.remove(member.fact.owner.peerAddress)
@@ -218,6 +223,10 @@
         rank = before
     }
 
+    override fun setTasksInFlight(tasksInFlight: Int) {
+        this.tasksInFlight = tasksInFlight
+    }
+
     override fun facts(
         configurationVersion: Long,
         nowMillis: Long,
@@ -238,6 +247,7 @@
             succeededBy = succeededBy,
             successorIncarnation = successorIncarnation,
             successionAgeMillis = successionSinceMillis?.let { nowMillis - it } ?: 0,
+            tasksInFlight = tasksInFlight,
         )
     }
 
--- a/core/src/main/kotlin/io/jackdawring/core/target/PooledTarget.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/target/PooledTarget.kt
@@ -161,6 +161,12 @@
         if (knownAtMillis < 0) othersInUse = max(0, instance.slots - max(1, fairShare))
     }
 
+    /** Replaces an old or assumed [othersInUse] by another assumption. */
+    fun assumeOthersInUse(slotsInUse: Int) {
+        othersInUse = min(slotsInUse, instance.slots)
+        knownAtMillis = -1
+    }
+
     fun ageMillis(nowMillis: Long): Long = if (knownAtMillis < 0) -1 else max(0, nowMillis - knownAtMillis)
 
     /** Slowness that fades to 1 without new tasks, so that a target that was slow once is tried again. */
--- a/core/src/main/kotlin/io/jackdawring/core/target/RealTargetPool.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/target/RealTargetPool.kt
@@ -13,6 +13,7 @@
 import io.jackdawring.core.membership.TargetFact
 import io.jackdawring.core.membership.TargetFactState
 import java.util.TreeSet
+import kotlin.math.ceil
 import kotlin.math.max
 import kotlin.math.min
 import kotlin.random.Random
@@ -95,6 +96,22 @@
         }
     }
 
+    override fun learnFleetLoad(
+        othersInFlight: Int,
+        nowMillis: Long,
+    ) {
+        val slots = targets.values.sumOf { if (it.accepting) it.instance.slots else 0 }
+        if (othersInFlight > slots * MAX_IDLE_LOAD) return
+        val load = LOAD_SAFETY * othersInFlight / max(1, slots)
+        for (target in targets.values) {
+            val ageMillis = target.ageMillis(nowMillis)
+            if (ageMillis in 0 until OLD_REPORT_MILLIS) continue
+            val assumed = max(ceil(load * target.instance.slots).toInt(), target.instance.slots / RESERVED_PART)
+            target.assumeOthersInUse(assumed)
+            index(target)
+        }
+    }
+
     override fun availability(need: TaskNeed): Availability {
         val service = services[need.service] ?: return Availability.NO_TARGETS
         return when {
@@ -480,6 +497,23 @@
     companion object {
         val Factory = TargetPool.Factory { options, report -> RealTargetPool(options, report) }
 
+        /** Gossip is about as old as this, so a younger report of the target itself is the better knowledge. */
+        const val OLD_REPORT_MILLIS = 1_000L
+
+        /**
+         * Load of the fleet up to which old reports are replaced by the load known from gossip.
+         *
+         * A busy fleet reports often enough. With 0.1, busy refusals rose from 0.003 to 0.022 per start at 20%
+         * load, and large jobs were not faster; with 0.05 they are 0.006.
+         */
+        const val MAX_IDLE_LOAD = 0.05
+
+        /** One slot in so many is left to a job that arrives at another instance at the same time. */
+        const val RESERVED_PART = 4
+
+        /** Room for uneven load of the targets and for growth since the last gossip. */
+        const val LOAD_SAFETY = 2.0
+
         /** Completions drive the queue; this slow timer serves an instance without any start in flight. */
         const val RETRY_MILLIS = 50L
 
--- a/core/src/main/kotlin/io/jackdawring/core/target/TargetPool.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/target/TargetPool.kt
@@ -36,6 +36,16 @@
         rank: Int? = null,
     )
 
+    /**
+     * Tells how many tasks all other instances run, as gossip has it.
+     *
+     * While the fleet is almost idle, targets without a recent report are taken to be as busy as the fleet on average.
+     */
+    fun learnFleetLoad(
+        othersInFlight: Int,
+        nowMillis: Long,
+    )
+
     /** Whether any usable target can ever meet [need], and whether one has room now. */
     fun availability(need: TaskNeed): Availability
 
--- a/testing/src/main/kotlin/io/jackdawring/testing/FakeTarget.kt
+++ b/testing/src/main/kotlin/io/jackdawring/testing/FakeTarget.kt
@@ -20,9 +20,20 @@
     private val random: Random,
     private val startLog: StartLog,
 ) {
-    private val running = HashMap<Any, Run>()
+    private val runs = HashMap<Any, Run>()
     private var incarnation = 0
 
+    /** Number of tasks that run now. */
+    val running: Int get() = runs.size
+
+    /** Number of tasks that this target ever started. */
+    var starts: Int = 0
+        private set
+
+    /** Number of starts refused because all slots were in use. */
+    var busyRefusals: Int = 0
+        private set
+
     var alive: Boolean = true
         private set
     var leaving: Boolean = false
@@ -57,8 +68,8 @@
     fun die() {
         alive = false
         incarnation++
-        val lost = running.values.toList()
-        running.clear()
+        val lost = runs.values.toList()
+        runs.clear()
         lost.forEach { it.answer(TargetAnswer.Lost("connection closed")) }
     }
 
@@ -78,7 +89,10 @@
         when {
             !alive -> answer(TargetAnswer.NotStarted(NotStartedReason.UNREACHABLE))
             leaving && refusesWhenLeaving -> answer(TargetAnswer.NotStarted(NotStartedReason.LEAVING, usage()))
-            running.size >= slots -> answer(TargetAnswer.NotStarted(NotStartedReason.BUSY, usage()))
+            runs.size >= slots -> {
+                busyRefusals++
+                answer(TargetAnswer.NotStarted(NotStartedReason.BUSY, usage()))
+            }
             else -> run(start, connection, answer)
         }
     }
@@ -88,7 +102,7 @@
 
     /** Stops the task of a connection that its sender closed. */
     fun disconnect(connection: Any) {
-        running.remove(connection)
+        runs.remove(connection)
     }
 
     private fun run(
@@ -97,10 +111,11 @@
         answer: (TargetAnswer) -> Unit,
     ) {
         startLog.record(start.task)
-        running[connection] = Run(answer)
+        starts++
+        runs[connection] = Run(answer)
         val startedBy = incarnation
         clock.schedule(runMillis(random)) {
-            if (incarnation == startedBy && running.remove(connection) != null) answer(result(start))
+            if (incarnation == startedBy && runs.remove(connection) != null) answer(result(start))
         }
     }
 
@@ -111,7 +126,7 @@
             TargetAnswer.Succeeded(Payload.of("\"${start.task}\""), usage())
         }
 
-    private fun usage() = TargetUsage(running.size, leaving)
+    private fun usage() = TargetUsage(runs.size, leaving)
 
     private class Run(
         val answer: (TargetAnswer) -> Unit,
