Add peer-advertise and peer-seeds

A new instance found peers only through the platform's list, although it is meant to take its configuration from peers when the store is out.

--- a/cli/src/main/kotlin/io/jackdawring/cli/settings/ServerOptionsFromSettings.kt
+++ b/cli/src/main/kotlin/io/jackdawring/cli/settings/ServerOptionsFromSettings.kt
@@ -19,6 +19,7 @@
     ) {
         callerListen = from.text(SettingTable.listen)
         peerListen = from.text(SettingTable.peerListen)
+        peerAdvertise = from.textOrNull(SettingTable.peerAdvertise)
         operatorListen = from.textOrNull(SettingTable.operatorListen)
         platformAddress = from.text(SettingTable.platform)
         sessionKeys = from.sessionKeys()
@@ -39,6 +40,7 @@
 }
 
 private fun EntryOptions.Builder.configure(from: ResolvedSettings) {
+    peerSeeds = from.textOrNull(SettingTable.peerSeeds)?.split(',').orEmpty()
     sessionLifetimeMillis = from.long(SettingTable.sessionLifetimeMillis)
     maxSessions = from.int(SettingTable.maxSessions)
     maxSubmissionsPerSession = from.int(SettingTable.maxSubmissionsPerSession)
--- a/cli/src/main/kotlin/io/jackdawring/cli/settings/SettingTable.kt
+++ b/cli/src/main/kotlin/io/jackdawring/cli/settings/SettingTable.kt
@@ -15,6 +15,18 @@
     val listen = Setting("listen", "caller listener", Address(minPort = 0), default = "127.0.0.1:7410")
     val peerListen =
         Setting("peer-listen", "listener for other entry instances", Address(minPort = 0), default = "127.0.0.1:7411")
+    val peerAdvertise =
+        Setting(
+            "peer-advertise",
+            "address at which other entry instances reach this one; the bound address of peer-listen unless set",
+            Address(minPort = 1),
+        )
+    val peerSeeds =
+        Setting(
+            "peer-seeds",
+            "peer listeners to ask for members and configuration while no other entry instance is known",
+            SettingType.AddressList,
+        )
     val operatorListen =
         Setting("operator-listen", "listener for metrics, health and status; closed unless set", Address(minPort = 0))
     val platform =
@@ -134,6 +146,8 @@
             failureDomain,
             listen,
             peerListen,
+            peerAdvertise,
+            peerSeeds,
             operatorListen,
             platform,
             sessionKeys,
--- a/cli/src/main/kotlin/io/jackdawring/cli/settings/SettingType.kt
+++ b/cli/src/main/kotlin/io/jackdawring/cli/settings/SettingType.kt
@@ -36,6 +36,15 @@
         }
     }
 
+    /** `ip:port[,ip:port...]` of listeners of other processes. */
+    data object AddressList : SettingType {
+        private val address = Address(minPort = 1)
+        override val range = "IP:PORT[,IP:PORT...] with ports from 1 to 65535"
+        override val metaVariable = "ADDRESSES"
+
+        override fun accepts(value: String): Boolean = value.split(',').all(address::accepts)
+    }
+
     /** A file that this process can read. */
     data object ReadableFile : SettingType {
         override val range = "the name of a readable file"
--- a/core/src/main/kotlin/io/jackdawring/core/EntryOptions.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/EntryOptions.kt
@@ -1,5 +1,8 @@
 package io.jackdawring.core
 
+import kotlinx.collections.immutable.ImmutableList
+import kotlinx.collections.immutable.toImmutableList
+
 /**
  * Immutable settings of one [EntryInstance].
  *
@@ -25,6 +28,7 @@
     val dropAfterMillis: Long,
     val retryBudgetPercent: Int,
     val targetPolicy: TargetPolicy,
+    val peerSeeds: ImmutableList<String>,
 ) {
     /** Builds [EntryOptions]; defaults are those of the command line. */
     class Builder(
@@ -49,6 +53,9 @@
         var retryBudgetPercent: Int = 10
         var targetPolicy: TargetPolicy = TargetPolicy.AdaptiveWindow
 
+        /** Peer listeners that receive digests while neither the platform's list nor gossip names a peer. */
+        var peerSeeds: List<String> = emptyList()
+
         fun build(): EntryOptions =
             EntryOptions(
                 self = self,
@@ -70,6 +77,7 @@
                 dropAfterMillis = dropAfterMillis,
                 retryBudgetPercent = retryBudgetPercent,
                 targetPolicy = targetPolicy,
+                peerSeeds = peerSeeds.toImmutableList(),
             )
     }
 }
--- a/core/src/main/kotlin/io/jackdawring/core/membership/RealMembership.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/membership/RealMembership.kt
@@ -248,6 +248,7 @@
         nextGossipMillis = nowMillis + options.gossipIntervalMillis
         val addresses =
             (byAddress.keys + listedAddresses)
+                .ifEmpty { options.peerSeeds.toSet() }
                 .filter { it != self.peerAddress }
                 .sorted()
         val (doubtful, healthy) = addresses.partition { isDoubtful(it) }
--- a/core/src/test/kotlin/io/jackdawring/core/membership/RealMembershipTest.kt
+++ b/core/src/test/kotlin/io/jackdawring/core/membership/RealMembershipTest.kt
@@ -51,6 +51,20 @@
         assertEquals(inOrder.successorOf(b), shuffled.successorOf(b))
     }
 
+    /** Guards against a start without the platform that finds no peer, and against seeds that get digests for ever. */
+    @Test
+    fun `seeds get digests only while no peer is known`() {
+        val seeds = listOf(a.peerAddress, "10.0.0.9:7100")
+        val membership = RealMembership(entryOptions(a) { peerSeeds = seeds }) {}
+        assertEquals(listOf("10.0.0.9:7100"), membership.takeGossipPeers(0))
+        membership.applyList(instanceList(1, listOf(b)), 500)
+        assertEquals(listOf(b.peerAddress), membership.takeGossipPeers(1_000))
+        membership.applyList(instanceList(2, emptyList()), 1_500)
+        assertEquals(listOf("10.0.0.9:7100"), membership.takeGossipPeers(2_000))
+        membership.hear(fact(b), atMillis = 2_500)
+        assertEquals(listOf(b.peerAddress), membership.takeGossipPeers(3_000))
+    }
+
     /** Guards against late suspicion, against forgetting too early, and against a suspicion that nothing clears. */
     @Test
     fun `silence and failed sends move a member between its states`() {
--- a/server/src/main/kotlin/io/jackdawring/server/RealEntryServer.kt
+++ b/server/src/main/kotlin/io/jackdawring/server/RealEntryServer.kt
@@ -76,7 +76,7 @@
 
     private fun start(factory: EntryInstance.Factory) {
         val tokens = SessionTokens(sessionKeys())
-        // The peer listener comes first, because the instance's identity contains its bound address. Messages that
+        // The peer listener comes first, because the instance's identity may contain its bound address. Messages that
         // arrive before the control thread exists are refused, which their senders see as a failed send.
         val peerApi = PeerApi(catalog) { control }
         peerServer =
@@ -84,7 +84,12 @@
                 if (::control.isInitialized) peerApi.handle(it) else it.respond(STARTING)
             }
         val self =
-            Owner(options.instanceId, System.currentTimeMillis(), peerServer.address, options.failureDomain)
+            Owner(
+                options.instanceId,
+                System.currentTimeMillis(),
+                options.peerAdvertise ?: peerServer.address,
+                options.failureDomain,
+            )
         control = createControl(factory, self)
         control.start()
         callerServer = listen(options.callerListen, options.callerTls, CallerApi(tokens, metrics) { control })
--- a/server/src/main/kotlin/io/jackdawring/server/ServerOptions.kt
+++ b/server/src/main/kotlin/io/jackdawring/server/ServerOptions.kt
@@ -20,6 +20,7 @@
     val failureDomain: FailureDomainId,
     val callerListen: String,
     val peerListen: String,
+    val peerAdvertise: String?,
     val operatorListen: String?,
     val platformAddress: String,
     val sessionKeys: ImmutableList<SessionKey>,
@@ -43,6 +44,9 @@
     ) {
         var callerListen: String = "127.0.0.1:0"
         var peerListen: String = "127.0.0.1:0"
+
+        /** Address at which peers reach this instance, or null for the bound address of [peerListen]. */
+        var peerAdvertise: String? = null
         var operatorListen: String? = null
         var platformAddress: String = "127.0.0.1:7400"
         var sessionKeys: List<SessionKey> = persistentListOf()
@@ -65,6 +69,7 @@
                 failureDomain = failureDomain,
                 callerListen = callerListen,
                 peerListen = peerListen,
+                peerAdvertise = peerAdvertise,
                 operatorListen = operatorListen,
                 platformAddress = platformAddress,
                 sessionKeys = sessionKeys.toImmutableList(),
