--- /dev/null
+++ b/cli/src/test/kotlin/io/jackdawring/cli/process/RollingReplacementTest.kt
@@ -0,0 +1,129 @@
+package io.jackdawring.cli.process
+
+import org.junit.jupiter.api.Test
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.CopyOnWriteArrayList
+import java.util.concurrent.atomic.AtomicLong
+import kotlin.concurrent.thread
+import kotlin.test.assertEquals
+import kotlin.test.assertNotNull
+import kotlin.test.assertTrue
+
+/** Replaces every entry instance under load, as an operator does with a new release. */
+class RollingReplacementTest {
+    private class Sent(
+        val session: String,
+        val job: Job,
+        val answer: Answer,
+    )
+
+    /** Callers behind a balancer; each keeps its session until its instance leaves or refuses. */
+    private class Load(
+        private val balancer: List<Cluster.Entry>,
+    ) : AutoCloseable {
+        val sent = ConcurrentHashMap.newKeySet<Sent>()
+        private val failures = CopyOnWriteArrayList<Throwable>()
+        private val ids = AtomicLong()
+
+        @Volatile
+        private var stopped = false
+        private val callers =
+            List(CALLERS) { index ->
+                thread(name = "caller-$index") { runCatching { call(index) }.onFailure(failures::add) }
+            }
+
+        private fun call(index: Int) {
+            var turn = index
+            while (!stopped) {
+                val entry = balancer.toList().let { it[turn++ % it.size] }
+                val session = Http.openSession(entry.callers) ?: continue
+                do {
+                    val job = Job("roll-${ids.incrementAndGet()}", tasks = 2, runMillis = 30)
+                    val answer = Http.submit(entry.callers, session, job).get()
+                    sent += Sent(session, job, answer)
+                } while (!stopped && answer.status == 200 && entry in balancer)
+            }
+        }
+
+        override fun close() {
+            stopped = true
+            callers.forEach { it.join() }
+            failures.forEach { throw it }
+        }
+    }
+
+    /**
+     * Guards against requests that a shutdown cuts off, refusals of what ran, and answers that are lost with their owner.
+     */
+    @Test
+    fun `a rolling replacement cuts off nothing and keeps the answers`() {
+        Cluster("rolling").use { cluster ->
+            val balancer = CopyOnWriteArrayList(cluster.entries)
+            val longJobs = ArrayList<Sent>()
+            val load = Load(balancer)
+            load.use {
+                cluster.entries.toList().forEachIndexed { index, old ->
+                    balancer += cluster.start("e${index + 5}", old.domain)
+                    longJobs += replace(old, balancer, "long-${old.id}")
+                }
+            }
+            val sent = load.sent + longJobs
+            val (complete, others) = sent.partition { it.answer.status == 200 }
+            others.forEach { assertTrue(it.answer.isRefused, "${it.job.id}: ${it.answer}") }
+            val starts =
+                cluster
+                    .starts()
+                    .groupingBy {
+                        it.task
+                            .split('/')
+                            .takeLast(2)
+                            .first()
+                    }.eachCount()
+            others.forEach { assertEquals(0, starts[it.job.id] ?: 0, "${it.job.id} was refused and ran") }
+            assertTrue(complete.size > 4 * CALLERS, "only ${complete.size} jobs")
+            assertAnswersKept(cluster, longJobs + complete.shuffled().take(SAMPLE))
+            cluster.assertNoDoubleStarts()
+        }
+    }
+
+    /** Stops [old] while a job runs there, which holds up the end of its process; returns that job. */
+    private fun replace(
+        old: Cluster.Entry,
+        balancer: MutableList<Cluster.Entry>,
+        id: String,
+    ): Sent {
+        val session = assertNotNull(Http.openSession(old.callers))
+        val job = Job(id, tasks = 2, runMillis = 1_500)
+        val running = Http.submit(old.callers, session, job)
+        awaitTrue("$id runs") { old.status().tasksInFlight > 0 }
+        old.terminate()
+        awaitTrue("${old.id} drains") { old.status().draining }
+        val refused = Http.submit(old.callers, session, Job("$id-late")).get()
+        assertEquals(503, refused.status, "a new job at a draining instance: $refused")
+        balancer.remove(old)
+        val answer = running.get()
+        assertEquals(200, answer.status, "a job in progress at ${old.id}: $answer")
+        assertEquals(0, old.exitCode())
+        return Sent(session, job, answer)
+    }
+
+    private fun assertAnswersKept(
+        cluster: Cluster,
+        jobs: List<Sent>,
+    ) = jobs.forEach { sent ->
+        cluster.entries.forEach { entry ->
+            val recorded =
+                await("the answer to ${sent.job.id} through ${entry.id}") {
+                    Http.submit(entry.callers, sent.session, sent.job).get().takeUnless { it.isUnknown }
+                }
+            assertEquals(sent.answer.body, recorded.body)
+        }
+    }
+
+    private companion object {
+        const val CALLERS = 8
+
+        /** Answers read back at every instance; all of them would take longer than the replacement. */
+        const val SAMPLE = 40
+    }
+}
