--- a/cli/src/test/kotlin/io/jackdawring/cli/process/ProgramProcess.kt
+++ b/cli/src/test/kotlin/io/jackdawring/cli/process/ProgramProcess.kt
@@ -2,6 +2,7 @@
 
 import java.io.File
 import java.util.Collections
+import java.util.concurrent.CompletableFuture
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.TimeUnit
@@ -91,6 +92,10 @@
     }
 }
 
+/** Runs [body] in a thread of its own; the result fails if [body] does. */
+internal fun inThread(body: () -> Unit): CompletableFuture<Void> =
+    CompletableFuture.runAsync(body) { thread(isDaemon = true, block = it::run) }
+
 internal fun awaitTrue(
     what: String,
     condition: () -> Boolean,
