--- a/core/src/test/kotlin/io/jackdawring/core/target/RealTargetPoolTest.kt
+++ b/core/src/test/kotlin/io/jackdawring/core/target/RealTargetPoolTest.kt
@@ -122,6 +122,19 @@
         }
     }
 
+    /** Guards against shares that add up to more or less than the slots, which causes refusals or idle slots. */
+    @Test
+    fun `the shares of all instances add up to the slots`() {
+        val ids = List(20) { "t$it" }.toTypedArray()
+        for (instances in listOf(1, 3, 8, 9, 24)) {
+            val shares =
+                (0 until instances).map { rank ->
+                    pool(*ids).also { it.shareWith(instances, rank) }.status().associate { it.targetId to it.window }
+                }
+            for (id in ids) assertEquals(8, shares.sumOf { it.getValue(TargetId(id)) }, "$instances instances, $id")
+        }
+    }
+
     /** Guards against idle slots that a burst at one instance cannot use, and against use of slots of others. */
     @Test
     fun `usage reports open and close the window`() {
@@ -221,6 +234,20 @@
         }
     }
 
+    /** Guards against billed tasks as probes of a target that is reachable again but fails everything. */
+    @Test
+    fun `failures after a refused connection isolate the target`() {
+        val pool = pool("t1", "t2")
+        while (pool.chooseId() != "t1") Unit
+        pool.end("t1", notStarted(NotStartedReason.UNREACHABLE))
+        pool.onTimer(200)
+        assertEquals("t1", pool.chooseId(200))
+        pool.end("t1", failed, 200)
+        assertEquals("usable", pool.state("t1"))
+        pool.fail("t1", times = 2, nowMillis = 200)
+        assertEquals("isolated", pool.state("t1"))
+    }
+
     /** Guards against new work for a leaving target, whoever says so, and against a stale list that brings it back. */
     @Test
     fun `a leaving target stays out until the list shows a new registration`() {
@@ -305,6 +332,31 @@
         }
     }
 
+    /** Guards against failures during shutdown that replace the fact that the target is leaving. */
+    @Test
+    fun `failing tasks of a leaving target do not change its fact`() {
+        val pool = pool("t1")
+        repeat(4) { pool.chooseId() }
+        pool.end("t1", notStarted(NotStartedReason.LEAVING))
+        repeat(3) { pool.end("t1", failed) }
+        assertEquals(listOf(TargetFactState.LEAVING), pool.takeFacts().map { it.state })
+        assertEquals("leaving", pool.state("t1"))
+        assertNull(pool.nextTimerMillis())
+    }
+
+    /** Guards against a returned target that stays unused where the list lags. */
+    @Test
+    fun `a return seen by a peer counts if its list is newer`() {
+        for ((listVersion, usable) in listOf(1L to false, 2L to true)) {
+            val pool = pool("t1")
+            pool.applyFact(fact(TargetFactState.LEAVING, 1, 1), 0)
+            pool.applyFact(fact(TargetFactState.RECOVERED, listVersion, 2), 0)
+            assertEquals(usable, pool.isUsed("t1", 0))
+            val expected = if (usable) TargetFactState.RECOVERED else TargetFactState.LEAVING
+            assertEquals(expected, pool.takeFacts().single().state)
+        }
+    }
+
     /** Guards against an isolation that never ends because the peer that reported it is gone. */
     @Test
     fun `an isolation reported by a peer is probed here`() {
--- a/load/src/main/kotlin/io/jackdawring/load/LoadRun.kt
+++ b/load/src/main/kotlin/io/jackdawring/load/LoadRun.kt
@@ -41,6 +41,7 @@
     private val forwards = LongAdder()
     private val sessionsFailed = LongAdder()
     private val maxSendLagNanos = AtomicLong()
+    private val totalSendLagNanos = LongAdder()
 
     /** One for the generator and one for each request without an answer. */
     private val open = AtomicLong(1)
@@ -76,6 +77,8 @@
             wastedPerTask = wasted?.perTask(tasks.sum()),
             doubleStarts = targets?.starts()?.let { starts -> doubleStarts(starts.filter { runId in it.task }).size },
             sessionsFailed = sessionsFailed.sum(),
+            meanSendLagMillis =
+                totalSendLagNanos.sum() / NANOS_PER_MILLI / records.values.sumOf { it.jobs.sum() }.coerceAtLeast(1),
             maxSendLagMillis = TimeUnit.NANOSECONDS.toMillis(maxSendLagNanos.get()),
         )
     }
@@ -130,8 +133,7 @@
             val waitNanos = planned.intendedNanos - elapsedNanos()
             if (waitNanos > 0) {
                 val next = planned
-                // Rounded up, because a timer that fires early would only be scheduled again.
-                timers.schedule(TimeUnit.NANOSECONDS.toMillis(waitNanos) + 1) { sendOpenLoop(next) }
+                timers.scheduleNanos(waitNanos) { sendOpenLoop(next) }
                 return
             }
             send(planned) {}
@@ -157,6 +159,7 @@
     ) {
         val lagNanos = elapsedNanos() - planned.intendedNanos
         maxSendLagNanos.accumulateAndGet(lagNanos, ::maxOf)
+        totalSendLagNanos.add(lagNanos)
         records.getValue(planned.job.kind).jobs.increment()
         tasks.add(
             planned.job.runMillis.size
@@ -184,7 +187,7 @@
             if (entry != session.owner) forwards.increment()
             if (planned.resubmit && sendsLeft == MAX_SENDS) scheduleResubmission(planned.job, session, entry)
             callers.submit(entry, session.token, planned.job) { answer, _ ->
-                if (answer in SESSION_LOST) sessions.remove(planned.caller)
+                if (answer in SESSION_LOST) forget(planned.caller, session)
                 // Nothing of the job was sent, so a caller sends it again in a session of another entry instance.
                 if (answer == JobAnswer.NOT_SENT && sendsLeft > 1) {
                     repeatedSends.increment()
@@ -196,6 +199,14 @@
         }
     }
 
+    /** Makes [caller] open a new session, unless it has replaced [session] already. */
+    private fun forget(
+        caller: Int,
+        session: Session,
+    ) {
+        sessions.computeIfPresent(caller) { _, present -> present.takeIf { it.getNow(null) !== session } }
+    }
+
     private fun scheduleResubmission(
         job: JobSpec,
         session: Session,
@@ -237,6 +248,7 @@
 
     private companion object {
         const val RADIX = 36
+        const val NANOS_PER_MILLI = 1e6
         const val MAX_SENDS = 3
         const val END_MARGIN_MILLIS = 5_000L
 
--- a/testing/src/main/kotlin/io/jackdawring/testing/FakeTarget.kt
+++ b/testing/src/main/kotlin/io/jackdawring/testing/FakeTarget.kt
@@ -20,9 +20,20 @@
     private val random: Random,
     private val startLog: StartLog,
 ) {
-    private val running = HashMap<Any, Run>()
+    private val runs = HashMap<Any, Run>()
     private var incarnation = 0
 
+    /** Number of tasks that run now. */
+    val running: Int get() = runs.size
+
+    /** Number of tasks that this target ever started. */
+    var starts: Int = 0
+        private set
+
+    /** Number of starts refused because all slots were in use. */
+    var busyRefusals: Int = 0
+        private set
+
     var alive: Boolean = true
         private set
     var leaving: Boolean = false
@@ -35,10 +46,6 @@
     var leavingSinceMillis: Long? = null
         private set
 
-    /** Starts that happened after the target had been leaving for longer than the permitted time. */
-    var lateStarts: Int = 0
-        private set
-
     val address: String get() = "target-$id:1"
 
     fun listed(): ListedInstance =
@@ -61,8 +68,8 @@
     fun die() {
         alive = false
         incarnation++
-        val lost = running.values.toList()
-        running.clear()
+        val lost = runs.values.toList()
+        runs.clear()
         lost.forEach { it.answer(TargetAnswer.Lost("connection closed")) }
     }
 
@@ -82,7 +89,10 @@
         when {
             !alive -> answer(TargetAnswer.NotStarted(NotStartedReason.UNREACHABLE))
             leaving && refusesWhenLeaving -> answer(TargetAnswer.NotStarted(NotStartedReason.LEAVING, usage()))
-            running.size >= slots -> answer(TargetAnswer.NotStarted(NotStartedReason.BUSY, usage()))
+            runs.size >= slots -> {
+                busyRefusals++
+                answer(TargetAnswer.NotStarted(NotStartedReason.BUSY, usage()))
+            }
             else -> run(start, connection, answer)
         }
     }
@@ -92,7 +102,7 @@
 
     /** Stops the task of a connection that its sender closed. */
     fun disconnect(connection: Any) {
-        running.remove(connection)
+        runs.remove(connection)
     }
 
     private fun run(
@@ -101,12 +111,11 @@
         answer: (TargetAnswer) -> Unit,
     ) {
         startLog.record(start.task)
-        val since = leavingSinceMillis
-        if (since != null && clock.nowMillis - since > LEAVING_LIMIT_MILLIS) lateStarts++
-        running[connection] = Run(answer)
+        starts++
+        runs[connection] = Run(answer)
         val startedBy = incarnation
         clock.schedule(runMillis(random)) {
-            if (incarnation == startedBy && running.remove(connection) != null) answer(result(start))
+            if (incarnation == startedBy && runs.remove(connection) != null) answer(result(start))
         }
     }
 
@@ -117,16 +126,14 @@
             TargetAnswer.Succeeded(Payload.of("\"${start.task}\""), usage())
         }
 
-    private fun usage() = TargetUsage(running.size, leaving)
+    private fun usage() = TargetUsage(runs.size, leaving)
 
     private class Run(
         val answer: (TargetAnswer) -> Unit,
     )
 
-    companion object {
-        /** A leaving target must receive nothing new after this time. */
-        const val LEAVING_LIMIT_MILLIS = 3_000L
-        private const val MIN_RUN_MILLIS = 5L
-        private const val MAX_RUN_MILLIS = 400L
+    private companion object {
+        const val MIN_RUN_MILLIS = 5L
+        const val MAX_RUN_MILLIS = 400L
     }
 }
--- a/testing/src/main/kotlin/io/jackdawring/testing/FakeWorld.kt
+++ b/testing/src/main/kotlin/io/jackdawring/testing/FakeWorld.kt
@@ -55,8 +55,9 @@
         val options =
             entryOptions(owner) {
                 seed = random.nextLong()
-                wallClockOffsetMillis = WALL_CLOCK_AT_START_MILLIS
                 customize()
+                val skewMillis = claimClockSkewMillis / 2
+                wallClockOffsetMillis = WALL_CLOCK_AT_START_MILLIS + random.nextLong(-skewMillis, skewMillis + 1)
             }
         val instance = FakeInstance(options, factory, this)
         instances.add(instance)
@@ -75,9 +76,14 @@
         return target
     }
 
+    /** The platform's list as operators see it. */
+    var publishedList = InstanceList(0, emptyList())
+        private set
+
     /** Publishes the present list of instances; each entry instance sees it after its own lag. */
     fun publishList() {
         val list = InstanceList(++listVersion, listedInstances() + targets.filter { it.alive }.map { it.listed() })
+        publishedList = list
         for (instance in liveInstances) {
             clock.schedule(random.nextLong(maxListLagMillis)) {
                 if (network.reachesPlatform(instance.owner.failureDomain)) instance.deliver(Event.InstancesListed(list))
@@ -168,6 +174,7 @@
         clock.schedule(effect.remainingMillis + LOST_MARGIN_MILLIS) { onAnswer(TargetAnswer.Lost("no answer")) }
         network.deliver(from, target.failureDomain) {
             if (!connection.closed) {
+                checkLeaving(sender, target)
                 target.start(effect, connection) { answer ->
                     network.deliver(target.failureDomain, from) { onAnswer(answer) }
                 }
@@ -175,20 +182,36 @@
         }
     }
 
+    // While something is cut, an instance may have no way to learn that the target leaves.
+    private fun checkLeaving(
+        sender: FakeInstance,
+        target: FakeTarget,
+    ) {
+        val leavingSince = target.leavingSinceMillis ?: return
+        val wholeSince = network.wholeSinceMillis ?: return
+        val knownForMillis = clock.nowMillis - maxOf(leavingSince, wholeSince, sender.startedAtMillis)
+        if (target.alive && knownForMillis > LEAVING_LIMIT_MILLIS) {
+            val detail = "${sender.owner.instanceId.value} sent a task to ${target.id} $knownForMillis ms after it left"
+            oracle.report(Invariant.LEAVING_TARGET, detail)
+        }
+    }
+
+    // A draining instance removes itself from the list only when it exits.
     private fun listedInstances(): List<ListedInstance> =
-        liveInstances.filterNot { it.draining }.map {
+        liveInstances.map {
             ListedInstance(
                 id = it.owner.instanceId.value,
                 role = InstanceRole.ENTRY,
                 failureDomain = it.owner.failureDomain,
                 address = it.owner.peerAddress,
-                state = ListedState.LIVE,
+                state = if (it.draining) ListedState.LEAVING else ListedState.LIVE,
             )
         }
 
     companion object {
         /** Unix time in milliseconds at virtual time 0. */
         const val WALL_CLOCK_AT_START_MILLIS = 1_790_000_000_000L
+        private const val LEAVING_LIMIT_MILLIS = 3_000L
         private const val PEER_TIMEOUT_MILLIS = 1_000L
         private const val CONNECT_TIMEOUT_MILLIS = 500L
         private const val LOST_MARGIN_MILLIS = 1_000L
--- a/testing/src/main/kotlin/io/jackdawring/testing/FuzzRun.kt
+++ b/testing/src/main/kotlin/io/jackdawring/testing/FuzzRun.kt
@@ -3,6 +3,7 @@
 import io.jackdawring.core.CallerId
 import io.jackdawring.core.Credential
 import io.jackdawring.core.EntryInstance
+import io.jackdawring.core.EntryOptions
 import io.jackdawring.core.FailureDomainId
 import io.jackdawring.core.Payload
 import io.jackdawring.core.RequestId
@@ -18,7 +19,18 @@
     factory: EntryInstance.Factory = EntryInstance.Default,
 ) {
     private val domains = DOMAIN_NAMES.map(::FailureDomainId)
-    val world = FakeWorld(seed, domains, factory)
+    val world =
+        FakeWorld(
+            seed,
+            domains,
+            factory,
+            if (seed % 2 == 0L) {
+                tightLimits
+            } else {
+                {}
+            },
+        )
+    val operators = FakeOperators(world)
     private val sessions = ArrayList<SessionClaims>()
     private val sent = ArrayList<SentSubmission>()
     private val pending = ArrayList<PendingRequest>()
@@ -56,6 +68,7 @@
                 }
             FuzzAction.CANCEL_WAVE -> cancelWave(step)
             FuzzAction.ADVANCE -> world.advance(step.millis)
+            FuzzAction.PUBLISH -> operators.publish()
             FuzzAction.KILL -> killUnlessLast(step)
             FuzzAction.FREEZE -> instance(step.first)?.freeze()
             FuzzAction.RESUME -> world.liveInstances.filter { it.frozen }.let { pick(it, step.first)?.resume() }
@@ -232,6 +245,8 @@
         world.liveInstances.filter { it.frozen }.forEach { it.resume() }
         heal()
         storeUp()
+        world.advance(CONFIGURATION_LIMIT_MILLIS)
+        operators.checkConverged()
         world.advance(Submission.MAX_DEADLINE_MILLIS + FINISH_MARGIN_MILLIS)
         pending.filter { !it.answered && it.at.alive }.forEach {
             world.oracle.report(Invariant.ANSWER_IN_TIME, "${it.tag} was never answered")
@@ -279,6 +294,17 @@
     }
 
     private companion object {
+        // Reaches ends of sessions, discarded answers, old keys and exhausted bounds within one schedule.
+        val tightLimits: EntryOptions.Builder.() -> Unit = {
+            sessionLifetimeMillis = 20_000
+            answerRetentionMillis = 4_000
+            maxRecords = 150
+            maxSubmissionsPerSession = 25
+            maxQueuedTasks = 400
+            claimMaxKeyAgeMillis = 15_000
+            claimClockSkewMillis = 1_000
+            claimRatePerSecond = 3
+        }
         val DOMAIN_NAMES = listOf("a", "b", "c")
         val DEADLINES_MILLIS = listOf(500L, 2_000L, 10_000L, 60_000L)
         const val INSTANCES_PER_DOMAIN = 2
@@ -291,6 +317,7 @@
         const val LOST_REPLY_PERCENT = 30
         const val MAX_STRAGGLER_MILLIS = 8_000L
         const val SETTLE_MILLIS = 5_000L
+        const val CONFIGURATION_LIMIT_MILLIS = 4_000L
         const val FINISH_MARGIN_MILLIS = 15_000L
 
         // A forwarded request may wait for an acknowledgement (1 s) after the time that its deadline allows.
--- a/testing/src/main/kotlin/io/jackdawring/testing/Oracle.kt
+++ b/testing/src/main/kotlin/io/jackdawring/testing/Oracle.kt
@@ -16,7 +16,7 @@
     /** Everything that went wrong so far. */
     val violations: List<Violation> get() = found
 
-    /** Number of answers seen, by the kind of outcome. */
+    /** Number of answers seen, by outcome and reason. */
     val answers = HashMap<String, Int>()
 
     /** Notes that a caller sent a request for the submission named [submission] with [tasks] tasks. */
@@ -48,7 +48,7 @@
             report(Invariant.TRUTHFUL_REFUSAL, "$task started, but was never submitted")
             return
         }
-        if (!view.started.add(task.taskIndex)) report(Invariant.SINGLE_START, "$task started twice")
+        if (!view.started.add(task.taskIndex)) report(Invariant.SINGLE_START, "$task started twice; ${view.describe()}")
         if (view.closed) report(Invariant.WHOLE_ANSWER, "$task started after the final answer ${view.finalAnswer}")
         if (view.openRequests == 0 && !view.mayStillRun) {
             report(Invariant.TRUTHFUL_REFUSAL, "$task started after 'not run'")
@@ -64,7 +64,7 @@
         val view = view(submission)
         view.openRequests--
         view.history.add("answered: $requestTag: ${outcome.summary()}")
-        answers.merge(outcome::class.simpleName.orEmpty(), 1, Int::plus)
+        answers.merge(outcome.kind(), 1, Int::plus)
         when (outcome) {
             is Outcome.Complete -> checkComplete(submission, requestTag, view, outcome)
             is Outcome.Failed -> checkFailed(submission, view, outcome)
@@ -117,13 +117,10 @@
         outcome: Outcome.Refused,
     ) {
         // Another body under the same id was not run; the first body may have been.
-        if (outcome.reason == RefusalReason.FINGERPRINT_MISMATCH) return
-        if (view.started.isNotEmpty()) {
-            report(
-                Invariant.TRUTHFUL_REFUSAL,
-                "$submission was refused (${outcome.reason}), but ran ${view.describe()}",
-            )
-        }
+        if (outcome.reason == RefusalReason.FINGERPRINT_MISMATCH || view.started.isEmpty()) return
+        val cutOff = outcome.reason == RefusalReason.DRAINING
+        val invariant = if (cutOff) Invariant.GRACEFUL_SHUTDOWN else Invariant.TRUTHFUL_REFUSAL
+        report(invariant, "$submission was refused (${outcome.reason}), but ran ${view.describe()}")
     }
 
     private fun close(
@@ -141,6 +138,14 @@
 
     private fun view(submission: String) = checkNotNull(submissions[submission]) { "$submission was not submitted" }
 
+    private fun Outcome.kind(): String =
+        when (this) {
+            is Outcome.Complete -> "complete"
+            is Outcome.Failed -> "failed: $reason"
+            is Outcome.Refused -> "refused: $reason"
+            is Outcome.Unknown -> "unknown: $reason"
+        }
+
     private fun Outcome.summary(): String = if (this is Outcome.Complete) "${results.size} results" else toString()
 
     private class SubmissionView(
