--- a/core/src/main/kotlin/io/jackdawring/core/membership/RealMembership.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/membership/RealMembership.kt
@@ -263,6 +263,7 @@
         urgent = false
         val addresses =
             (byAddress.keys + listedAddresses)
+                .ifEmpty { options.peerSeeds.toSet() }
                 .filter { it != self.peerAddress }
                 .sorted()
         val (doubtful, healthy) = addresses.partition { isDoubtful(it) }
