Ask the successor of a drained owner first

A resubmission right after an instance had handed over and ended was answered unknown: the others already knew its successor, but still forwarded to the owner until a failed send made it suspect. Excluded: a missing hand-over or announcement (the log shows both before the answer).

Before: owner-unreachable at the first resubmission in a shutdown without the platform. After: the recorded answer through every instance.

--- a/cli/src/test/kotlin/io/jackdawring/cli/process/PlatformFailureTest.kt
+++ b/cli/src/test/kotlin/io/jackdawring/cli/process/PlatformFailureTest.kt
@@ -154,7 +154,7 @@
         assertEquals(1, cluster.starts(job))
     }
 
-    /** Guards against the same with connections refused, and against a new instance that waits for the platform. */
+    /** Guards against the same with connections refused, and against starts and shutdowns that need the platform. */
     @Test
     @Order(6)
     fun `a killed platform stops only what needs it`() {
@@ -166,6 +166,14 @@
         assertEquals(version, newcomer.status().configurationVersion)
         awaitTrue("e5 knows all others") { newcomer.status().members.count { it.state == "live" } >= 4 }
         assertInForce(version)
+        val leaver = cluster.entry("e4")
+        val job = Job("before-leaving", tasks = 2)
+        val answer = Http.submit(leaver.callers, sessions[leaver], job).get()
+        leaver.terminate()
+        assertEquals(0, leaver.exitCode())
+        cluster.entries.forEach { entry ->
+            assertEquals(answer, Http.submit(entry.callers, sessions[leaver], job).get(), "through ${entry.id}")
+        }
     }
 
     private fun openSessions() = cluster.entries.associateWith { assertNotNull(Http.openSession(it.callers)) }
--- a/core/src/main/kotlin/io/jackdawring/core/forward/SubmissionRouter.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/forward/SubmissionRouter.kt
@@ -175,7 +175,8 @@
         replyTo: ReplyTo.Caller,
         nowMillis: Long,
     ) {
-        val holder = if (membership.isReachable(owner)) owner else membership.successorOf(owner)
+        // An owner that named a successor has handed over all records and may end before it becomes suspect.
+        val holder = membership.successorOf(owner) ?: owner.takeIf { membership.isReachable(it) }
         when {
             holder == null -> outlet.reply(replyTo, OWNER_UNREACHABLE)
             holder == self ->
