Clean up records in batches; look for unreachable owners only after a change

Cause: each kept answer set a timer of its own, and each timer looked through all pending forwards; at 3,444 jobs a second that is as many passes. Change: sessions, key records and answers are cleaned up to 1 s late in batches, and pending forwards are checked when the state of a member changed. The effect on the event rate was not measured on its own.

--- a/core/src/main/kotlin/io/jackdawring/core/RealEntryInstance.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/RealEntryInstance.kt
@@ -33,7 +33,7 @@
     private val outlet = EffectOutlet(self)
     private val sessions = RealSessionTable.Factory.create(options, self)
     private val handedOver = HandedOverRecords(options.maxRecords)
-    private val membership = RealMembership.Factory.create(options, outlet::report)
+    private val membership = RealMembership.Factory.create(options, ::onMemberChanged)
     private val configuration = RealConfigurationRegistry.Factory.create(options, RegistryOutlet())
     private val pool = RealTargetPool.Factory.create(options, outlet::report)
     private val queue = RealTaskQueue.Factory.create(options)
@@ -52,6 +52,7 @@
     private val router =
         SubmissionRouter(options, outlet, sessions, handedOver, claims, forwarder, membership, admission, runner)
     private val pauseDetector = PauseDetector()
+    private var membersChanged = false
     private var sharedWith = 0
     private var sharedRank = -1
     private var dueAtMillis = Long.MIN_VALUE
@@ -156,7 +157,7 @@
         members.filter { it.owner == sender }.forEach {
             configuration.onPeerVersion(sender, it.configurationVersion, nowMillis)
         }
-        forwarder.answerUnreachable(membership::isReachable)
+        answerUnreachable()
     }
 
     private fun onAcknowledged(
@@ -210,7 +211,7 @@
         sessions.onTimer(nowMillis)
         handedOver.onTimer(nowMillis)
         membership.onTimer(nowMillis)
-        forwarder.answerUnreachable(membership::isReachable)
+        answerUnreachable()
         forwarder.onTimer(nowMillis)
         router.onTimer(nowMillis)
         configuration.onTimer(nowMillis)
@@ -219,6 +220,18 @@
         gossip(nowMillis)
     }
 
+    private fun onMemberChanged(change: StateChange) {
+        membersChanged = true
+        outlet.report(change)
+    }
+
+    // Looks through all pending forwards, so it must not run on every timer.
+    private fun answerUnreachable() {
+        if (!membersChanged) return
+        membersChanged = false
+        forwarder.answerUnreachable(membership::isReachable)
+    }
+
     private fun gossip(nowMillis: Long) {
         membership.setTasksInFlight(runner.tasksInFlight)
         val peers = membership.takeGossipPeers(nowMillis)
--- a/core/src/main/kotlin/io/jackdawring/core/session/RealSessionTable.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/session/RealSessionTable.kt
@@ -89,12 +89,15 @@
         }
     }
 
-    override fun nextTimerMillis(): Long? =
-        listOfNotNull(
-            sessionsByExpiry.firstOrNull()?.expiresAtMillis,
-            keyRecordsByExpiry.firstOrNull()?.expiresAtMillis,
-            answers.nextExpiryMillis(),
-        ).minOrNull()
+    override fun nextTimerMillis(): Long? {
+        val firstMillis =
+            minOf(
+                sessionsByExpiry.firstOrNull()?.expiresAtMillis ?: Long.MAX_VALUE,
+                keyRecordsByExpiry.firstOrNull()?.expiresAtMillis ?: Long.MAX_VALUE,
+                answers.nextExpiryMillis() ?: Long.MAX_VALUE,
+            )
+        return if (firstMillis == Long.MAX_VALUE) null else firstMillis + CLEAN_UP_DELAY_MILLIS
+    }
 
     override fun onTimer(nowMillis: Long) {
         answers.discardExpired(nowMillis)
@@ -148,5 +151,8 @@
     companion object {
         val Factory = SessionTable.Factory { options, self -> RealSessionTable(options, self) }
         private const val SESSION_ID_RADIX = 36
+
+        // Cleans up in batches; a timer for each kept answer would fire thousands of times a second at the peak.
+        private const val CLEAN_UP_DELAY_MILLIS = 1_000L
     }
 }
