Spare the highest class from probes and model faults of targets and instances

Cause: the first idempotent task became the probe of an isolated target, and dispatch begins with the highest class. A failing probe fails its job.

Change: a task of the highest class is a probe only after a further interval while lower classes were seen in the last 10 s. The fleet model now has slow, failing and unreachable targets and the death of an entry instance.

--- a/core/src/main/kotlin/io/jackdawring/core/target/RealTargetPool.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/target/RealTargetPool.kt
@@ -110,6 +110,7 @@
         nowMillis: Long,
     ): ChosenTarget? {
         val service = services[need.service] ?: return null
+        service.notePresence(need, nowMillis)
         val target = probe(service, need, nowMillis) ?: chooser.choose(service, need, nowMillis)
         if (target == null) {
             if (retryAtMillis == null) retryAtMillis = nowMillis + RETRY_MILLIS
@@ -336,10 +337,11 @@
         need: TaskNeed,
         nowMillis: Long,
     ): Boolean =
-        need.idempotent ||
+        // A failing probe fails its job, so the highest class is spared while lower ones are present.
+        (need.idempotent && !service.isTopClass(need, nowMillis)) ||
             // A refused connection provably starts nothing.
             target.health == Health.UNREACHABLE ||
-            // No idempotent task came within a further interval, since it would have become the probe.
+            // No better task came within a further interval, since it would have become the probe.
             nowMillis >= target.blockedUntilMillis + target.blockMillis ||
             service.accepting.none { it.health == Health.USABLE }
 
--- a/core/src/main/kotlin/io/jackdawring/core/target/ServiceTargets.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/target/ServiceTargets.kt
@@ -62,13 +62,20 @@
     /** Earliest time of the next start on a target that is believed to be full. */
     var nextForcedMillis = Long.MIN_VALUE / 2
 
+    /** Notes a task of a lower class, also if it becomes a probe. */
+    fun notePresence(
+        need: TaskNeed,
+        nowMillis: Long,
+    ) {
+        if (need.priority > topPriority) lowerSeenAtMillis = nowMillis
+    }
+
     /** Whether the free slots are left to a higher class that was seen lately. */
     fun isKeptFrom(
         need: TaskNeed,
         nowMillis: Long,
     ): Boolean {
         if (need.priority <= topPriority) return false
-        lowerSeenAtMillis = nowMillis
         learnBacklog(nowMillis)
         if (nowMillis - topSeenAtMillis <= CLASS_MEMORY_MILLIS) {
             val kept = room <= headroom
--- a/core/src/test/kotlin/io/jackdawring/core/target/FleetModel.kt
+++ b/core/src/test/kotlin/io/jackdawring/core/target/FleetModel.kt
@@ -16,6 +16,7 @@
 import io.jackdawring.core.queue.QueuedJob
 import io.jackdawring.core.queue.RealTaskQueue
 import java.util.PriorityQueue
+import java.util.TreeMap
 import kotlin.math.ln
 import kotlin.random.Random
 
@@ -48,8 +49,26 @@
     val reportsUsage: Boolean = true,
     val ranked: Boolean = true,
     val seed: Long = 1,
+    val faults: Faults = Faults(),
 )
 
+/** What goes wrong in one run of [FleetModel]. */
+internal data class Faults(
+    /** Part of the targets that take four times the declared run time. */
+    val slowPart: Double = 0.0,
+    /** Number of targets that fail every task after [FAILURE_MILLIS]. */
+    val failingTargets: Int = 0,
+    /** Time at which the last entry instance is killed; arrivals go to the others, which learn it 3 s later. */
+    val killAtMillis: Long = Long.MAX_VALUE,
+    /** Number of targets that are in the list but refuse connections. */
+    val deadTargets: Int = 0,
+) {
+    companion object {
+        /** A target that fails everything often does so faster than it works. */
+        const val FAILURE_MILLIS = 10L
+    }
+}
+
 /** Measured results of one run; the slowdown of a job is its time over the run time of its longest task. */
 internal data class ModelResult(
     val tasks: Int,
@@ -58,10 +77,23 @@
     val topClassP50: Double,
     val topClassP99: Double,
     val utilisation: Double,
+    /** Tasks that a failing target started, per class, without warm-up; each fails its job. */
+    val failuresByClass: Map<Int, Int> = emptyMap(),
+    /** Failures in the second half of the run, when failing targets are isolated. */
+    val lateFailuresByClass: Map<Int, Int> = emptyMap(),
 ) {
     override fun toString() =
-        "refusals/task %.4f mean %.3f top p50 %.3f top p99 %.3f used %.3f tasks %d"
-            .format(refusalsPerTask, meanSlowdown, topClassP50, topClassP99, utilisation, tasks)
+        "refusals/task %.4f mean %.3f top p50 %.3f top p99 %.3f used %.3f tasks %d failures %s late %s"
+            .format(
+                refusalsPerTask,
+                meanSlowdown,
+                topClassP50,
+                topClassP99,
+                utilisation,
+                tasks,
+                failuresByClass,
+                lateFailuresByClass,
+            )
 }
 
 /** Entry instances that share targets, in virtual time; each instance has its own pool and queue. */
@@ -72,11 +104,13 @@
     private val events = PriorityQueue<Scheduled>(compareBy({ it.atMillis }, { it.order }))
     private var order = 0L
     private var nowMillis = 0L
-    private val targets = List(scenario.targets) { ModelTarget(it, speed()) }
+    private val targets = List(scenario.targets) { ModelTarget(it, speed() * slowness(it), condition(it)) }
     private val entries = List(scenario.entryInstances) { ModelEntry(it) }
     private var starts = 0
     private var refusals = 0
     private var busyMillis = 0.0
+    private val failures = TreeMap<Int, Int>()
+    private val lateFailures = TreeMap<Int, Int>()
     private val slowdowns = ArrayList<Double>()
     private val topSlowdowns = ArrayList<Double>()
     private val warmUpMillis = scenario.seconds * 1_000L / 4
@@ -84,6 +118,11 @@
 
     fun run(): ModelResult {
         scheduleArrival()
+        val killAtMillis = scenario.faults.killAtMillis
+        if (killAtMillis < endMillis) {
+            at(killAtMillis) { entries.last().killed = true }
+            at(killAtMillis + SUSPECT_MILLIS) { entries.dropLast(1).forEachIndexed { rank, it -> it.share(rank) } }
+        }
         while (events.isNotEmpty() && events.peek().atMillis <= endMillis) {
             val next = events.poll()
             nowMillis = next.atMillis
@@ -98,11 +137,24 @@
             topSlowdowns[topSlowdowns.size / 2],
             topSlowdowns[topSlowdowns.size * 99 / 100],
             busyMillis / slotMillis,
+            failures,
+            lateFailures,
         )
     }
 
     private fun speed(): Double = Math.pow(scenario.speedSpread, random.nextDouble(-1.0, 1.0))
 
+    private fun slowness(index: Int) = if (index < scenario.targets * scenario.faults.slowPart) SLOW_FACTOR else 1.0
+
+    private fun condition(index: Int): Condition {
+        val fromLast = scenario.targets - 1 - index
+        return when {
+            fromLast < scenario.faults.failingTargets -> Condition.FAILING
+            fromLast < scenario.faults.failingTargets + scenario.faults.deadTargets -> Condition.DEAD
+            else -> Condition.WORKING
+        }
+    }
+
     private fun at(
         atMillis: Long,
         action: () -> Unit,
@@ -129,7 +181,8 @@
         val priority = if (isBig) scenario.classes.max() else scenario.classes.random(random)
         val tasks = if (isBig) scenario.bigJobTasks else 1 + random.nextInt(scenario.meanTasksPerJob.toInt() * 2 - 1)
         val runs = List(tasks) { 50 + (-ln(1 - random.nextDouble()) * (MEAN_RUN_MILLIS - 50)).toLong() }
-        entries[random.nextInt(entries.size)].submit(ModelJob(order++, priority, runs, nowMillis))
+        val live = entries.filterNot { it.killed }
+        live[random.nextInt(live.size)].submit(ModelJob(order++, priority, runs, nowMillis))
     }
 
     private class Scheduled(
@@ -138,9 +191,16 @@
         val action: () -> Unit,
     )
 
+    private enum class Condition {
+        WORKING,
+        FAILING,
+        DEAD,
+    }
+
     private class ModelTarget(
         index: Int,
         val slowness: Double,
+        val condition: Condition,
     ) {
         val id = TargetId("t$index")
         val domain = "abc"[index % 3].toString()
@@ -183,12 +243,17 @@
             pool.applyList(list, 0)
         }
 
+        var killed = false
+
+        fun share(rank: Int) = pool.shareWith(scenario.entryInstances - 1, if (scenario.ranked) rank else null)
+
         fun submit(job: ModelJob) {
             queue.put(job)
             dispatch()
         }
 
         private fun dispatch() {
+            if (killed) return
             queue.dispatch(::place)
             val dueMillis = pool.nextTimerMillis() ?: return
             if (dueMillis >= timerAtMillis && timerAtMillis > nowMillis) return
@@ -219,21 +284,30 @@
             val sentMillis = nowMillis
             val counted = nowMillis >= warmUpMillis
             at(nowMillis + oneWay) {
-                if (target.inUse >= SLOTS) {
+                if (target.condition == Condition.DEAD) {
                     if (counted) refusals++
-                    val usage = usage(target)
-                    at(nowMillis + maxOf(1, oneWay)) {
-                        refused(job, need, target, sentMillis, run, usage)
-                    }
+                    val answer = TargetAnswer.NotStarted(NotStartedReason.UNREACHABLE)
+                    at(nowMillis + maxOf(1, oneWay)) { refused(job, need, target, sentMillis, run, answer) }
+                } else if (target.inUse >= SLOTS) {
+                    if (counted) refusals++
+                    val answer = TargetAnswer.NotStarted(NotStartedReason.BUSY, usage(target))
+                    at(nowMillis + maxOf(1, oneWay)) { refused(job, need, target, sentMillis, run, answer) }
                 } else {
                     target.inUse++
                     if (counted) starts++
-                    val runMillis = (run * target.slowness).toLong()
+                    val failing = target.condition == Condition.FAILING
+                    val runMillis = if (failing) Faults.FAILURE_MILLIS else (run * target.slowness).toLong()
                     if (counted) busyMillis += minOf(runMillis, endMillis - nowMillis).toDouble()
                     at(nowMillis + runMillis) {
                         target.inUse--
                         val usage = usage(target)
-                        at(nowMillis + oneWay) { succeeded(job, need, target, sentMillis, usage) }
+                        at(nowMillis + oneWay) {
+                            when {
+                                killed -> Unit
+                                failing -> failed(job, need, target, sentMillis)
+                                else -> succeeded(job, need, target, sentMillis, usage)
+                            }
+                        }
                     }
                 }
             }
@@ -247,13 +321,15 @@
             target: ModelTarget,
             sentMillis: Long,
             run: Long,
-            usage: TargetUsage?,
+            answer: TargetAnswer,
         ) {
-            val answer = TargetAnswer.NotStarted(NotStartedReason.BUSY, usage)
+            if (killed) return
             pool.complete(target.id, need, answer, nowMillis - sentMillis, nowMillis)
             queue.taskEnded(job.team)
-            job.waiting.addFirst(run)
-            queue.put(job)
+            if (job.ended >= 0) {
+                job.waiting.addFirst(run)
+                queue.put(job)
+            }
             dispatch()
         }
 
@@ -271,6 +347,23 @@
             dispatch()
         }
 
+        /** Ends the job; its running tasks go on in the model and are ignored afterwards. */
+        private fun failed(
+            job: ModelJob,
+            need: TaskNeed,
+            target: ModelTarget,
+            sentMillis: Long,
+        ) {
+            failures.merge(job.priority, 1, Int::plus)
+            if (nowMillis >= endMillis / 2) lateFailures.merge(job.priority, 1, Int::plus)
+            pool.complete(target.id, need, TargetAnswer.TaskFailed("no"), nowMillis - sentMillis, nowMillis)
+            queue.taskEnded(job.team)
+            queue.remove(job)
+            job.waiting.clear()
+            job.ended = Int.MIN_VALUE
+            dispatch()
+        }
+
         private fun finish(job: ModelJob) {
             if (job.arrivedMillis < warmUpMillis) return
             val slowdown = (nowMillis - job.arrivedMillis).toDouble() / job.runs.max()
@@ -282,6 +375,10 @@
     private companion object {
         const val SLOTS = 8
         const val MEAN_RUN_MILLIS = 200.0
+        const val SLOW_FACTOR = 4.0
+
+        /** Membership suspects a silent member after this time. */
+        const val SUSPECT_MILLIS = 3_000L
         val RESULT = Payload.of("1")
     }
 }
--- a/core/src/test/kotlin/io/jackdawring/core/target/RealTargetPoolTest.kt
+++ b/core/src/test/kotlin/io/jackdawring/core/target/RealTargetPoolTest.kt
@@ -208,6 +208,23 @@
         assertEquals("t1", pool.chooseId(2_500, billed))
     }
 
+    /** Guards against jobs of the highest class that fail as probes, and against probes that never come. */
+    @Test
+    fun `a task of the highest class is a probe only after a further interval`() {
+        val pool = pool("t1", "t2")
+        val lower = need.copy(priority = 2)
+        pool.fail("t1")
+        pool.onTimer(1_300)
+        pool.complete(TargetId(pool.chooseId(1_300)!!), need, null, 1, 1_300)
+        assertEquals("t1", pool.chooseId(1_300, lower))
+        pool.end("t1", failed, 1_300)
+        pool.onTimer(3_800)
+        assertEquals("t2", pool.chooseId(3_800))
+        assertEquals("t1", pool.chooseId(3_800, lower))
+        pool.end("t1", null, 3_800)
+        assertEquals("t1", pool.chooseId(6_000))
+    }
+
     /** Guards against one bad kind of task that takes the whole fleet out of service. */
     @Test
     fun `at most half of the targets are isolated`() {
