--- a/cli/src/main/kotlin/io/jackdawring/cli/Commands.kt
+++ b/cli/src/main/kotlin/io/jackdawring/cli/Commands.kt
@@ -1,5 +1,6 @@
 package io.jackdawring.cli
 
+import io.jackdawring.cli.commands.BenchCommand
 import io.jackdawring.cli.commands.BurnCommand
 import io.jackdawring.cli.commands.CompletionBashCommand
 import io.jackdawring.cli.commands.ConfigCheckCommand
@@ -29,6 +30,7 @@
         LoadCommand(),
         StandinPlatformCommand(),
         StandinTargetCommand(),
+        BenchCommand(),
         DemoCommand(),
         SettingsCommand(),
         CompletionBashCommand(::allCommands),
--- a/cli/src/main/kotlin/io/jackdawring/cli/Components.kt
+++ b/cli/src/main/kotlin/io/jackdawring/cli/Components.kt
@@ -1,6 +1,7 @@
 package io.jackdawring.cli
 
 import io.jackdawring.load.LoadOptions
+import io.jackdawring.load.bench.BenchOptions
 import io.jackdawring.server.EntryServer
 import io.jackdawring.server.ServerOptions
 import java.io.PrintStream
@@ -20,6 +21,12 @@
         out: PrintStream,
     ): Int
 
+    /** Runs benchmarks; returns 0 unless one failed. */
+    fun runBench(
+        options: BenchOptions,
+        out: PrintStream,
+    ): Int
+
     /** Runs the demo; returns its exit code. */
     fun runDemo(out: PrintStream): Int
 }
--- a/cli/src/main/kotlin/io/jackdawring/cli/RealComponents.kt
+++ b/cli/src/main/kotlin/io/jackdawring/cli/RealComponents.kt
@@ -1,6 +1,7 @@
 package io.jackdawring.cli
 
 import io.jackdawring.load.LoadOptions
+import io.jackdawring.load.bench.BenchOptions
 import io.jackdawring.server.EntryServer
 import io.jackdawring.server.ServerOptions
 import io.jackdawring.server.http.HttpTransport
@@ -51,6 +52,13 @@
         out: PrintStream,
     ): Int = io.jackdawring.load.runLoad(options, out)
 
+    override fun runBench(
+        options: BenchOptions,
+        out: PrintStream,
+    ): Int =
+        io.jackdawring.load.bench
+            .runBench(options, out)
+
     override fun runDemo(out: PrintStream): Int = io.jackdawring.load.runDemo(out)
 
     /** Listeners that cannot bind fail with [IllegalStateException]; a stack trace would not help the user. */
--- a/cli/src/test/kotlin/io/jackdawring/cli/CliRun.kt
+++ b/cli/src/test/kotlin/io/jackdawring/cli/CliRun.kt
@@ -4,6 +4,7 @@
 import io.jackdawring.cli.client.ApiClient
 import io.jackdawring.core.InstanceSnapshot
 import io.jackdawring.load.LoadOptions
+import io.jackdawring.load.bench.BenchOptions
 import io.jackdawring.server.EntryServer
 import io.jackdawring.server.ServerOptions
 import java.io.ByteArrayOutputStream
@@ -67,6 +68,11 @@
         out: PrintStream,
     ): Int = if (succeeds) 0 else 1
 
+    override fun runBench(
+        options: BenchOptions,
+        out: PrintStream,
+    ): Int = if (succeeds) 0 else 1
+
     override fun runDemo(out: PrintStream): Int = if (succeeds) 0 else 1
 }
 
