Sample targets without hash operations

Cause: with 1,200-task jobs, 940 targets and 160 teams the decision core handled fewer than 500,000 events/s. A JFR profile showed most samples in HashMap.putVal and getNode below IndexedSet.shuffleFront, which updated the position map twice per sampled target.

Change: positions are fields of the set's entries. The order of items and the random draws stay the same.

--- a/core/src/main/kotlin/io/jackdawring/core/target/IndexedSet.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/target/IndexedSet.kt
@@ -4,16 +4,22 @@
 
 /** Set with constant-time insertion, removal and random access, for sampling. */
 internal class IndexedSet<T : Any> : AbstractCollection<T>() {
-    private val items = ArrayList<T>()
-    private val positions = HashMap<T, Int>()
+    /** An item with its index in [entries]; moving an entry costs no hash operation, which sampling would repeat often. */
+    private class Entry<T>(
+        val item: T,
+        var position: Int,
+    )
 
-    override val size: Int get() = items.size
+    private val entries = ArrayList<Entry<T>>()
+    private val byItem = HashMap<T, Entry<T>>()
 
-    override fun contains(element: T): Boolean = element in positions
+    override val size: Int get() = entries.size
 
-    override fun iterator(): Iterator<T> = items.iterator()
+    override fun contains(element: T): Boolean = element in byItem
 
-    operator fun get(index: Int): T = items[index]
+    override fun iterator(): Iterator<T> = entries.asSequence().map { it.item }.iterator()
+
+    operator fun get(index: Int): T = entries[index].item
 
     fun set(
         item: T,
@@ -31,23 +37,23 @@
         count: Int,
         random: Random,
     ): Int {
-        val sampled = minOf(count, items.size)
-        if (sampled == items.size) return sampled
-        for (index in 0 until sampled) swap(index, random.nextInt(index, items.size))
+        val sampled = minOf(count, entries.size)
+        if (sampled == entries.size) return sampled
+        for (index in 0 until sampled) swap(index, random.nextInt(index, entries.size))
         return sampled
     }
 
     private fun add(item: T) {
-        if (positions.putIfAbsent(item, items.size) == null) items += item
+        if (item in byItem) return
+        val entry = Entry(item, entries.size)
+        byItem[item] = entry
+        entries += entry
     }
 
     private fun remove(item: T) {
-        val position = positions.remove(item) ?: return
-        val last = items.removeAt(items.lastIndex)
-        if (position < items.size) {
-            items[position] = last
-            positions[last] = position
-        }
+        val entry = byItem.remove(item) ?: return
+        val last = entries.removeAt(entries.lastIndex)
+        if (last !== entry) put(last, entry.position)
     }
 
     private fun swap(
@@ -55,10 +61,16 @@
         right: Int,
     ) {
         if (left == right) return
-        val moved = items[left]
-        items[left] = items[right]
-        items[right] = moved
-        positions[items[left]] = left
-        positions[moved] = right
+        val moved = entries[left]
+        put(entries[right], left)
+        put(moved, right)
+    }
+
+    private fun put(
+        entry: Entry<T>,
+        position: Int,
+    ) {
+        entries[position] = entry
+        entry.position = position
     }
 }
