Add the setting spare-slots

Cause: the slots that a borrower leaves free trade response time against wasted messages, and deployments weigh the two differently.

It replaces the constant BORROWER_MARGIN; the highest class leaves at most 1.

--- a/cli/src/main/kotlin/io/jackdawring/cli/settings/ServerOptionsFromSettings.kt
+++ b/cli/src/main/kotlin/io/jackdawring/cli/settings/ServerOptionsFromSettings.kt
@@ -54,6 +54,7 @@
     suspectAfterMillis = from.long(SettingTable.suspectAfterMillis)
     dropAfterMillis = from.long(SettingTable.dropAfterMillis)
     retryBudgetPercent = from.int(SettingTable.retryBudgetPercent)
+    spareSlots = from.int(SettingTable.spareSlots)
 }
 
 private fun ResolvedSettings.tls(
--- a/cli/src/main/kotlin/io/jackdawring/cli/settings/SettingTable.kt
+++ b/cli/src/main/kotlin/io/jackdawring/cli/settings/SettingTable.kt
@@ -113,6 +113,9 @@
     val retryBudgetPercent =
         whole("retry-budget-percent", "starts that may be repeated, as a share of all starts", 0L..100, 10, "%")
 
+    val spareSlots =
+        whole("spare-slots", "slots of a target left free above the own fair share", 1L..8, 2, "slots")
+
     // A job lasts at most 60 s; the rest is for the hand-over of records.
     val drainTimeoutMillis =
         Setting(
@@ -168,6 +171,7 @@
             suspectAfterMillis,
             dropAfterMillis,
             retryBudgetPercent,
+            spareSlots,
             drainTimeoutMillis,
         )
 
--- a/core/src/main/kotlin/io/jackdawring/core/EntryOptions.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/EntryOptions.kt
@@ -24,6 +24,7 @@
     val suspectAfterMillis: Long,
     val dropAfterMillis: Long,
     val retryBudgetPercent: Int,
+    val spareSlots: Int,
     val targetPolicy: TargetPolicy,
 ) {
     /** Builds [EntryOptions]; defaults are those of the command line. */
@@ -47,6 +48,9 @@
         var suspectAfterMillis: Long = 3_000
         var dropAfterMillis: Long = 30_000
         var retryBudgetPercent: Int = 10
+
+        /** Slots of a target that an instance above its fair share leaves free. */
+        var spareSlots: Int = 2
         var targetPolicy: TargetPolicy = TargetPolicy.AdaptiveWindow
 
         fun build(): EntryOptions =
@@ -69,6 +73,7 @@
                 suspectAfterMillis = suspectAfterMillis,
                 dropAfterMillis = dropAfterMillis,
                 retryBudgetPercent = retryBudgetPercent,
+                spareSlots = spareSlots,
                 targetPolicy = targetPolicy,
             )
     }
--- a/core/src/main/kotlin/io/jackdawring/core/target/AdaptiveChooser.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/target/AdaptiveChooser.kt
@@ -11,12 +11,13 @@
  */
 internal class AdaptiveChooser(
     private val random: Random,
+    private val spareSlots: Int,
 ) : TargetChooser {
     val refusals = RefusalEstimator()
     private var budget = BUDGET_MAX
 
     /** Slots that must stay free on a target where this instance has its fair share. */
-    private var margin = PooledTarget.BORROWER_MARGIN
+    private var margin = spareSlots
     private var best: PooledTarget? = null
     private var bestCost = 0.0
     private var bestProbability = 0.0
@@ -63,7 +64,7 @@
     ) {
         val forced = mayForce(service, nowMillis)
         val topClass = service.isTopClass(need, nowMillis)
-        margin = if (topClass) TOP_CLASS_MARGIN else PooledTarget.BORROWER_MARGIN
+        margin = if (topClass) min(TOP_CLASS_MARGIN, spareSlots) else spareSlots
         val accepted =
             when {
                 forced -> 1.0
@@ -74,7 +75,7 @@
         for (index in 0 until sampled) {
             consider(service.full[index], need, nowMillis, accepted)
         }
-        margin = PooledTarget.BORROWER_MARGIN
+        margin = spareSlots
         if (forced && best != null) service.nextForcedMillis = nowMillis + FORCED_INTERVAL_MILLIS
     }
 
--- a/core/src/main/kotlin/io/jackdawring/core/target/PooledTarget.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/target/PooledTarget.kt
@@ -46,6 +46,8 @@
     /** Version of the list that first showed this registration; 0 if it was in the first list. */
     val registeredInVersion: Long,
     private val localDomain: Boolean,
+    /** Slots that this instance leaves free above its fair share. */
+    private val spareSlots: Int,
     /** One entry per service of [instance]. */
     var services: List<ServiceTargets>,
 ) {
@@ -110,14 +112,14 @@
     val hasOwnShare: Boolean get() = withinShare && !shareRefused
 
     /**
-     * Starts that this instance may add now: up to its fair share, or while a slot stays free for the others.
+     * Starts that this instance may add now: up to its fair share, or while the spare slots stay free for the others.
      *
      * The fair share needs no known free slot, because all instances leave it to each other.
      */
     val room: Int
         get() {
             val own = if (shareRefused) min(free, fairShare - inFlight) else fairShare - inFlight
-            return max(0, min(max(own, free - BORROWER_MARGIN), maxInFlight - inFlight))
+            return max(0, min(max(own, free - spareSlots), maxInFlight - inFlight))
         }
 
     val window: Int get() = inFlight + room
@@ -187,12 +189,6 @@
         /** Round trip to another failure domain, 1 ms each way. */
         const val REMOTE_ROUND_TRIP_MILLIS = 2.0
 
-        /**
-         * Slots that an instance above its fair share leaves free.
-         *
-         * Measured in the fleet model at 80% load: 1 gives 0.024 busy refusals per task, 2 gives 0.011.
-         */
-        const val BORROWER_MARGIN = 2
         private const val SLOWNESS_RATE = 0.1
         private const val SLOWNESS_FADE_MILLIS = 10_000.0
     }
--- a/core/src/main/kotlin/io/jackdawring/core/target/RealTargetPool.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/target/RealTargetPool.kt
@@ -27,7 +27,7 @@
     private val services = HashMap<String, ServiceTargets>()
     private val facts = TargetFacts()
     private val health = TargetHealth(random, ::onHealthChanged)
-    private val adaptive = AdaptiveChooser(random)
+    private val adaptive = AdaptiveChooser(random, options.spareSlots)
     private val chooser: TargetChooser = baselineChooser(options.targetPolicy, random) ?: adaptive
 
     /** Starts on registrations that have since been replaced; their answers say nothing about the new one. */
@@ -235,7 +235,7 @@
         nowMillis: Long,
     ): PooledTarget {
         val local = instance.failureDomain == options.self.failureDomain
-        val target = PooledTarget(id, instance, registeredInVersion, local, servicesOf(instance))
+        val target = PooledTarget(id, instance, registeredInVersion, local, options.spareSlots, servicesOf(instance))
         targets[id] = target
         target.share(entryInstances, rank)
         // The targets of the first list are no change.
--- a/core/src/test/kotlin/io/jackdawring/core/target/FleetModel.kt
+++ b/core/src/test/kotlin/io/jackdawring/core/target/FleetModel.kt
@@ -50,6 +50,7 @@
     val ranked: Boolean = true,
     val seed: Long = 1,
     val faults: Faults = Faults(),
+    val spareSlots: Int = 2,
 )
 
 /** What goes wrong in one run of [FleetModel]. */
@@ -232,6 +233,7 @@
                 entryOptions(ownerIn(domain, "e$index")) {
                     seed = scenario.seed * 100 + index
                     targetPolicy = scenario.policy
+                    spareSlots = scenario.spareSlots
                 },
             ) {}
         private val queue = RealTaskQueue()
--- a/core/src/test/kotlin/io/jackdawring/core/target/FleetModelTest.kt
+++ b/core/src/test/kotlin/io/jackdawring/core/target/FleetModelTest.kt
@@ -2,6 +2,7 @@
 
 import io.jackdawring.core.TargetPolicy
 import kotlin.test.Test
+import kotlin.test.assertEquals
 import kotlin.test.assertTrue
 
 /** Compares the adaptive window with baselines and checks properties of it; [FleetAimsTest] asserts the aims. */
@@ -69,6 +70,20 @@
         }
     }
 
+    /** Guards against a setting that does not trade response time against wasted messages in the stated direction. */
+    @Test
+    fun `more spare slots waste fewer messages and wait longer`() {
+        val results =
+            listOf(1, 2, 3).map { spareSlots ->
+                (1L..4L).map { FleetModel(normal.copy(spareSlots = spareSlots, seed = it)).run() }
+            }
+        val waste = results.map { runs -> runs.map { it.refusalsPerTask }.average() }
+        val slowdown = results.map { runs -> runs.map { it.meanSlowdown }.average() }
+        println("spare slots 1 to 3: wasted messages per task $waste, mean slowdown $slowdown")
+        assertEquals(waste.sortedDescending(), waste)
+        assertEquals(slowdown.sorted(), slowdown)
+    }
+
     /** Keeps the baselines running; their results are only printed. */
     @Test
     fun `baselines for comparison`() {
