--- a/core/src/main/kotlin/io/jackdawring/core/EntryOptions.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/EntryOptions.kt
@@ -27,6 +27,7 @@
     val suspectAfterMillis: Long,
     val dropAfterMillis: Long,
     val retryBudgetPercent: Int,
+    val spareSlots: Int,
     val targetPolicy: TargetPolicy,
     val peerSeeds: ImmutableList<String>,
 ) {
@@ -56,6 +57,9 @@
         var suspectAfterMillis: Long = 6_000
         var dropAfterMillis: Long = 30_000
         var retryBudgetPercent: Int = 10
+
+        /** Slots of a target that an instance above its fair share leaves free. */
+        var spareSlots: Int = 2
         var targetPolicy: TargetPolicy = TargetPolicy.AdaptiveWindow
 
         /** Peer listeners that receive digests while neither the platform's list nor gossip names a peer. */
@@ -81,6 +85,7 @@
                 suspectAfterMillis = suspectAfterMillis,
                 dropAfterMillis = dropAfterMillis,
                 retryBudgetPercent = retryBudgetPercent,
+                spareSlots = spareSlots,
                 targetPolicy = targetPolicy,
                 peerSeeds = peerSeeds.toImmutableList(),
             )
