Compare the demo's large job with what its slots can do

The job of 300 tasks, one of the 21 answers of menu-confirmation, was compared with its longest task (149 ms) although 48 slots need 621 ms for its work. The ideal is now the larger of both. The demo prints a line for each phase.

--- a/load/src/main/kotlin/io/jackdawring/load/Demo.kt
+++ b/load/src/main/kotlin/io/jackdawring/load/Demo.kt
@@ -93,7 +93,7 @@
             transport.client().use { client ->
                 timers.use {
                     callers = CallerClient(client, timers)
-                    LocalFleet(fleetOptions { documents = listOf(DOCUMENT) }, transport, entryServers).use(::runWith)
+                    LocalFleet(FLEET, transport, entryServers).use(::runWith)
                 }
             }
         }
@@ -108,13 +108,30 @@
             return
         }
         val sessions = fleet.entries.map { openSession(it) ?: return }
+        out.println("fleet: ${fleet.entries.size} entry instances, ${FLEET.targets} targets with $SLOTS slots in all")
         sendLargeJob(fleet, sessions)
-        sendSingleRequests(fleet, sessions)
-        resubmitWhileRunning(fleet, sessions)
-        resubmitAfterwards(fleet, sessions)
+        phase("single requests: ${SINGLE_REQUESTS * KINDS.size} in ${KINDS.size} classes") {
+            sendSingleRequests(fleet, sessions)
+        }
+        phase("a job resubmitted through another entry instance while it runs") {
+            resubmitWhileRunning(fleet, sessions)
+        }
+        phase("a job resubmitted through another entry instance after its end") {
+            resubmitAfterwards(fleet, sessions)
+        }
         report(fleet)
     }
 
+    /** Runs [action] and prints [name] with the time that it took. */
+    private inline fun phase(
+        name: String,
+        action: () -> Unit,
+    ) {
+        val startNanos = System.nanoTime()
+        action()
+        out.println("$name: ${TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos)} ms")
+    }
+
     private fun openSession(entry: EntryServer): String? {
         step.missing = "a session at ${entry.callerAddress}"
         val token = CompletableFuture<String?>()
@@ -127,7 +144,9 @@
         sessions: List<String>,
     ) {
         val job = job(KINDS[1], List(LARGE_JOB_TASKS) { LARGE_JOB_RUN_MILLIS + it % RUN_MILLIS_SPREAD })
-        await(send(fleet.entries[0], sessions[0], job, "job of $LARGE_JOB_TASKS tasks"))
+        phase("job of $LARGE_JOB_TASKS tasks, at least ${job.idealMillisOn(SLOTS)} ms on $SLOTS slots") {
+            await(send(fleet.entries[0], sessions[0], job, "job of $LARGE_JOB_TASKS tasks"))
+        }
     }
 
     private fun sendSingleRequests(
@@ -188,7 +207,7 @@
         val startNanos = System.nanoTime()
         callers.submit(entry.callerAddress, session, job) { answer, detail ->
             if (answer == JobAnswer.COMPLETE && measured) {
-                slowdowns.getValue(job.kind).record(System.nanoTime() - startNanos, job.idealMillis(0))
+                slowdowns.getValue(job.kind).record(System.nanoTime() - startNanos, job.idealMillisOn(SLOTS))
             }
             request.detail = detail
             request.answer.complete(answer)
@@ -262,7 +281,7 @@
         const val RESUBMITTED_RUN_MILLIS = 600L
         const val POLL_MILLIS = 5L
         val KINDS = persistentListOf("allergen-check", "menu-confirmation", "seating-update")
-        val DOCUMENT =
+        private val DOCUMENT =
             TeamDocument(
                 "stillwater",
                 listOf(
@@ -276,5 +295,7 @@
                     ),
                 ),
             )
+        val FLEET = fleetOptions { documents = listOf(DOCUMENT) }
+        val SLOTS = FLEET.targets * FLEET.slots
     }
 }
--- a/load/src/main/kotlin/io/jackdawring/load/JobSpec.kt
+++ b/load/src/main/kotlin/io/jackdawring/load/JobSpec.kt
@@ -13,6 +13,9 @@
     /** Response time of a system without load: the longest task plus [networkMillis]. */
     fun idealMillis(networkMillis: Long): Long = runMillis.max() + networkMillis
 
+    /** Shortest response time on [slots] slots: no job ends before its longest task, nor before all slots did its work. */
+    fun idealMillisOn(slots: Int): Long = maxOf(runMillis.max(), runMillis.sum() / slots)
+
     /** Value that the payload of task [index] carries and its result must repeat; no other task has it. */
     fun marker(index: Int): String = "$submissionId/$index"
 }
