Report unexpected exceptions with exit code 70 and one line

They ended the process with a stack trace and exit code 1, which scripts read as a failed job. The stack trace is printed with JACKDAWRING_STACK_TRACE=true. Unusable TLS files of a listener are reported like an address in use.

--- a/cli/src/main/kotlin/io/jackdawring/cli/CommandLine.kt
+++ b/cli/src/main/kotlin/io/jackdawring/cli/CommandLine.kt
@@ -89,9 +89,25 @@
         } catch (e: StartException) {
             context.err.println("jackdawring ${command.name}: ${e.message}")
             ExitCode.FAILED
+        } catch (e: Exception) {
+            internalError(context, command, e)
         }
     }
 
+    /** Users need one line; whoever looks for the fault asks for the stack trace. */
+    private fun internalError(
+        context: CommandContext,
+        command: Command,
+        cause: Exception,
+    ): ExitCode {
+        val summary = cause.toString().lineSequence().first()
+        val withTrace = context.environment[STACK_TRACE_VARIABLE] == "true"
+        val hint = if (withTrace) "" else " (set $STACK_TRACE_VARIABLE=true for the stack trace)"
+        context.err.println("jackdawring ${command.name}: internal fault: $summary$hint")
+        if (withTrace) cause.printStackTrace(context.err)
+        return ExitCode.INTERNAL
+    }
+
     private fun usageError(
         context: CommandContext,
         message: String,
@@ -123,6 +139,9 @@
     companion object {
         const val COMMAND_WIDTH = 20
 
+        /** Environment variable that adds the stack trace to the message of an internal fault. */
+        const val STACK_TRACE_VARIABLE = "JACKDAWRING_STACK_TRACE"
+
         /** args4j parser of [command] with the flags of its properties and of its settings. */
         fun parser(command: Command): CmdLineParser {
             val parser = CmdLineParser(command, ParserProperties.defaults().withUsageWidth(100).withShowDefaults(false))
--- a/cli/src/main/kotlin/io/jackdawring/cli/RealComponents.kt
+++ b/cli/src/main/kotlin/io/jackdawring/cli/RealComponents.kt
@@ -53,11 +53,16 @@
 
     override fun runDemo(out: PrintStream): Int = io.jackdawring.load.runDemo(out)
 
-    /** Listeners that cannot bind fail with [IllegalStateException]; a stack trace would not help the user. */
+    /**
+     * Listeners that cannot bind fail with [IllegalStateException], unusable TLS files with [IllegalArgumentException];
+     * a stack trace would not help the user.
+     */
     private inline fun <T> starting(start: () -> T): T =
         try {
             start()
         } catch (e: IllegalStateException) {
             throw StartException(e.message ?: "the listener could not be started")
+        } catch (e: IllegalArgumentException) {
+            throw StartException(e.message ?: "the listener could not be started")
         }
 }
