Keep one burn report, and guard the operator listener

/v1/burn was served by a second implementation with other windows than the alert rules, and without history. The server now gives its counters to BurnHistory, samples them every 30 s and whenever it learns a configuration document, and answers JSON, text or a page with plots. An objective of 100 % no longer divides by zero.

The operator listener has optional TLS and a bearer token for everything but /healthz and /readyz.

--- a/cli/src/main/kotlin/io/jackdawring/cli/client/ApiClient.kt
+++ b/cli/src/main/kotlin/io/jackdawring/cli/client/ApiClient.kt
@@ -1,5 +1,6 @@
 package io.jackdawring.cli.client
 
+import java.io.File
 import java.io.IOException
 import java.net.ConnectException
 import java.net.URI
@@ -8,6 +9,7 @@
 import java.net.http.HttpRequest
 import java.net.http.HttpResponse
 import java.time.Duration
+import javax.net.ssl.SSLHandshakeException
 
 /** Answer to one HTTP request of a subcommand. */
 sealed interface ApiAnswer {
@@ -32,7 +34,7 @@
     fun send(request: ApiRequest): ApiAnswer
 }
 
-/** One HTTP request; [path] contains the query. */
+/** One HTTP request; [path] contains the query. With [trusted] it uses TLS with servers that these certificates sign. */
 data class ApiRequest(
     val method: String,
     val address: String,
@@ -40,34 +42,46 @@
     val body: String? = null,
     val headers: Map<String, String> = emptyMap(),
     val timeoutMillis: Long = 5_000,
+    val trusted: File? = null,
 )
 
 /** Sends requests with the JDK's client, which does not repeat a POST or PUT. */
 internal class RealApiClient : ApiClient {
-    private val client =
-        HttpClient
-            .newBuilder()
-            .version(HttpClient.Version.HTTP_1_1)
-            .connectTimeout(Duration.ofMillis(CONNECT_TIMEOUT_MILLIS))
-            .build()
+    /** Clients by the certificates that they trust; null for plain text. */
+    private val clients = HashMap<File?, HttpClient>()
+
+    private fun client(trusted: File?): HttpClient =
+        clients.getOrPut(trusted) {
+            val builder =
+                HttpClient
+                    .newBuilder()
+                    .version(HttpClient.Version.HTTP_1_1)
+                    .connectTimeout(Duration.ofMillis(CONNECT_TIMEOUT_MILLIS))
+            if (trusted != null) builder.sslContext(trustedContext(trusted))
+            builder.build()
+        }
 
     override fun send(request: ApiRequest): ApiAnswer =
         try {
-            val response = client.send(build(request), HttpResponse.BodyHandlers.ofString())
+            val response = client(request.trusted).send(build(request), HttpResponse.BodyHandlers.ofString())
             ApiAnswer.Answered(response.statusCode(), response.body())
         } catch (e: ConnectException) {
             ApiAnswer.NotSent(e.message ?: "connection refused")
         } catch (e: HttpConnectTimeoutException) {
             ApiAnswer.NotSent(e.message ?: "connect timed out")
+        } catch (e: SSLHandshakeException) {
+            // A server handles no request on a connection whose handshake failed.
+            ApiAnswer.NotSent(e.message ?: "the TLS handshake failed")
         } catch (e: IOException) {
             ApiAnswer.Broken(e.message ?: "the connection was closed")
         }
 
     private fun build(request: ApiRequest): HttpRequest {
+        val scheme = if (request.trusted == null) "http" else "https"
         val body = request.body?.let { HttpRequest.BodyPublishers.ofString(it) }
         val builder =
             HttpRequest
-                .newBuilder(URI("http://${request.address}${request.path}"))
+                .newBuilder(URI("$scheme://${request.address}${request.path}"))
                 .timeout(Duration.ofMillis(request.timeoutMillis))
                 .method(request.method, body ?: HttpRequest.BodyPublishers.noBody())
         if (body != null) builder.header("Content-Type", "application/json")
--- a/cli/src/main/kotlin/io/jackdawring/cli/commands/ConfigCommands.kt
+++ b/cli/src/main/kotlin/io/jackdawring/cli/commands/ConfigCommands.kt
@@ -3,6 +3,7 @@
 import io.jackdawring.cli.Command
 import io.jackdawring.cli.CommandContext
 import io.jackdawring.cli.ExitCode
+import io.jackdawring.cli.client.OperatorClient
 import io.jackdawring.cli.client.PlatformClient
 import io.jackdawring.cli.settings.ResolvedSettings
 import io.jackdawring.cli.settings.SettingTable
@@ -50,7 +51,7 @@
         "config publish",
         "publish service files atomically and wait until they are in force",
         "jackdawring config publish services/ --platform 127.0.0.1:7400 --operator 127.0.0.1:7412 --wait 4000",
-        listOf(SettingTable.platform, SettingTable.operator),
+        SettingTable.operatorClient + SettingTable.platform,
     ) {
     @Argument(metaVar = "FILE|DIR", multiValued = true, usage = "service files, or directories with *.service.json")
     var paths: MutableList<String> = mutableListOf()
@@ -129,7 +130,7 @@
         platform: PlatformClient,
         version: Long,
     ): ExitCode {
-        val waiter = ConfirmationWaiter(context, platform, settings.text(SettingTable.operator))
+        val waiter = ConfirmationWaiter(context, platform, OperatorClient(context.client, settings))
         return when (val confirmation = waiter.await(version, waitMillis.toLong())) {
             Confirmation.Accepted ->
                 report(
--- a/cli/src/main/kotlin/io/jackdawring/cli/commands/ConfirmationWaiter.kt
+++ b/cli/src/main/kotlin/io/jackdawring/cli/commands/ConfirmationWaiter.kt
@@ -2,21 +2,24 @@
 
 import io.jackdawring.cli.CommandContext
 import io.jackdawring.cli.client.ApiAnswer
-import io.jackdawring.cli.client.ApiRequest
+import io.jackdawring.cli.client.OperatorClient
 import io.jackdawring.cli.client.PlatformClient
+import io.jackdawring.core.InstanceId
 import io.jackdawring.core.configuration.Confirmation
 import io.jackdawring.core.configuration.ConfirmationTracker
+import io.jackdawring.server.operator.StatusDocument
 import kotlinx.serialization.SerializationException
 
 /**
  * Waits until every listed entry instance reports a configuration version.
  *
- * The reports come from the status page of one entry instance, which learns the versions of the others by gossip.
+ * The reports come from the status pages of the given entry instances, which learn the versions of the others by
+ * gossip.
  */
 internal class ConfirmationWaiter(
     private val context: CommandContext,
     private val platform: PlatformClient,
-    private val operatorAddress: String,
+    private val operators: OperatorClient,
 ) {
     fun await(
         version: Long,
@@ -25,26 +28,29 @@
         val tracker = ConfirmationTracker(version)
         val endMillis = context.clock.nowMillis() + waitMillis
         while (true) {
-            collect(tracker)
+            operators.addresses.forEach { collect(tracker, it) }
             val confirmation = platform.instances()?.let { tracker.check(it) } ?: Confirmation.Pending(emptyList())
             if (confirmation == Confirmation.Accepted || context.clock.nowMillis() >= endMillis) return confirmation
             context.clock.sleep(POLL_INTERVAL_MILLIS)
         }
     }
 
-    private fun collect(tracker: ConfirmationTracker) {
-        val answer = context.client.send(ApiRequest("GET", operatorAddress, "/v1/status")) as? ApiAnswer.Answered
+    private fun collect(
+        tracker: ConfirmationTracker,
+        address: String,
+    ) {
+        val answer = operators.get(address, "/v1/status") as? ApiAnswer.Answered
         if (answer == null || answer.status != STATUS_OK) return
         val status =
             try {
-                Status.parse(answer.body)
+                StatusDocument.parse(answer.body)
             } catch (_: SerializationException) {
                 return
             }
-        tracker.reported(status.self.instanceId, status.configurationVersion)
+        tracker.reported(InstanceId(status.self.instanceId), status.configurationVersion)
         status.members
-            .filter { it.owner.instanceId != status.self.instanceId }
-            .forEach { tracker.reported(it.owner.instanceId, it.configurationVersion) }
+            .filter { it.instanceId != status.self.instanceId }
+            .forEach { tracker.reported(InstanceId(it.instanceId), it.configurationVersion) }
     }
 
     private companion object {
--- a/cli/src/main/kotlin/io/jackdawring/cli/commands/OperatorCommands.kt
+++ b/cli/src/main/kotlin/io/jackdawring/cli/commands/OperatorCommands.kt
@@ -3,12 +3,22 @@
 import io.jackdawring.cli.Command
 import io.jackdawring.cli.CommandContext
 import io.jackdawring.cli.ExitCode
+import io.jackdawring.cli.UsageException
 import io.jackdawring.cli.client.ApiAnswer
-import io.jackdawring.cli.client.ApiRequest
+import io.jackdawring.cli.client.OperatorClient
 import io.jackdawring.cli.settings.ResolvedSettings
 import io.jackdawring.cli.settings.SettingTable
+import io.jackdawring.server.burn.BurnReport
+import io.jackdawring.server.burn.mergeBurnReports
+import io.jackdawring.server.burn.parseBurnReport
+import io.jackdawring.server.burn.toHtml
+import io.jackdawring.server.burn.toJson
+import io.jackdawring.server.burn.toText
+import io.jackdawring.server.operator.StatusDocument
 import kotlinx.serialization.SerializationException
 import org.kohsuke.args4j.Option
+import java.io.File
+import java.io.IOException
 import java.util.Locale
 
 /** Prints what one entry instance knows about itself, its peers and the targets. */
@@ -17,34 +27,35 @@
         "status",
         "print entry instances, targets and applied configuration versions",
         "jackdawring status --operator 127.0.0.1:7412",
-        listOf(SettingTable.operator),
+        SettingTable.operatorClient,
     ) {
-    @Option(name = "--json", usage = "print the status page as it is")
+    @Option(name = "--json", usage = "print the status pages as they are, one a line")
     var json: Boolean = false
 
     override fun run(
         context: CommandContext,
         settings: ResolvedSettings,
     ): ExitCode {
-        val body = context.readOperator(name, settings, "/v1/status") ?: return ExitCode.UNREACHABLE
+        val bodies = context.readOperators(name, settings, "/v1/status")
+        if (bodies.isEmpty()) return ExitCode.UNREACHABLE
         if (json) {
-            context.out.println(body)
+            bodies.forEach(context.out::println)
             return ExitCode.OK
         }
-        val status =
+        val pages =
             try {
-                Status.parse(body)
+                bodies.map(StatusDocument::parse)
             } catch (_: SerializationException) {
                 context.err.println("jackdawring status: the answer is no status page")
                 return ExitCode.FAILED
             }
-        print(context, status)
+        pages.forEach { print(context, it) }
         return ExitCode.OK
     }
 
     private fun print(
         context: CommandContext,
-        status: Status,
+        status: StatusDocument,
     ) {
         val state =
             if (status.draining) {
@@ -56,7 +67,7 @@
             }
         val store = if (status.storeReachable) "reachable" else "unreachable"
         context.out.println(
-            "${status.self.instanceId.value} in ${status.self.failureDomain.value}: $state, " +
+            "${status.self.instanceId} in ${status.self.failureDomain}: $state, " +
                 "configuration ${status.configurationVersion}, store $store",
         )
         context.out.println(
@@ -65,80 +76,83 @@
         )
         context.out.println("%-20s %-10s %-12s %s".format("entry instance", "domain", "state", "configuration"))
         status.members.forEach {
-            val owner = it.owner
-            val row = arrayOf<Any>(owner.instanceId.value, owner.failureDomain.value, it.state, it.configurationVersion)
+            val row = arrayOf<Any>(it.instanceId, it.failureDomain, it.state, it.configurationVersion)
             context.out.println("%-20s %-10s %-12s %d".format(*row))
         }
         context.out.println("%-20s %-10s %-12s %9s %s".format("target", "domain", "state", "in flight", "slowness"))
         status.targets.forEach {
             val inFlight = "${it.inFlight}/${it.window}"
-            val row = arrayOf<Any>(it.targetId.value, it.failureDomain.value, it.state, inFlight, it.slowness)
+            val row = arrayOf<Any>(it.targetId, it.failureDomain, it.state, inFlight, it.slowness)
             context.out.println("%-20s %-10s %-12s %9s %.2f".format(Locale.ROOT, *row))
         }
     }
 }
 
-/** Prints the burn report of one entry instance. */
+/** Prints the burn report of one entry instance, or the sum over several. */
 internal class BurnCommand :
     Command(
         "burn",
         "print how fast the services use up their error budgets",
-        "jackdawring burn --operator 127.0.0.1:7412",
-        listOf(SettingTable.operator),
+        "jackdawring burn --operator 127.0.0.1:7412,127.0.0.1:7512 --html burn.html",
+        SettingTable.operatorClient,
     ) {
-    @Option(name = "--json", usage = "print the report as it is")
+    @Option(name = "--json", usage = "print the report as JSON")
     var json: Boolean = false
 
+    @Option(name = "--html", metaVar = "FILE", usage = "write the report as a page with plots to FILE")
+    var html: String? = null
+
     override fun run(
         context: CommandContext,
         settings: ResolvedSettings,
     ): ExitCode {
-        val body = context.readOperator(name, settings, "/v1/burn") ?: return ExitCode.UNREACHABLE
-        if (json) {
-            context.out.println(body)
-            return ExitCode.OK
-        }
-        val rows =
+        val bodies = context.readOperators(name, settings, "/v1/burn")
+        if (bodies.isEmpty()) return ExitCode.UNREACHABLE
+        val report =
             try {
-                BurnRow.parse(body)
+                mergeBurnReports(bodies.map(::parseBurnReport))
             } catch (_: SerializationException) {
                 context.err.println("jackdawring burn: the answer is no burn report")
                 return ExitCode.FAILED
             }
-        print(context, rows)
+        html?.let { write(report, it) }
+        if (json) {
+            context.out.println(report.toJson())
+        } else if (html == null) {
+            context.out.print(report.toText())
+        }
         return ExitCode.OK
     }
 
-    private fun print(
-        context: CommandContext,
-        rows: List<BurnRow>,
-    ) {
-        if (rows.isEmpty()) context.out.println("no kind has an objective")
-        rows.forEach { row ->
-            context.out.println("${row.service}/${row.kind}: ${row.percent} % within ${row.latencyMillis} ms")
-            row.windows.forEach {
-                val rate = it.burnRate?.let { rate -> "%.2f".format(Locale.ROOT, rate) } ?: "-"
-                val line = arrayOf<Any>(it.minutes, rate, it.good, it.total)
-                context.out.println("  last %3d min: burn rate %8s, %d of %d met".format(Locale.ROOT, *line))
-            }
-        }
+    private fun write(
+        report: BurnReport,
+        file: String,
+    ) = try {
+        File(file).writeText(report.toHtml())
+    } catch (e: IOException) {
+        throw UsageException("--html: '$file' cannot be written: ${e.message}")
     }
 }
 
-/** Body of [path] at the operator listener, or null after a message that it could not be read. */
-private fun CommandContext.readOperator(
+/** Bodies of [path] at all operator listeners; empty after a message if one of them could not be read. */
+private fun CommandContext.readOperators(
     command: String,
     settings: ResolvedSettings,
     path: String,
-): String? {
-    val address = settings.text(SettingTable.operator)
-    val problem =
-        when (val answer = client.send(ApiRequest("GET", address, path))) {
-            is ApiAnswer.Answered -> if (answer.status == STATUS_OK) return answer.body else "answered ${answer.status}"
-            is ApiAnswer.NotSent, is ApiAnswer.Broken -> "cannot be reached"
-        }
-    err.println("jackdawring $command: the operator listener $address $problem")
-    return null
+): List<String> {
+    val operators = OperatorClient(client, settings)
+    return operators.addresses.map { address ->
+        val problem =
+            when (val answer = operators.get(address, path)) {
+                is ApiAnswer.Answered ->
+                    if (answer.status == STATUS_OK) return@map answer.body else "answered ${answer.status}"
+                is ApiAnswer.NotSent -> "cannot be reached: ${answer.detail}"
+                is ApiAnswer.Broken -> "gave no whole answer: ${answer.detail}"
+            }
+        // A sum without one of the instances would look like a better result than it is.
+        err.println("jackdawring $command: the operator listener $address $problem")
+        return emptyList()
+    }
 }
 
 private const val STATUS_OK = 200
--- a/cli/src/main/kotlin/io/jackdawring/cli/commands/SubmitCommand.kt
+++ b/cli/src/main/kotlin/io/jackdawring/cli/commands/SubmitCommand.kt
@@ -16,7 +16,6 @@
 import kotlinx.serialization.json.JsonPrimitive
 import kotlinx.serialization.json.buildJsonObject
 import kotlinx.serialization.json.contentOrNull
-import kotlinx.serialization.json.jsonPrimitive
 import kotlinx.serialization.json.longOrNull
 import kotlinx.serialization.json.put
 import org.kohsuke.args4j.Argument
@@ -29,7 +28,7 @@
         "submit",
         "submit a job from a file or standard input and print its answer",
         "jackdawring submit job.json --entry 127.0.0.1:7410 --session",
-        listOf(SettingTable.entry),
+        listOf(SettingTable.entry, SettingTable.tlsTrusted),
     ) {
     @Argument(metaVar = "FILE", usage = "body of POST /v1/jobs as JSON; - or nothing for standard input")
     var file: String = "-"
@@ -47,7 +46,11 @@
         context: CommandContext,
         settings: ResolvedSettings,
     ): ExitCode {
+        id?.let {
+            if (!ID.matches(it)) throw UsageException("--id: '$it' is not allowed; allowed is ${ID.pattern}")
+        }
         val job = readJob(context)
+        trusted = settings.textOrNull(SettingTable.tlsTrusted)?.let(::File)
         val address = settings.text(SettingTable.entry)
         val headers = LinkedHashMap<String, String>()
         if (withSession) {
@@ -63,6 +66,8 @@
         return follow(context, address, job, headers)
     }
 
+    private var trusted: File? = null
+
     private fun readJob(context: CommandContext): JsonObject {
         val text =
             if (file == "-") {
@@ -89,13 +94,13 @@
         address: String,
         job: JsonObject,
     ): Opened {
-        val caller = job["caller"]?.jsonPrimitive?.contentOrNull ?: throw UsageException("the job names no caller")
+        val caller = job.text("caller") ?: throw UsageException("the job names no caller")
         val body = buildJsonObject { put("caller", caller) }.toString()
-        val answer = context.client.send(ApiRequest("POST", address, "/v1/sessions", body))
+        val answer = context.client.send(ApiRequest("POST", address, "/v1/sessions", body, trusted = trusted))
         val token =
             (answer as? ApiAnswer.Answered)
                 ?.takeIf { it.status == CREATED }
-                ?.let { parseObject(it.body)?.get("session")?.jsonPrimitive?.contentOrNull }
+                ?.let { parseObject(it.body)?.text("session") }
         if (token != null) return Opened.Token(token)
         // Opening a session starts nothing, so no failure of it leaves an unknown outcome.
         if (answer is ApiAnswer.Answered) return Opened.Failed(report(context, answer))
@@ -120,7 +125,7 @@
                 val remainingMillis = endMillis - context.clock.nowMillis()
                 if (remainingMillis <= 0) return unknown(context, address)
                 val attempt = if (sent) headers - "Jackdaw-Attempt" else headers
-                val request = ApiRequest("POST", address, "/v1/jobs", body, attempt, remainingMillis)
+                val request = ApiRequest("POST", address, "/v1/jobs", body, attempt, remainingMillis, trusted)
                 when (val answer = context.client.send(request)) {
                     is ApiAnswer.Answered -> return report(context, answer)
                     is ApiAnswer.NotSent -> {
@@ -150,15 +155,15 @@
         answer: ApiAnswer.Answered,
     ): ExitCode {
         val document = parseObject(answer.body)
-        val outcome = document?.get("outcome")?.jsonPrimitive?.contentOrNull
+        val outcome = document?.text("outcome")
         val exitCode = exitCode(answer.status, outcome)
         if (json || document == null || exitCode == ExitCode.OK) {
             context.out.println(answer.body)
         } else {
-            val title = document["title"]?.jsonPrimitive?.contentOrNull ?: "status ${answer.status}"
+            val title = document.text("title") ?: "status ${answer.status}"
             context.out.println("${exitCode.name.lowercase()}: $title")
             DETAILS.forEach { key ->
-                document[key]?.jsonPrimitive?.contentOrNull?.let { context.out.println("$key: $it") }
+                document.text(key)?.let { context.out.println("$key: $it") }
             }
         }
         return exitCode
@@ -175,6 +180,8 @@
             else -> ExitCode.UNKNOWN
         }
 
+    private fun JsonObject.text(key: String): String? = (get(key) as? JsonPrimitive)?.contentOrNull
+
     private fun parseObject(text: String): JsonObject? =
         try {
             Json.parseToJsonElement(text) as? JsonObject
@@ -183,6 +190,7 @@
         }
 
     private companion object {
+        val ID = Regex("[A-Za-z0-9_-]{1,64}")
         const val STATUS_OK = 200
         const val CREATED = 201
 
--- a/cli/src/main/kotlin/io/jackdawring/cli/settings/ServerOptionsFromSettings.kt
+++ b/cli/src/main/kotlin/io/jackdawring/cli/settings/ServerOptionsFromSettings.kt
@@ -34,6 +34,13 @@
         callerTls =
             from.tls(SettingTable.callerTlsCertificate, SettingTable.callerTlsKey, SettingTable.callerTlsTrusted)
         peerTls = from.tls(SettingTable.peerTlsCertificate, SettingTable.peerTlsKey, SettingTable.peerTlsTrusted)
+        operatorTls =
+            from.tls(
+                SettingTable.operatorTlsCertificate,
+                SettingTable.operatorTlsKey,
+                SettingTable.operatorTlsTrusted,
+            )
+        operatorToken = from.textOrNull(SettingTable.operatorToken)
         configureEntry = { configure(from) }
     }
 }
--- a/cli/src/main/kotlin/io/jackdawring/cli/settings/SettingTable.kt
+++ b/cli/src/main/kotlin/io/jackdawring/cli/settings/SettingTable.kt
@@ -80,6 +80,16 @@
     val peerTlsCertificate = file("peer-tls-certificate", "PEM certificate chain of the peer listener")
     val peerTlsKey = file("peer-tls-key", "PEM private key of the peer listener")
     val peerTlsTrusted = file("peer-tls-trusted", "PEM certificates that sign other entry instances' certificates")
+    val operatorTlsCertificate = file("operator-tls-certificate", "PEM certificate chain of the operator listener")
+    val operatorTlsKey = file("operator-tls-key", "PEM private key of the operator listener")
+    val operatorTlsTrusted = file("operator-tls-trusted", "PEM certificates that sign operators' certificates")
+    val operatorToken =
+        Setting(
+            "operator-token",
+            "bearer token of the operator listener for everything but /healthz and /readyz; not asked for unless set",
+            SettingType.BearerToken,
+            secret = true,
+        )
     val logFormat =
         Setting("log-format", "form of log lines on standard error", Choice(listOf("json", "text")), default = "json")
     val sessionLifetimeMillis =
@@ -125,7 +135,17 @@
     val entry =
         Setting("entry", "caller listener of an entry instance", Address(minPort = 1), default = "127.0.0.1:7410")
     val operator =
-        Setting("operator", "operator listener of an entry instance", Address(minPort = 1), default = "127.0.0.1:7412")
+        Setting(
+            "operator",
+            "operator listeners of entry instances, separated by commas",
+            SettingType.Addresses,
+            default = "127.0.0.1:7412",
+        )
+    val tlsTrusted =
+        file("tls-trusted", "PEM certificates that sign those of the listeners; subcommands use TLS if it is given")
+
+    /** Settings of subcommands that read operator listeners. */
+    val operatorClient: List<Setting> = listOf(operator, operatorToken, tlsTrusted)
 
     /** Settings of `serve`. */
     val serve: List<Setting> =
@@ -152,6 +172,10 @@
             peerTlsCertificate,
             peerTlsKey,
             peerTlsTrusted,
+            operatorTlsCertificate,
+            operatorTlsKey,
+            operatorTlsTrusted,
+            operatorToken,
             logFormat,
             sessionLifetimeMillis,
             maxSessions,
@@ -171,7 +195,7 @@
             drainTimeoutMillis,
         )
 
-    val all: List<Setting> = serve + listOf(entry, operator)
+    val all: List<Setting> = serve + listOf(entry, operator, tlsTrusted)
 }
 
 private fun millis(
--- a/cli/src/main/kotlin/io/jackdawring/cli/settings/SettingType.kt
+++ b/cli/src/main/kotlin/io/jackdawring/cli/settings/SettingType.kt
@@ -36,6 +36,24 @@
         }
     }
 
+    /** One or more of `ip:port`, separated by commas. */
+    data object Addresses : SettingType {
+        private val address = Address(minPort = 1)
+        override val range = "IP:PORT[,IP:PORT...] with ports from 1 to 65535"
+        override val metaVariable = "IP:PORT,..."
+
+        override fun accepts(value: String): Boolean = value.split(',').all { address.accepts(it) }
+    }
+
+    /** A bearer token (RFC 6750); the minimum length makes guessing hopeless. */
+    data object BearerToken : SettingType {
+        private val pattern = Regex("[A-Za-z0-9._~+/-]{16,256}=*")
+        override val range = "16 to 256 characters out of A-Z a-z 0-9 . _ ~ + / -"
+        override val metaVariable = "TOKEN"
+
+        override fun accepts(value: String): Boolean = pattern.matches(value)
+    }
+
     /** A file that this process can read. */
     data object ReadableFile : SettingType {
         override val range = "the name of a readable file"
--- a/cli/src/test/kotlin/io/jackdawring/cli/ConfigCommandsTest.kt
+++ b/cli/src/test/kotlin/io/jackdawring/cli/ConfigCommandsTest.kt
@@ -3,9 +3,6 @@
 import io.jackdawring.cli.client.ApiAnswer
 import io.jackdawring.cli.client.ApiClient
 import io.jackdawring.cli.client.ApiRequest
-import io.jackdawring.core.FailureDomainId
-import io.jackdawring.core.InstanceId
-import io.jackdawring.core.Owner
 import io.jackdawring.core.StoreAnswer
 import io.jackdawring.core.StoreCall
 import io.jackdawring.core.configuration.ConfigurationCodec
@@ -79,17 +76,15 @@
         }
 
         private fun status(): String {
-            val members = applied.map { (id, version) -> """{"owner":${owner(id)},"state":"live",$CONFIG$version}""" }
-            return """{"self":${owner("e1")},"ready":true,"draining":false,$CONFIG${applied["e1"]},"sessions":0,""" +
+            val members = applied.map { (id, version) -> """{${owner(id)},"state":"live",$CONFIG$version}""" }
+            return """{"self":{${owner("e1")}},"ready":true,"draining":false,$CONFIG${applied["e1"]},"sessions":0,""" +
                 """"records":0,"runningJobs":0,"queuedTasks":0,"tasksInFlight":0,"storeReachable":true,""" +
                 """"members":[${members.joinToString(",")}],"targets":[{"targetId":"t1","failureDomain":"a",""" +
                 """"state":"usable","inFlight":1,"window":4,"slowness":1.5}]}"""
         }
 
-        private fun owner(id: String): String {
-            val owner = Owner(InstanceId(id), 1, "127.0.0.1:1", FailureDomainId("a"))
-            return Json.encodeToString(Owner.serializer(), owner)
-        }
+        private fun owner(id: String) =
+            """"instanceId":"$id","incarnation":1,"address":"127.0.0.1:1","failureDomain":"a""" + '"'
 
         companion object {
             const val HEAD = ConfigurationCodec.HEAD_KEY
@@ -189,21 +184,4 @@
         assertContains(status, "e1 in a: ready, configuration 1, store reachable")
         assertContains(status, Regex("t1 +a +usable +1/4 1.50"))
     }
-
-    /** Guards against a report that cannot be read, and against a missing rate that looks like a rate of 0. */
-    @Test
-    fun `burn prints a line for each window`() {
-        val row =
-            """{"service":"orders","kind":"k","latencyMillis":400,"percent":99.9,"windows":[""" +
-                """{"minutes":5,"good":49,"total":72,"burnRate":319.444},""" +
-                """{"minutes":60,"good":0,"total":0,"burnRate":null}]}"""
-
-        fun burn(body: String) = runCli("burn", client = { ApiAnswer.Answered(200, body) })
-        val out = burn("[$row]").out
-        assertContains(out, "orders/k: 99.9 % within 400 ms")
-        assertContains(out, Regex("last +5 min: burn rate +319.44, 49 of 72 met"))
-        assertContains(out, Regex("last +60 min: burn rate +-, 0 of 0 met"))
-        assertContains(burn("[]").out, "no kind has an objective")
-        assertEquals(ExitCode.FAILED, burn("oops").exitCode)
-    }
 }
--- a/server/src/main/kotlin/io/jackdawring/server/RealEntryServer.kt
+++ b/server/src/main/kotlin/io/jackdawring/server/RealEntryServer.kt
@@ -9,6 +9,7 @@
 import io.jackdawring.core.ListedInstance
 import io.jackdawring.core.Owner
 import io.jackdawring.core.entryOptions
+import io.jackdawring.server.burn.BurnSampler
 import io.jackdawring.server.caller.CallerApi
 import io.jackdawring.server.caller.SessionTokens
 import io.jackdawring.server.control.ControlThread
@@ -44,6 +45,7 @@
     private val clock = MonotonicClock()
     private val catalog = ServiceCatalog()
     private val metrics = ServerMetrics(catalog)
+    private val burn = BurnSampler(metrics, clock::nowMillis)
     private val transport = HttpTransport(options.eventLoopThreads, "traffic")
     private val housekeeping =
         Executors.newSingleThreadScheduledExecutor { Thread(it, "housekeeping").apply { isDaemon = true } }
@@ -75,6 +77,8 @@
     override val operatorAddress: String? get() = operatorServer?.address
 
     private fun start(factory: EntryInstance.Factory) {
+        catalog.onLearned = burn::sample
+        burn.start(housekeeping)
         val tokens = SessionTokens(sessionKeys())
         // The peer listener comes first, because the instance's identity contains its bound address. Messages that
         // arrive before the control thread exists are refused, which their senders see as a failed send.
@@ -88,7 +92,10 @@
         control = createControl(factory, self)
         control.start()
         callerServer = listen(options.callerListen, options.callerTls, CallerApi(tokens, metrics) { control })
-        operatorServer = options.operatorListen?.let { listen(it, null, OperatorApi(metrics) { control }) }
+        operatorServer =
+            options.operatorListen?.let {
+                listen(it, options.operatorTls, OperatorApi(metrics, burn::report, options.operatorToken) { control })
+            }
         directory = createDirectory(self)
         directory.start()
     }
--- a/server/src/main/kotlin/io/jackdawring/server/ServerOptions.kt
+++ b/server/src/main/kotlin/io/jackdawring/server/ServerOptions.kt
@@ -13,6 +13,7 @@
  *
  * [allowRandomSessionKey] permits a start without [sessionKeys]: tokens are then only valid at this process.
  * [controlQueueCapacity] bounds the caller requests, and separately the peer messages, that wait for the control thread.
+ * [operatorToken], if set, is the bearer token that operators must send, except for health and readiness.
  * [configureEntry] changes the settings of the decision logic.
  */
 class ServerOptions private constructor(
@@ -33,6 +34,8 @@
     val storeTimeoutMillis: Long,
     val callerTls: TlsOptions?,
     val peerTls: TlsOptions?,
+    val operatorTls: TlsOptions?,
+    val operatorToken: String?,
     val listWaitMillis: Long,
     val configureEntry: EntryOptions.Builder.() -> Unit,
 ) {
@@ -56,6 +59,8 @@
         var storeTimeoutMillis: Long = 2_000
         var callerTls: TlsOptions? = null
         var peerTls: TlsOptions? = null
+        var operatorTls: TlsOptions? = null
+        var operatorToken: String? = null
         var listWaitMillis: Long = 30_000
         var configureEntry: EntryOptions.Builder.() -> Unit = {}
 
@@ -78,6 +83,8 @@
                 storeTimeoutMillis = storeTimeoutMillis,
                 callerTls = callerTls,
                 peerTls = peerTls,
+                operatorTls = operatorTls,
+                operatorToken = operatorToken,
                 listWaitMillis = listWaitMillis,
                 configureEntry = configureEntry,
             )
--- a/server/src/main/kotlin/io/jackdawring/server/burn/BurnHistory.kt
+++ b/server/src/main/kotlin/io/jackdawring/server/burn/BurnHistory.kt
@@ -50,17 +50,13 @@
     ): KindBurn {
         val ofKind = rings[Key(counters.service, counters.kind)]
         val windows = BurnWindow.entries.map { window(it, counters, ofKind, nowMillis) }
-        val rates = windows.associate { it.window to (it.burnRate ?: 0.0) }
         return KindBurn(
             service = counters.service,
             kind = counters.kind,
             priority = counters.priority,
             objective = counters.objective,
             windows = windows,
-            alerts =
-                BurnAlert.entries.filter {
-                    rates.getValue(it.long) > it.threshold && rates.getValue(it.short) > it.threshold
-                },
+            alerts = alerts(windows),
             history = ofKind?.let { history(it.coarse, counters.objective, nowMillis) }.orEmpty(),
         )
     }
@@ -76,7 +72,7 @@
         val good = counters.good - start.good
         val total = counters.total - start.total
         val covered = minOf(window.lengthMillis, nowMillis - start.atMillis)
-        return WindowBurn(window, covered, good, total, rate(good, total, counters.objective))
+        return WindowBurn(window, covered, good, total, burnRate(good, total, counters.objective))
     }
 
     private fun history(
@@ -87,26 +83,18 @@
         (1 until ring.size).map {
             val from = ring[it - 1]
             val to = ring[it]
-            BurnPoint(nowMillis - to.atMillis, rate(to.good - from.good, to.total - from.total, objective))
+            val good = to.good - from.good
+            val total = to.total - from.total
+            BurnPoint(nowMillis - to.atMillis, good, total, burnRate(good, total, objective))
         }
 
     companion object {
         const val FINE_INTERVAL_MILLIS = 30_000L
-        private const val COARSE_INTERVAL_MILLIS = 600_000L
+        const val COARSE_INTERVAL_MILLIS = 600_000L
         private const val FINE_LIMIT_MILLIS = 1_800_000L
 
         // One sample more than a window has intervals, and one for the interval in progress.
         private const val FINE_SAMPLES = 62
         private const val COARSE_SAMPLES = 434
-
-        private fun rate(
-            good: Long,
-            total: Long,
-            objective: Objective,
-        ): Double? {
-            if (total <= 0) return null
-            val permittedShare = (100 - objective.percent) / 100
-            return (total - good).toDouble() / total / permittedShare
-        }
     }
 }
--- a/server/src/main/kotlin/io/jackdawring/server/burn/BurnReport.kt
+++ b/server/src/main/kotlin/io/jackdawring/server/burn/BurnReport.kt
@@ -35,10 +35,12 @@
     val burnRate: Double?,
 )
 
-/** Burn rate of the requests between the point before and [ageMillis] before the report; null without requests. */
+/** Requests between the point before and [ageMillis] before the report; [burnRate] is null without requests. */
 @Serializable
 data class BurnPoint(
     val ageMillis: Long,
+    val good: Long,
+    val total: Long,
     val burnRate: Double?,
 )
 
--- a/server/src/main/kotlin/io/jackdawring/server/burn/BurnText.kt
+++ b/server/src/main/kotlin/io/jackdawring/server/burn/BurnText.kt
@@ -1,11 +1,16 @@
 package io.jackdawring.server.burn
 
+import io.jackdawring.server.json.lenientJson
 import kotlinx.serialization.json.Json
 import java.util.Locale
 
 /** The report as a table of text. */
 fun BurnReport.toText(): String =
     buildString {
+        if (kinds.isEmpty()) {
+            appendLine("No kind has an objective.")
+            return@buildString
+        }
         append("%5s %-40s %-18s".format(Locale.ROOT, "class", "kind", "objective"))
         BurnWindow.entries.forEach { append("%9s".format(Locale.ROOT, it.label)) }
         appendLine("  alerts")
@@ -21,4 +26,7 @@
 /** The report as JSON. */
 fun BurnReport.toJson(): String = Json.encodeToString(BurnReport.serializer(), this)
 
+/** Reads what [toJson] wrote; fails with [kotlinx.serialization.SerializationException] on anything else. */
+fun parseBurnReport(text: String): BurnReport = lenientJson.decodeFromString(BurnReport.serializer(), text)
+
 internal fun rateText(rate: Double?): String = if (rate == null) "-" else "%.2f".format(Locale.ROOT, rate)
--- a/server/src/main/kotlin/io/jackdawring/server/metrics/ServerMetrics.kt
+++ b/server/src/main/kotlin/io/jackdawring/server/metrics/ServerMetrics.kt
@@ -6,6 +6,8 @@
 import io.jackdawring.core.StoreAnswer
 import io.jackdawring.core.StoreCall
 import io.jackdawring.core.TargetAnswer
+import io.jackdawring.server.burn.BurnSource
+import io.jackdawring.server.burn.ObjectiveCounters
 import io.prometheus.metrics.core.metrics.Counter
 import io.prometheus.metrics.core.metrics.Gauge
 import io.prometheus.metrics.core.metrics.Histogram
@@ -18,7 +20,7 @@
 /** Counters of one process; labels never hold caller, session or submission ids. */
 internal class ServerMetrics(
     private val catalog: ServiceCatalog = ServiceCatalog(),
-) {
+) : BurnSource {
     private val registry = PrometheusRegistry()
 
     private val jobs =
@@ -49,7 +51,9 @@
             "kind",
             "priority",
         )
-    private val burn = BurnReport()
+
+    /** Requests by kind, apart from the metrics, whose labels change with the priority of a kind. */
+    private val objectiveCounts = ConcurrentHashMap<ServiceKind, ObjectiveCount>()
     private val tasks = counter("jackdawring_task_answers", "Task starts that ended, by result.", "result")
     private val peerMessages = counter("jackdawring_peer_messages_sent", "Messages to peers, by result.", "result")
     private val storeCalls = counter("jackdawring_store_calls", "Store calls, by call and answer.", "call", "answer")
@@ -105,11 +109,17 @@
         val isGood = outcome is Outcome.Complete && nanos <= TimeUnit.MILLISECONDS.toNanos(objective.latencyMillis)
         objectiveTotal.labelValues(key.service, key.kind, "${kind.priority}").inc()
         if (isGood) objectiveGood.labelValues(key.service, key.kind, "${kind.priority}").inc()
-        burn.add(key, isGood)
+        objectiveCounts.computeIfAbsent(key) { ObjectiveCount() }.add(isGood)
     }
 
-    /** Burn rates of all kinds with an objective. */
-    fun burnRows(): List<BurnRow> = burn.rows(catalog)
+    /** Counters of all kinds that have an objective now. A kind that is removed and returns continues its counters. */
+    override fun counters(): List<ObjectiveCounters> =
+        catalog.all().mapNotNull { (key, kind) ->
+            kind.objective?.let { objective ->
+                val (good, total) = objectiveCounts[key]?.read() ?: (0L to 0L)
+                ObjectiveCounters(key.service, key.kind, kind.priority, objective, good, total)
+            }
+        }
 
     fun taskAnswered(answer: TargetAnswer) =
         tasks
@@ -189,6 +199,21 @@
     }
 }
 
+/** Requests of one kind; read together, because a good request without its total would give a negative rate. */
+private class ObjectiveCount {
+    private var good = 0L
+    private var total = 0L
+
+    @Synchronized
+    fun add(isGood: Boolean) {
+        if (isGood) good++
+        total++
+    }
+
+    @Synchronized
+    fun read(): Pair<Long, Long> = good to total
+}
+
 /** Leaves out what the caller caused, which the service cannot improve. */
 private fun countsForObjective(outcome: Outcome): Boolean =
     when (outcome) {
--- a/server/src/main/kotlin/io/jackdawring/server/metrics/ServiceCatalog.kt
+++ b/server/src/main/kotlin/io/jackdawring/server/metrics/ServiceCatalog.kt
@@ -14,6 +14,10 @@
  * replaces its earlier one.
  */
 internal class ServiceCatalog {
+    /** Runs after a document was learned, before any job of its new kinds is answered. */
+    @Volatile
+    var onLearned: () -> Unit = {}
+
     private class TeamKinds(
         val kinds: Map<ServiceKind, KindDefinition>,
     )
@@ -58,6 +62,7 @@
             kinds.putAll(next)
             TeamKinds(next)
         }
+        onLearned()
     }
 
     private companion object {
--- a/server/src/main/kotlin/io/jackdawring/server/operator/OperatorApi.kt
+++ b/server/src/main/kotlin/io/jackdawring/server/operator/OperatorApi.kt
@@ -1,20 +1,27 @@
 package io.jackdawring.server.operator
 
 import io.jackdawring.core.InstanceSnapshot
+import io.jackdawring.server.burn.BurnReport
+import io.jackdawring.server.burn.toHtml
+import io.jackdawring.server.burn.toJson
+import io.jackdawring.server.burn.toText
 import io.jackdawring.server.control.ControlThread
 import io.jackdawring.server.http.HttpExchange
 import io.jackdawring.server.http.HttpHandler
+import io.jackdawring.server.http.HttpRequestMessage
 import io.jackdawring.server.http.HttpResponseMessage
 import io.jackdawring.server.http.problemResponse
 import io.jackdawring.server.json.lenientJson
-import io.jackdawring.server.metrics.BurnRow
 import io.jackdawring.server.metrics.ServerMetrics
 import kotlinx.collections.immutable.persistentMapOf
-import kotlinx.serialization.builtins.ListSerializer
+import kotlinx.collections.immutable.toPersistentMap
+import java.security.MessageDigest
 
 /** Serves operators: health, readiness, status and metrics. */
 internal class OperatorApi(
     private val metrics: ServerMetrics,
+    private val burn: () -> BurnReport,
+    private val token: String?,
     private val control: () -> ControlThread,
 ) : HttpHandler {
     override fun handle(exchange: HttpExchange) {
@@ -22,11 +29,15 @@
             exchange.respond(problemResponse(405, "method-not-allowed", "only GET and HEAD are accepted here"))
             return
         }
+        if (exchange.request.path !in OPEN_PATHS && !isAuthorized(exchange.request)) {
+            exchange.respond(UNAUTHORIZED)
+            return
+        }
         when (exchange.request.path) {
             "/healthz" -> exchange.respond(text(if (control().isRunning) 200 else 503, "control thread"))
             "/readyz" -> withSnapshot(exchange) { text(if (it.ready && !it.draining) 200 else 503, readiness(it)) }
             "/v1/status" -> withSnapshot(exchange, ::status)
-            "/v1/burn" -> exchange.respond(burn())
+            "/v1/burn" -> exchange.respond(burn(exchange.request.query["format"] ?: "json"))
             "/metrics" -> withSnapshot(exchange, ::scrape)
             else -> exchange.respond(problemResponse(404, "not-found", "there is no such path"))
         }
@@ -55,9 +66,20 @@
         return HttpResponseMessage(200, JSON_HEADERS, body.encodeToByteArray())
     }
 
-    private fun burn(): HttpResponseMessage {
-        val body = lenientJson.encodeToString(ListSerializer(BurnRow.serializer()), metrics.burnRows())
-        return HttpResponseMessage(200, JSON_HEADERS, body.encodeToByteArray())
+    private fun burn(format: String): HttpResponseMessage =
+        when (format) {
+            "json" -> HttpResponseMessage(200, JSON_HEADERS, burn().toJson().encodeToByteArray())
+            "html" -> HttpResponseMessage(200, HTML_HEADERS, burn().toHtml().encodeToByteArray())
+            "text" -> HttpResponseMessage(200, TEXT_HEADERS, burn().toText().encodeToByteArray())
+            else -> problemResponse(400, "invalid", "format must be json, html or text")
+        }
+
+    private fun isAuthorized(request: HttpRequestMessage): Boolean {
+        if (token == null) return true
+        val given = request.header("authorization").orEmpty()
+        // The scheme is case-insensitive (RFC 9110); the token is compared in constant time.
+        return given.startsWith(BEARER, ignoreCase = true) &&
+            MessageDigest.isEqual(given.drop(BEARER.length).encodeToByteArray(), token.encodeToByteArray())
     }
 
     private fun scrape(snapshot: InstanceSnapshot): HttpResponseMessage {
@@ -96,6 +118,15 @@
     ) = HttpResponseMessage(status, TEXT_HEADERS, "$body\n".encodeToByteArray())
 
     private companion object {
+        const val BEARER = "Bearer "
+
+        /** Probes of the platform carry no token. */
+        val OPEN_PATHS = setOf("/healthz", "/readyz")
+        val UNAUTHORIZED =
+            problemResponse(401, "unauthorized", "a valid bearer token is required").let {
+                HttpResponseMessage(it.status, it.headers.toPersistentMap().put("www-authenticate", "Bearer"), it.body)
+            }
+        val HTML_HEADERS = persistentMapOf("content-type" to "text/html; charset=utf-8")
         val READ_METHODS = setOf("GET", "HEAD")
         val TEXT_HEADERS = persistentMapOf("content-type" to "text/plain; charset=utf-8")
         val JSON_HEADERS = persistentMapOf("content-type" to "application/json")
--- a/server/src/main/kotlin/io/jackdawring/server/operator/StatusDocument.kt
+++ b/server/src/main/kotlin/io/jackdawring/server/operator/StatusDocument.kt
@@ -4,12 +4,13 @@
 import io.jackdawring.core.MemberStatus
 import io.jackdawring.core.Owner
 import io.jackdawring.core.TargetStatus
+import io.jackdawring.server.json.lenientJson
 import kotlinx.serialization.Serializable
 
-/** The body of `/v1/status`. */
+/** The body of `/v1/status`; its names do not depend on the short ones of the peer messages. */
 @Serializable
-internal data class StatusDocument(
-    val self: Owner,
+data class StatusDocument(
+    val self: InstanceStatus,
     val ready: Boolean,
     val draining: Boolean,
     val configurationVersion: Long,
@@ -19,11 +20,11 @@
     val queuedTasks: Int,
     val tasksInFlight: Int,
     val storeReachable: Boolean,
-    val members: List<MemberStatus>,
-    val targets: List<TargetStatus>,
+    val members: List<MemberState>,
+    val targets: List<TargetState>,
 ) {
     constructor(snapshot: InstanceSnapshot) : this(
-        self = snapshot.self,
+        self = InstanceStatus(snapshot.self),
         ready = snapshot.ready,
         draining = snapshot.draining,
         configurationVersion = snapshot.configurationVersion,
@@ -33,7 +34,68 @@
         queuedTasks = snapshot.queuedTasks,
         tasksInFlight = snapshot.tasksInFlight,
         storeReachable = snapshot.storeReachable,
-        members = snapshot.members,
-        targets = snapshot.targets,
+        members = snapshot.members.map(::MemberState),
+        targets = snapshot.targets.map(::TargetState),
+    )
+
+    companion object {
+        /** Reads a status page; fails with [kotlinx.serialization.SerializationException] on anything else. */
+        fun parse(text: String): StatusDocument = lenientJson.decodeFromString(serializer(), text)
+    }
+}
+
+/** Identity of one start of an entry instance; [incarnation] is its Unix time in milliseconds. */
+@Serializable
+data class InstanceStatus(
+    val instanceId: String,
+    val incarnation: Long,
+    val address: String,
+    val failureDomain: String,
+) {
+    constructor(owner: Owner) : this(
+        owner.instanceId.value,
+        owner.incarnation,
+        owner.peerAddress,
+        owner.failureDomain.value,
+    )
+}
+
+/** What an entry instance knows about another one. */
+@Serializable
+data class MemberState(
+    val instanceId: String,
+    val incarnation: Long,
+    val address: String,
+    val failureDomain: String,
+    val state: String,
+    val configurationVersion: Long,
+) {
+    constructor(member: MemberStatus) : this(
+        member.owner.instanceId.value,
+        member.owner.incarnation,
+        member.owner.peerAddress,
+        member.owner.failureDomain.value,
+        member.state,
+        member.configurationVersion,
+    )
+}
+
+/** What an entry instance knows about a target; [slowness] is actual over expected run time. */
+@Serializable
+data class TargetState(
+    val targetId: String,
+    val failureDomain: String,
+    val state: String,
+    val inFlight: Int,
+    val window: Int,
+    val slowness: Double,
+) {
+    constructor(target: TargetStatus) : this(
+        target.targetId.value,
+        target.failureDomain.value,
+        target.state,
+        target.inFlight,
+        target.window,
+        target.slowness,
     )
 }
--- a/server/src/test/kotlin/io/jackdawring/server/burn/BurnHistoryTest.kt
+++ b/server/src/test/kotlin/io/jackdawring/server/burn/BurnHistoryTest.kt
@@ -138,4 +138,62 @@
         assertFalse("<polyline" in report.toHtml())
         assertContains(BurnReport(emptyList()).toHtml(), "No kind has an objective")
     }
+
+    /** Guards against windows that are too short, or longer than their name by more than a sample interval. */
+    @Test
+    fun `windows end at the sample before their start`() {
+        val traffic = Traffic { 5 }
+        val history = BurnHistory(traffic)
+        var now = 0L
+        history.sample(now)
+        traffic.step(0)
+        val fine = 1L
+        val coarse = 20L
+        val slack = BurnWindow.entries.associateWith { if (it.lengthMillis <= 1_800_000) fine else coarse }
+        while (now < BurnWindow.THREE_DAYS.lengthMillis + 2 * coarse * interval) {
+            now += interval
+            history.sample(now)
+            val windows =
+                history
+                    .report(now)
+                    .kinds
+                    .single()
+                    .windows
+            windows.forEach {
+                val isInside = now < it.window.lengthMillis + slack.getValue(it.window) * interval
+                val expected = if (isInside) 10L to 50.0 else 0L to null
+                assertEquals(expected.first, it.total, "${it.window.label} after $now ms")
+                assertEquals(expected.second, it.burnRate?.let(Math::rint), "${it.window.label} after $now ms")
+            }
+        }
+    }
+
+    /** Guards against a rate that JSON cannot express. */
+    @Test
+    fun `an objective of 100 percent has a finite rate`() {
+        assertEquals(0.0, burnRate(5, 5, Objective(1, 100.0)))
+        assertTrue(burnRate(4, 5, Objective(1, 100.0))!!.isFinite())
+    }
+
+    /** Guards against a sum that averages rates, drops an instance, or pairs points of different times. */
+    @Test
+    fun `reports of several instances are summed`() {
+        val quiet = run(60, Traffic { 0 }).report(3_600_000)
+        val missing = run(120, Traffic { 4 }).report(7_200_000)
+        val other = BurnReport(quiet.kinds.map { it.copy(kind = "seating-update", priority = 3) })
+        val merged = mergeBurnReports(listOf(quiet, missing, other, BurnReport(emptyList())))
+        assertEquals(listOf("allergen-check", "seating-update"), merged.kinds.map { it.kind })
+        val kind = merged.kinds.first()
+        val hour = kind.windows.first { it.window == BurnWindow.ONE_HOUR }
+        assertEquals(2_400L to 1_920L, hour.total to hour.good)
+        assertEquals(20.0, hour.burnRate!!, 1e-9)
+        val days = kind.windows.last()
+        assertEquals(3_600L to 7_200_000L, days.total to days.coveredMillis)
+        assertEquals(listOf(BurnAlert.FAST, BurnAlert.SLOW, BurnAlert.STEADY), kind.alerts)
+        assertEquals(12, kind.history.size)
+        assertEquals(listOf(40.0, 20.0), kind.history.mapNotNull { it.burnRate?.let(Math::rint) }.distinct())
+        assertEquals(3_600L, kind.history.sumOf { it.total })
+        assertEquals(merged, parseBurnReport(merged.toJson()))
+        assertEquals(quiet, mergeBurnReports(listOf(quiet)))
+    }
 }
--- a/server/src/test/kotlin/io/jackdawring/server/metrics/BurnReportTest.kt
+++ b/server/src/test/kotlin/io/jackdawring/server/metrics/ObjectiveCountersTest.kt
@@ -14,8 +14,8 @@
 import kotlin.test.assertNull
 import kotlin.test.assertTrue
 
-/** Guards against burn rates over the wrong window and against labels that callers can invent. */
-class BurnReportTest {
+/** Guards against counters of the wrong requests and against labels that callers can invent. */
+class ObjectiveCountersTest {
     private val key = ServiceKind("orders", "check")
 
     private fun document(vararg kinds: String): String {
@@ -26,31 +26,6 @@
 
     private fun catalog() = ServiceCatalog().apply { learnStoreValue("config/doc/1", document("check")) }
 
-    @Test
-    fun `rates cover exactly their windows`() {
-        var minutes = 0L
-        val report = BurnReport { TimeUnit.MINUTES.toNanos(minutes) }
-        repeat(50) { report.add(key, isGood = true) }
-        repeat(50) { report.add(key, isGood = false) }
-
-        fun windows() =
-            report
-                .rows(catalog())
-                .single()
-                .windows
-                .map { it.total to it.burnRate }
-        val all = 100L to 2.0
-        assertEquals(listOf(all, all, all), windows())
-        val none = 0L to null
-        val expected = mapOf(4L to listOf(all, all, all), 5L to listOf(none, all, all), 60L to listOf(none, none, all))
-        for ((at, rates) in expected + (359L to listOf(none, none, all)) + (360L to listOf(none, none, none))) {
-            minutes = at
-            assertEquals(rates, windows(), "after $at minutes")
-        }
-        report.add(key, isGood = true)
-        assertEquals(listOf(1L to 0.0, 1L to 0.0, 1L to 0.0), windows())
-    }
-
     @Test
     fun `a newer document of the team replaces its kinds`() {
         val catalog = catalog()
@@ -72,13 +47,9 @@
         metrics.jobAnswered(key, Outcome.Refused(RefusalReason.INVALID, null), millis)
         metrics.jobAnswered(key, Outcome.Failed(FailureReason.CANCELLED, null, true), millis)
         metrics.jobAnswered(ServiceKind("made", "up"), Outcome.Refused(RefusalReason.UNKNOWN_SERVICE, null), millis)
-        val window =
-            metrics
-                .burnRows()
-                .single()
-                .windows
-                .first()
-        assertEquals(1L to 3L, window.good to window.total)
+        val counters = metrics.counters().single()
+        assertEquals(1L to 3L, counters.good to counters.total)
+        assertEquals(2 to Objective(400, 75.0), counters.priority to counters.objective)
         val text = metrics.exposition().decodeToString()
         assertTrue(
             """jackdawring_objective_requests_total{kind="check",priority="2",service="orders"} 3.0""" in text,
@@ -90,4 +61,17 @@
         )
         assertTrue("made" !in text, text)
     }
+
+    /** Guards against counters that fall, which would give negative rates, when a kind is removed and returns. */
+    @Test
+    fun `a kind that returns continues its counters`() {
+        val catalog = catalog()
+        val metrics = ServerMetrics(catalog)
+        metrics.jobAnswered(key, Outcome.Complete(emptyList()), 1)
+        catalog.learnStoreValue("config/doc/2", document("seating"))
+        assertEquals(listOf("seating" to 0L), metrics.counters().map { it.kind to it.total })
+        catalog.learnStoreValue("config/doc/1", document("check"))
+        metrics.jobAnswered(key, Outcome.Complete(emptyList()), 1)
+        assertEquals(listOf("check" to 2L), metrics.counters().map { it.kind to it.total })
+    }
 }
