Make the plots of the burn page easier to read

The axis had labels such as 4.24, 3.18 and 1.06, the tables of the classes had different columns, and the dashed line was not explained.

--- a/server/src/test/kotlin/io/jackdawring/server/burn/BurnHistoryTest.kt
+++ b/server/src/test/kotlin/io/jackdawring/server/burn/BurnHistoryTest.kt
@@ -110,6 +110,9 @@
         val text = html.substringAfter("<!DOCTYPE html>\n")
         val document = DocumentBuilderFactory.newInstance().newDocumentBuilder().parse(text.byteInputStream())
         val svg = document.getElementsByTagName("svg").item(0) as Element
+        val labels = svg.getElementsByTagName("text")
+        val rates = (0 until labels.length).mapNotNull { labels.item(it).textContent.toDoubleOrNull() }
+        assertEquals(listOf(0.0, 20.0, 40.0, 60.0, 80.0), rates)
         val lines = svg.getElementsByTagName("polyline")
         assertEquals(1, lines.length)
         val points = (lines.item(0) as Element).getAttribute("points").split(' ').map { it.split(',') }
