Answer unknown when a full control queue hides an earlier attempt

A job that met a full control queue was answered 503, not run, before anybody looked up its id, so a resubmission could be told that its running job had not run. The refusal now needs the caller's statement of its only attempt; without it the answer is 504 with Retry-After.

--- a/server/src/main/kotlin/io/jackdawring/server/caller/CallerApi.kt
+++ b/server/src/main/kotlin/io/jackdawring/server/caller/CallerApi.kt
@@ -76,7 +76,8 @@
         val requestId = RequestId(nextRequestId.getAndIncrement())
         val request = CallerRequest(requestId, exchange, ServiceKind(job.service, job.kind), tokens, metrics)
         val submission = submissionOf(id, credential, job, validFirstAttempt(message.header("jackdaw-attempt")))
-        if (!offer(exchange, Event.Submit(requestId, submission), request)) return
+        val rejection = if (submission.firstAttempt) QUEUE_FULL else UNDECIDED
+        if (!offer(exchange, Event.Submit(requestId, submission), request, rejection)) return
         exchange.onDisconnected { control().add(Event.CallerDisconnected(requestId)) }
     }
 
@@ -138,10 +139,11 @@
         exchange: HttpExchange,
         event: Event,
         request: CallerRequest?,
+        rejection: HttpResponseMessage = QUEUE_FULL,
     ): Boolean {
         if (control().offerRequest(event, request)) return true
         metrics.requestRefusedByQueue()
-        exchange.respond(QUEUE_FULL)
+        exchange.respond(rejection)
         return false
     }
 
@@ -164,5 +166,16 @@
                 detail = "the control queue is full; nothing of the request was run",
                 retryAfterMillis = 1_000,
             )
+
+        /** The decision logic never saw the submission id, so an earlier attempt under it may be running. */
+        val UNDECIDED =
+            problemResponse(
+                status = 504,
+                name = RefusalReason.OVERLOADED.problemName(),
+                detail = "the control queue is full; an earlier request with this id may have run",
+                outcome = "unknown",
+                mayHaveRun = true,
+                retryAfterMillis = 1_000,
+            )
     }
 }
