--- a/cli/src/main/kotlin/io/jackdawring/cli/settings/SettingType.kt
+++ b/cli/src/main/kotlin/io/jackdawring/cli/settings/SettingType.kt
@@ -36,13 +36,13 @@
         }
     }
 
-    /** One or more of `ip:port`, separated by commas. */
-    data object Addresses : SettingType {
+    /** `ip:port[,ip:port...]` of listeners of other processes. */
+    data object AddressList : SettingType {
         private val address = Address(minPort = 1)
         override val range = "IP:PORT[,IP:PORT...] with ports from 1 to 65535"
-        override val metaVariable = "IP:PORT,..."
+        override val metaVariable = "ADDRESSES"
 
-        override fun accepts(value: String): Boolean = value.split(',').all { address.accepts(it) }
+        override fun accepts(value: String): Boolean = value.split(',').all(address::accepts)
     }
 
     /** A bearer token (RFC 6750); the minimum length makes guessing hopeless. */
--- a/core/src/main/kotlin/io/jackdawring/core/membership/RealMembership.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/membership/RealMembership.kt
@@ -44,9 +44,14 @@
     private var successionSinceMillis: Long? = null
     private var advertisedVersion = 0L
     private var nextGossipMillis = DUE_AT_ONCE
+    private var lastGossipMillis = DUE_AT_ONCE
+    private var urgent = false
     private var nextSweepMillis = DUE_AT_ONCE
     private val sweepIntervalMillis = maxOf(1, options.gossipIntervalMillis / SWEEPS_PER_GOSSIP_INTERVAL)
 
+    private var tasksInFlight = 0
+    override val othersInFlight: Int get() = members.values.sumOf { if (it.isLive) it.tasksInFlight else 0 }
+
     override var liveCount = 1
         private set
     override var rank = 0
@@ -146,7 +151,7 @@
             member.fact = fact.copy(owner = member.fact.owner)
             if (member.describe() != before) reportState(member, member.describe())
         }
-        advance(member, fact.heartbeat, nowMillis)
+        advance(member, fact.heartbeat, fact.tasksInFlight, nowMillis)
     }
 
     override fun mergeHeartbeats(
@@ -154,7 +159,7 @@
         nowMillis: Long,
     ) {
         for (beat in heartbeats) {
-            byToken[beat.token]?.let { advance(it, beat.heartbeat, nowMillis) }
+            byToken[beat.token]?.let { advance(it, beat.heartbeat, beat.tasksInFlight, nowMillis) }
         }
         recount()
     }
@@ -162,9 +167,11 @@
     private fun advance(
         member: Member,
         newHeartbeat: Long,
+        tasksInFlight: Int,
         nowMillis: Long,
     ) {
         if (newHeartbeat <= member.heartbeat) return
+        member.tasksInFlight = tasksInFlight
         member.heartbeat = newHeartbeat
         member.advancedMillis = nowMillis
         failedAddresses.remove(member.fact.owner.peerAddress)
@@ -218,6 +225,10 @@
         rank = before
     }
 
+    override fun setTasksInFlight(tasksInFlight: Int) {
+        this.tasksInFlight = tasksInFlight
+    }
+
     override fun facts(
         configurationVersion: Long,
         nowMillis: Long,
@@ -238,6 +249,7 @@
             succeededBy = succeededBy,
             successorIncarnation = successorIncarnation,
             successionAgeMillis = successionSinceMillis?.let { nowMillis - it } ?: 0,
+            tasksInFlight = tasksInFlight,
         )
     }
 
@@ -246,21 +258,30 @@
     override fun takeGossipPeers(nowMillis: Long): List<String> {
         if (nowMillis < nextGossipMillis) return emptyList()
         nextGossipMillis = nowMillis + options.gossipIntervalMillis
+        lastGossipMillis = nowMillis
+        val fanOut = if (urgent) maxOf(URGENT_FAN_OUT, options.gossipFanOut) else options.gossipFanOut
+        urgent = false
         val addresses =
             (byAddress.keys + listedAddresses)
+                .ifEmpty { options.peerSeeds.toSet() }
                 .filter { it != self.peerAddress }
                 .sorted()
         val (doubtful, healthy) = addresses.partition { isDoubtful(it) }
-        val peers = healthy.shuffled(random).take(options.gossipFanOut).toMutableList()
+        val peers = healthy.shuffled(random).take(fanOut).toMutableList()
         // Contacts doubtful peers now and then so that both sides of a healed partition find each other again.
         val probe = doubtful.isNotEmpty() && random.nextInt(ROUNDS_PER_PROBE) == 0
-        if (probe && peers.size == options.gossipFanOut) peers.removeLast()
-        if (probe || peers.size < options.gossipFanOut) {
-            peers += doubtful.shuffled(random).take(options.gossipFanOut - peers.size)
+        if (probe && peers.size == fanOut) peers.removeLast()
+        if (probe || peers.size < fanOut) {
+            peers += doubtful.shuffled(random).take(fanOut - peers.size)
         }
         return peers
     }
 
+    override fun gossipNow(nowMillis: Long) {
+        urgent = true
+        nextGossipMillis = minOf(nextGossipMillis, maxOf(nowMillis, lastGossipMillis + URGENT_INTERVAL_MILLIS))
+    }
+
     private fun isDoubtful(address: String): Boolean =
         address in failedAddresses || byAddress[address]?.all { it.isSuspect } == true
 
@@ -357,5 +378,11 @@
         /** Suspicion comes at most a quarter of the gossip interval late. */
         private const val SWEEPS_PER_GOSSIP_INTERVAL = 4
         private const val ROUNDS_PER_PROBE = 4
+
+        /** Three peers at a time reach 30 instances in four steps, well within the 3 s for a leaving target. */
+        private const val URGENT_FAN_OUT = 3
+
+        /** Bounds the traffic when many targets leave together. */
+        private const val URGENT_INTERVAL_MILLIS = 200L
     }
 }
