--- a/cli/src/test/kotlin/io/jackdawring/cli/process/Cluster.kt
+++ b/cli/src/test/kotlin/io/jackdawring/cli/process/Cluster.kt
@@ -1,6 +1,7 @@
 package io.jackdawring.cli.process
 
-import io.jackdawring.cli.commands.Status
+import io.jackdawring.server.operator.InstanceStatus
+import io.jackdawring.server.operator.StatusDocument
 import io.jackdawring.standins.TaskStart
 import io.jackdawring.standins.doubleStarts
 import kotlinx.serialization.json.Json
@@ -37,7 +38,7 @@
             return this
         }
 
-        fun status(): Status = Status.parse(Http.send("GET", operators, "/v1/status").get().body)
+        fun status(): StatusDocument = StatusDocument.parse(Http.send("GET", operators, "/v1/status").get().body)
 
         fun signal(signal: String) = process.signal(signal)
 
@@ -115,10 +116,14 @@
         awaitTrue("all entry instances know each other and all targets") {
             entries.all { entry ->
                 val status = entry.status()
-                val live = status.members.filter { it.state == "live" && it.owner != status.self }
+                val live =
+                    status.members.filter {
+                        it.state == "live" &&
+                            InstanceStatus(it.instanceId, it.incarnation, it.address, it.failureDomain) != status.self
+                    }
                 val others = entries.filter { it != entry }.map { it.id }.toSet()
                 status.ready &&
-                    live.map { it.owner.instanceId.value }.toSet() == others &&
+                    live.map { it.instanceId }.toSet() == others &&
                     status.targets.size == targets.size
             }
         }
