--- a/cli/src/main/kotlin/io/jackdawring/cli/CommandLine.kt
+++ b/cli/src/main/kotlin/io/jackdawring/cli/CommandLine.kt
@@ -3,6 +3,7 @@
 import arrow.core.getOrElse
 import io.jackdawring.cli.settings.ResolvedSettings
 import io.jackdawring.cli.settings.Setting
+import io.jackdawring.core.configuration.nearestWord
 import org.kohsuke.args4j.CmdLineException
 import org.kohsuke.args4j.CmdLineParser
 import org.kohsuke.args4j.NamedOptionDef
@@ -41,7 +42,7 @@
         val group = available.filter { it.name.startsWith(arguments.first() + " ") }
         if (group.isEmpty()) {
             val word = arguments.first()
-            return usageError(context, "unknown subcommand '$word'", nearest(word, available.map { it.name }))
+            return usageError(context, "unknown subcommand '$word'", nearestWord(word, available.map { it.name }))
         }
         val rest = arguments.getOrNull(1)
         if (rest == null || rest == "--help" || rest == "-h") {
@@ -50,7 +51,7 @@
             return if (rest == null) ExitCode.USAGE else ExitCode.OK
         }
         val name = "${arguments.first()} $rest"
-        return usageError(context, "unknown subcommand '$name'", nearest(name, group.map { it.name }))
+        return usageError(context, "unknown subcommand '$name'", nearestWord(name, group.map { it.name }))
     }
 
     private fun runCommand(
@@ -64,7 +65,7 @@
         } catch (e: CmdLineException) {
             if (command.help) return printHelp(command, parser, context)
             val flag = arguments.firstOrNull { e.message.orEmpty().startsWith("\"${it.substringBefore('=')}\" is not") }
-            val hint = flag?.let { nearest(it.substringBefore('='), parser.flags()) }
+            val hint = flag?.let { nearestWord(it.substringBefore('='), parser.flags()) }
             return usageError(context, "${command.name}: ${e.message}", hint)
         }
         if (command.help) return printHelp(command, parser, context)
--- a/core/src/main/kotlin/io/jackdawring/core/configuration/JsonObjectReader.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/configuration/JsonObjectReader.kt
@@ -19,7 +19,7 @@
     init {
         for (key in source.keys - allowedKeys) {
             val suggestion =
-                closestKey(
+                nearestWord(
                     key,
                     allowedKeys - source.keys,
                 )?.let { "did you mean \"$it\"? Known keys: " }.orEmpty()
@@ -129,32 +129,3 @@
         const val MAX_SHOWN_CHARS = 80
     }
 }
-
-/** The one of [candidates] with the fewest edits from [key], if that is at most a third of its length, at least 2. */
-internal fun closestKey(
-    key: String,
-    candidates: Set<String>,
-): String? =
-    candidates
-        .map { it to editDistance(key.lowercase(), it.lowercase()) }
-        .filter { (candidate, distance) -> distance <= maxOf(2, candidate.length / 3) }
-        .minByOrNull { it.second }
-        ?.first
-
-/** Levenshtein distance. */
-private fun editDistance(
-    left: String,
-    right: String,
-): Int {
-    var previous = IntArray(right.length + 1) { it }
-    for (i in 1..left.length) {
-        val row = IntArray(right.length + 1)
-        row[0] = i
-        for (j in 1..right.length) {
-            val substitution = previous[j - 1] + if (left[i - 1] == right[j - 1]) 0 else 1
-            row[j] = minOf(substitution, previous[j] + 1, row[j - 1] + 1)
-        }
-        previous = row
-    }
-    return previous[right.length]
-}
--- a/core/src/main/kotlin/io/jackdawring/core/target/RealTargetPool.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/target/RealTargetPool.kt
@@ -12,10 +12,7 @@
 import io.jackdawring.core.TargetStatus
 import io.jackdawring.core.membership.TargetFact
 import io.jackdawring.core.membership.TargetFactState
-import java.util.TreeSet
-import kotlin.math.ceil
 import kotlin.math.max
-import kotlin.math.min
 import kotlin.random.Random
 
 /** Target pool that learns free slots, speed and health of every target from the answers. */
@@ -29,13 +26,12 @@
     private val facts = TargetFacts()
     private val health = TargetHealth(random, ::onHealthChanged)
     private val adaptive = AdaptiveChooser(random, options.spareSlots)
+    private val usage = UsageTracker(adaptive.refusals, random)
     private val chooser: TargetChooser = baselineChooser(options.targetPolicy, random) ?: adaptive
 
     /** Starts on registrations that have since been replaced; their answers say nothing about the new one. */
     private val startsOnReplaced = HashMap<TargetId, Int>()
 
-    /** Targets whose fair share is suspended after a refusal. */
-    private val suspended = TreeSet(compareBy<PooledTarget>({ it.shareRetryAtMillis }, { it.id.value }))
     private var listVersion = -1L
     private var entryInstances = 1
     private var rank = 0
@@ -102,16 +98,8 @@
         othersInFlight: Int,
         nowMillis: Long,
     ) {
-        val slots = targets.values.sumOf { if (it.accepting) it.instance.slots else 0 }
-        if (othersInFlight > slots * MAX_IDLE_LOAD) return
-        val load = LOAD_SAFETY * othersInFlight / max(1, slots)
-        for (target in targets.values) {
-            val ageMillis = target.ageMillis(nowMillis)
-            if (ageMillis in 0 until OLD_REPORT_MILLIS) continue
-            val assumed = max(ceil(load * target.instance.slots).toInt(), target.instance.slots / RESERVED_PART)
-            target.assumeOthersInUse(assumed)
-            index(target)
-        }
+        usage.assumeFleetLoad(targets.values, othersInFlight, nowMillis)
+        targets.values.forEach(::index)
     }
 
     override fun availability(need: TaskNeed): Availability {
@@ -154,7 +142,7 @@
         target.inFlight = max(0, target.inFlight - 1)
         // Failures of a leaving target must not replace the fact that it is leaving.
         if (target.accepting) {
-            learnUsage(target, need, answer, inFlightBefore, nowMillis)
+            if (usage.learn(target, answer, inFlightBefore, nowMillis)) services[need.service]?.lastAnswered = target
             learnHealth(target, need, answer, elapsedMillis, nowMillis)
             if (answer?.usage?.leaving == true) leave(target, listVersion, nowMillis)
         }
@@ -164,21 +152,15 @@
     }
 
     override fun nextTimerMillis(): Long? {
-        val dueMillis =
-            min(health.nextDueMillis() ?: Long.MAX_VALUE, min(retryAtMillis ?: Long.MAX_VALUE, nextShareRetryMillis()))
+        val healthMillis = health.nextDueMillis() ?: Long.MAX_VALUE
+        val retryMillis = retryAtMillis ?: Long.MAX_VALUE
+        val dueMillis = minOf(healthMillis, retryMillis, usage.nextRetryMillis() ?: Long.MAX_VALUE)
         return if (dueMillis == Long.MAX_VALUE) null else dueMillis
     }
 
-    private fun nextShareRetryMillis(): Long =
-        if (suspended.isEmpty()) Long.MAX_VALUE else suspended.first().shareRetryAtMillis
-
     override fun onTimer(nowMillis: Long) {
         health.onTimer(nowMillis)
-        while (suspended.isNotEmpty() && suspended.first().shareRetryAtMillis <= nowMillis) {
-            val target = suspended.pollFirst()
-            target.shareRefused = false
-            index(target)
-        }
+        usage.onTimer(nowMillis, ::index)
         if ((retryAtMillis ?: Long.MAX_VALUE) <= nowMillis) retryAtMillis = null
     }
 
@@ -288,7 +270,7 @@
     private fun unlist(target: PooledTarget) {
         target.listed = false
         health.forget(target)
-        suspended -= target
+        usage.forget(target)
         index(target)
         if (target.inFlight == 0) targets.remove(target.id)
     }
@@ -370,75 +352,6 @@
         return true
     }
 
-    private fun learnUsage(
-        target: PooledTarget,
-        need: TaskNeed,
-        answer: TargetAnswer?,
-        inFlightBefore: Int,
-        nowMillis: Long,
-    ) {
-        val busy = answer is TargetAnswer.NotStarted && answer.reason == NotStartedReason.BUSY
-        val slotsInUse = answer?.usage?.slotsInUse
-        val slots = target.instance.slots
-        val ageMillis = target.ageMillis(nowMillis)
-        val freeBefore = slots - target.othersInUse - inFlightBefore
-        if (busy) {
-            adaptive.refusals.learn(freeBefore + 1, ageMillis, true)
-            target.othersInUse = max(0, slots - target.inFlight)
-            target.windowChangedAtMillis = nowMillis
-            if (target.inFlight < target.fairShare) suspendShare(target, nowMillis)
-        } else if (slotsInUse != null) {
-            // The slot of the ended task was ours, so others can have at most the rest.
-            target.othersInUse = max(0, min(slotsInUse - target.inFlight, slots - inFlightBefore))
-            if (target.othersInUse + inFlightBefore < slots) allowShare(target)
-            if (ageMillis < 0) {
-                adaptive.refusals.learn(freeBefore + 1, ageMillis, false)
-            } else {
-                adaptive.refusals.learn(freeBefore, ageMillis, slots - target.othersInUse - inFlightBefore <= 0)
-            }
-        } else {
-            if (answer is TargetAnswer.Succeeded) growWithoutUsage(target, freeBefore, nowMillis)
-            return
-        }
-        target.knownAtMillis = nowMillis
-        services[need.service]?.lastAnswered = target
-    }
-
-    /** After a refusal within the fair share, tries the share again after a growing time or a report of a free slot. */
-    private fun suspendShare(
-        target: PooledTarget,
-        nowMillis: Long,
-    ) {
-        suspended -= target
-        target.shareRefused = true
-        val millis = min(SHARE_RETRY_LAST_MILLIS, SHARE_RETRY_FIRST_MILLIS shl min(target.refusalsInRow++, 10))
-        target.shareRetryAtMillis = nowMillis + millis + random.nextLong(millis)
-        suspended += target
-    }
-
-    private fun allowShare(target: PooledTarget) {
-        if (target.shareRefused) suspended -= target
-        target.shareRefused = false
-        target.refusalsInRow = 0
-    }
-
-    /** Lets the window of a target that does not report its usage grow by one while there is demand. */
-    private fun growWithoutUsage(
-        target: PooledTarget,
-        freeBefore: Int,
-        nowMillis: Long,
-    ) {
-        adaptive.refusals.learn(freeBefore + 1, target.ageMillis(nowMillis), false)
-        if (target.knownAtMillis >= 0) target.knownAtMillis = nowMillis
-        val demand = target.services.any { nowMillis - it.noRoomAtMillis < DEMAND_MILLIS }
-        val mayGrow = nowMillis - target.windowChangedAtMillis >= GROW_INTERVAL_MILLIS
-        if (demand && mayGrow && target.othersInUse > 0) {
-            target.othersInUse--
-            target.windowChangedAtMillis = nowMillis
-        }
-        target.services.forEach { it.lastAnswered = target }
-    }
-
     private fun learnHealth(
         target: PooledTarget,
         need: TaskNeed,
@@ -501,35 +414,10 @@
     companion object {
         val Factory = TargetPool.Factory { options, report -> RealTargetPool(options, report) }
 
-        /** Gossip is about as old as this, so a younger report of the target itself is the better knowledge. */
-        const val OLD_REPORT_MILLIS = 1_000L
-
-        /**
-         * Load of the fleet up to which old reports are replaced by the load known from gossip.
-         *
-         * A busy fleet reports often enough. With 0.1, busy refusals rose from 0.003 to 0.022 per start at 20%
-         * load, and large jobs were not faster; with 0.05 they are 0.006.
-         */
-        const val MAX_IDLE_LOAD = 0.05
-
-        /** One slot in so many is left to a job that arrives at another instance at the same time. */
-        const val RESERVED_PART = 4
-
-        /** Room for uneven load of the targets and for growth since the last gossip. */
-        const val LOAD_SAFETY = 2.0
-
         /** Completions drive the queue; this slow timer serves an instance without any start in flight. */
         const val RETRY_MILLIS = 50L
 
         /** A target cannot take this long to leave, so a newer list that still shows it live is right by then. */
         const val LEAVING_MEMORY_MILLIS = 600_000L
-
-        /** The instances that borrowed the slot give it back within about one run time. */
-        const val SHARE_RETRY_FIRST_MILLIS = 300L
-        const val SHARE_RETRY_LAST_MILLIS = 3_000L
-
-        /** Without usage reports only refusals show that a window is too large, so it grows slowly. */
-        const val GROW_INTERVAL_MILLIS = 3_000L
-        const val DEMAND_MILLIS = 100L
     }
 }
