Answer unknown when overload keeps a request from being read

Change: 504 with the outcome unknown and Retry-After. Ruled out: closing the connection without an answer, which tells a caller nothing about when to come back.

--- a/server/src/main/kotlin/io/jackdawring/server/RealEntryServer.kt
+++ b/server/src/main/kotlin/io/jackdawring/server/RealEntryServer.kt
@@ -22,6 +22,7 @@
 import io.jackdawring.server.http.HttpServerOptions
 import io.jackdawring.server.http.HttpTransport
 import io.jackdawring.server.http.problemResponse
+import io.jackdawring.server.http.unreadRejection
 import io.jackdawring.server.logging.StateChangeLog
 import io.jackdawring.server.metrics.ServerMetrics
 import io.jackdawring.server.metrics.ServiceCatalog
@@ -126,10 +127,7 @@
                 maxBodyBytes = options.maxBodyBytes,
                 idleTimeoutMillis = options.idleTimeoutMillis,
                 sslContext = tls?.serverContext(),
-                rejection = { status, detail, retryAfterSeconds ->
-                    val name = if (status == 503) "overloaded" else "invalid"
-                    problemResponse(status, name, detail, retryAfterMillis = retryAfterSeconds?.let { it * 1_000L })
-                },
+                rejection = ::unreadRejection,
             )
         return transport.serverFactory(serverOptions).start(address, handler)
     }
--- a/server/src/main/kotlin/io/jackdawring/server/http/Problems.kt
+++ b/server/src/main/kotlin/io/jackdawring/server/http/Problems.kt
@@ -38,8 +38,29 @@
     return HttpResponseMessage(status, headers, body.toString().encodeToByteArray())
 }
 
+/**
+ * Answer to a request that was not read as a whole.
+ *
+ * Under overload nobody knows which submission it was about, and an earlier attempt may have run. So the answer is not
+ * 503, which means "not run", but 504 with the outcome unknown.
+ */
+internal fun unreadRejection(
+    status: Int,
+    detail: String,
+    retryAfterSeconds: Int?,
+): HttpResponseMessage {
+    val retryAfterMillis = retryAfterSeconds?.let { it * MILLIS_PER_SECOND.toLong() }
+    return if (status == OVERLOADED_STATUS) {
+        problemResponse(UNKNOWN_STATUS, "request-not-read", detail, "unknown", mayHaveRun = true, retryAfterMillis)
+    } else {
+        problemResponse(status, "invalid", detail, retryAfterMillis = retryAfterMillis)
+    }
+}
+
 /** Whole seconds for `Retry-After`, rounded up so that a caller does not come back too early. */
 private fun retryAfterSeconds(millis: Long): Long = (maxOf(0, millis) + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND
 
+private const val OVERLOADED_STATUS = 503
+private const val UNKNOWN_STATUS = 504
 private const val MILLIS_PER_SECOND = 1_000
 private val PROBLEM_HEADERS = persistentMapOf("content-type" to "application/problem+json")
