--- a/cli/src/main/kotlin/io/jackdawring/cli/Commands.kt
+++ b/cli/src/main/kotlin/io/jackdawring/cli/Commands.kt
@@ -9,6 +9,7 @@
 import io.jackdawring.cli.commands.DemoCommand
 import io.jackdawring.cli.commands.HelpCommand
 import io.jackdawring.cli.commands.LoadCommand
+import io.jackdawring.cli.commands.ScenariosCommand
 import io.jackdawring.cli.commands.ServeCommand
 import io.jackdawring.cli.commands.SettingsCommand
 import io.jackdawring.cli.commands.StandinPlatformCommand
@@ -30,6 +31,7 @@
         LoadCommand(),
         StandinPlatformCommand(),
         StandinTargetCommand(),
+        ScenariosCommand(),
         BenchCommand(),
         DemoCommand(),
         SettingsCommand(),
--- a/cli/src/main/kotlin/io/jackdawring/cli/Components.kt
+++ b/cli/src/main/kotlin/io/jackdawring/cli/Components.kt
@@ -1,6 +1,7 @@
 package io.jackdawring.cli
 
 import io.jackdawring.load.LoadOptions
+import io.jackdawring.load.ScenarioOptions
 import io.jackdawring.load.bench.BenchOptions
 import io.jackdawring.server.EntryServer
 import io.jackdawring.server.ServerOptions
@@ -27,6 +28,12 @@
         out: PrintStream,
     ): Int
 
+    /** Compares policies in scenarios; returns 0 if no answer was wrong and no task started twice. */
+    fun runScenarios(
+        options: ScenarioOptions,
+        out: PrintStream,
+    ): Int
+
     /** Runs the demo; returns its exit code. */
     fun runDemo(out: PrintStream): Int
 }
--- a/cli/src/main/kotlin/io/jackdawring/cli/RealComponents.kt
+++ b/cli/src/main/kotlin/io/jackdawring/cli/RealComponents.kt
@@ -1,6 +1,7 @@
 package io.jackdawring.cli
 
 import io.jackdawring.load.LoadOptions
+import io.jackdawring.load.ScenarioOptions
 import io.jackdawring.load.bench.BenchOptions
 import io.jackdawring.server.EntryServer
 import io.jackdawring.server.ServerOptions
@@ -59,6 +60,11 @@
         io.jackdawring.load.bench
             .runBench(options, out)
 
+    override fun runScenarios(
+        options: ScenarioOptions,
+        out: PrintStream,
+    ): Int = io.jackdawring.load.runScenarios(options, out)
+
     override fun runDemo(out: PrintStream): Int = io.jackdawring.load.runDemo(out)
 
     /**
--- a/cli/src/test/kotlin/io/jackdawring/cli/CliRun.kt
+++ b/cli/src/test/kotlin/io/jackdawring/cli/CliRun.kt
@@ -4,6 +4,7 @@
 import io.jackdawring.cli.client.ApiClient
 import io.jackdawring.core.InstanceSnapshot
 import io.jackdawring.load.LoadOptions
+import io.jackdawring.load.ScenarioOptions
 import io.jackdawring.load.bench.BenchOptions
 import io.jackdawring.server.EntryServer
 import io.jackdawring.server.ServerOptions
@@ -73,6 +74,11 @@
         out: PrintStream,
     ): Int = if (succeeds) 0 else 1
 
+    override fun runScenarios(
+        options: ScenarioOptions,
+        out: PrintStream,
+    ): Int = if (succeeds) 0 else 1
+
     override fun runDemo(out: PrintStream): Int = if (succeeds) 0 else 1
 }
 
--- a/cli/src/test/kotlin/io/jackdawring/cli/CommandLineTest.kt
+++ b/cli/src/test/kotlin/io/jackdawring/cli/CommandLineTest.kt
@@ -27,6 +27,10 @@
             Mistake("serve --lisen=127.0.0.1:1", "did you mean '--listen'?"),
             Mistake("serve --listen", "takes an operand"),
             Mistake("version extra", "No argument is allowed"),
+            Mistake(
+                "scenarios --policies fastest",
+                "--policies: 'fastest' is not allowed; allowed are adaptive-window",
+            ),
             Mistake("bench --only cores", "--only: 'cores' is not allowed; allowed are core, starts, control"),
             Mistake("load --service s --kind k --rate 0", "--rate: '0' is not allowed; allowed is 1 to 100000"),
             Mistake("load --service s --kind k --rate x", "\"x\" is not a valid value for \"--rate\""),
@@ -115,6 +119,7 @@
         val failing = FakeComponents(succeeds = false)
         assertEquals(ExitCode.FAILED, runCli("demo", components = failing).exitCode)
         assertEquals(ExitCode.FAILED, runCli("bench", components = failing).exitCode)
+        assertEquals(ExitCode.FAILED, runCli("scenarios", components = failing).exitCode)
         val load = arrayOf("load", "--service", "s", "--kind", "k")
         assertEquals(ExitCode.FAILED, runCli(*load, components = failing).exitCode)
         assertEquals(ExitCode.OK, runCli(*load).exitCode)
