--- a/core/src/main/kotlin/io/jackdawring/core/configuration/JsonObjectReader.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/configuration/JsonObjectReader.kt
@@ -67,13 +67,9 @@
                 JsonObject(emptyMap()),
                 "an object with the keys ${allowedKeys.joinToString()}",
             ) { it as? JsonObject }
-        return if (inner ===
-            source[key]
-        ) {
-            read(JsonObjectReader(file, "$path$key.", inner, allowedKeys, errors))
-        } else {
-            null
-        }
+        // The reader of an invalid value gets the empty default instead, which must not be read.
+        if (inner !== source[key]) return null
+        return read(JsonObjectReader(file, "$path$key.", inner, allowedKeys, errors))
     }
 
     /** The objects of the array at [key]; 1 to [max] of them. */
--- a/core/src/main/kotlin/io/jackdawring/core/forward/SubmissionRouter.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/forward/SubmissionRouter.kt
@@ -50,16 +50,7 @@
         nowMillis: Long,
     ) {
         when (val credential = submission.credential) {
-            is Credential.Session -> {
-                val owner = credential.claims.owner
-                if (owner ==
-                    self
-                ) {
-                    submitOwned(submission, replyTo, nowMillis)
-                } else {
-                    route(owner, submission, replyTo, nowMillis)
-                }
-            }
+            is Credential.Session -> submitInSession(credential.claims.owner, submission, replyTo, nowMillis)
             is Credential.IdempotencyKey -> submitWithKey(submission, replyTo, nowMillis)
         }
     }
@@ -106,6 +97,17 @@
         if (state is RecordState.Running) runner.cancel(state.job, nowMillis)
     }
 
+    private fun submitInSession(
+        owner: Owner,
+        submission: Submission,
+        replyTo: ReplyTo.Caller,
+        nowMillis: Long,
+    ) = if (owner == self) {
+        submitOwned(submission, replyTo, nowMillis)
+    } else {
+        route(owner, submission, replyTo, nowMillis)
+    }
+
     // A forwarder reads in the store that a key is claimed by this incarnation, or by one that handed over to it.
     private fun isHandedOver(submission: Submission): Boolean =
         submission.credential is Credential.IdempotencyKey &&
--- a/core/src/main/kotlin/io/jackdawring/core/membership/RealMembership.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/membership/RealMembership.kt
@@ -15,13 +15,8 @@
     private val report: (StateChange) -> Unit,
 ) : Membership {
     private val self = options.self
-    private val random =
-        Random(
-            options.seed xor
-                self.instanceId.value
-                    .hashCode()
-                    .toLong() xor self.incarnation,
-        )
+    private val idHash = self.instanceId.value.hashCode()
+    private val random = Random(options.seed xor idHash.toLong() xor self.incarnation)
     private val members = TreeMap<String, Member>()
     private val byAddress = HashMap<String, MutableSet<Member>>()
     private val byToken = HashMap<String, Member>()
@@ -298,17 +293,15 @@
 
     override fun successorOf(owner: Owner): Owner? =
         successions.follow(owner) { id, incarnation ->
-            val holder =
-                if (id ==
-                    self.instanceId
-                ) {
-                    self
-                } else {
-                    members[id.value]?.takeUnless { it.isSuspect }?.fact?.owner
-                }
-            holder?.takeIf { incarnation == null || it.incarnation == incarnation }
+            reachableOwner(id)?.takeIf { incarnation == null || it.incarnation == incarnation }
         }
 
+    private fun reachableOwner(id: InstanceId): Owner? {
+        if (id == self.instanceId) return self
+        val member = members[id.value] ?: return null
+        return if (member.isSuspect) null else member.fact.owner
+    }
+
     override fun successorCandidates(): List<Owner> =
         rendezvousOrder(self, members.values.filter { it.isLive && !it.fact.draining }.map { it.fact.owner })
 
--- a/core/src/main/kotlin/io/jackdawring/core/target/RealTargetPool.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/target/RealTargetPool.kt
@@ -21,6 +21,9 @@
     private val report: (StateChange) -> Unit,
 ) : TargetPool {
     private val random = Random(options.seed)
+    private val idHash =
+        options.self.instanceId.value
+            .hashCode()
     private val targets = LinkedHashMap<TargetId, PooledTarget>()
     private val services = HashMap<String, ServiceTargets>()
     private val facts = TargetFacts()
@@ -80,10 +83,7 @@
         rank: Int?,
     ) {
         val instances = max(1, entryInstances)
-        val newRank =
-            rank ?: options.self.instanceId.value
-                .hashCode()
-                .mod(instances)
+        val newRank = rank ?: idHash.mod(instances)
         if (instances == this.entryInstances && newRank == this.rank) return
         this.entryInstances = instances
         this.rank = newRank
--- a/load/src/main/kotlin/io/jackdawring/load/bench/ScriptedStore.kt
+++ b/load/src/main/kotlin/io/jackdawring/load/bench/ScriptedStore.kt
@@ -77,6 +77,8 @@
 
         fun service(team: Int): String = "service-$team"
 
+        private fun kindName(index: Int) = if (index == 0) KIND else "$KIND-$index"
+
         private fun document(
             team: Int,
             weight: Int,
@@ -87,20 +89,7 @@
                     service(team),
                     "team-$team",
                     weight = weight,
-                    kinds =
-                        List(3) {
-                            KindDefinition(
-                                if (it ==
-                                    0
-                                ) {
-                                    KIND
-                                } else {
-                                    "$KIND-$it"
-                                },
-                                priority = it + 1,
-                                expectedMillis = 100,
-                            )
-                        },
+                    kinds = List(3) { KindDefinition(kindName(it), priority = it + 1, expectedMillis = 100) },
                 ),
             ),
         )
