--- a/core/src/main/kotlin/io/jackdawring/core/claim/RealClaimLedger.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/claim/RealClaimLedger.kt
@@ -7,9 +7,9 @@
 import io.jackdawring.core.StoreAnswer
 import io.jackdawring.core.StoreCall
 import io.jackdawring.core.session.SubmissionKey
+import io.jackdawring.core.sha256Hex
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
-import java.security.MessageDigest
 
 internal class RealClaimLedger(
     private val options: EntryOptions,
@@ -85,11 +85,8 @@
     // from each other and from the caller's clock, so the claim must outlive the age by twice the skew.
     private val leaseMillis get() = options.claimMaxKeyAgeMillis + 2 * options.claimClockSkewMillis
 
-    private fun claimKey(key: SubmissionKey): String {
-        val text = "${key.scope}/${key.id.value}"
-        val digest = MessageDigest.getInstance("SHA-256").digest(text.encodeToByteArray())
-        return CLAIM_PREFIX + digest.take(CLAIM_KEY_BYTES).joinToString("") { "%02x".format(it) }
-    }
+    private fun claimKey(key: SubmissionKey): String =
+        CLAIM_PREFIX + sha256Hex("${key.scope}/${key.id.value}").take(CLAIM_KEY_CHARS)
 
     private class PendingClaim(
         val storeKey: String,
@@ -101,6 +98,6 @@
     companion object {
         val Factory = ClaimLedger.Factory { options, outlet -> RealClaimLedger(options, outlet) }
         private const val CLAIM_PREFIX = "claims/"
-        private const val CLAIM_KEY_BYTES = 16
+        private const val CLAIM_KEY_CHARS = 32
     }
 }
--- a/core/src/main/kotlin/io/jackdawring/core/configuration/ConfigurationCodec.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/configuration/ConfigurationCodec.kt
@@ -1,8 +1,8 @@
 package io.jackdawring.core.configuration
 
+import io.jackdawring.core.sha256Hex
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
-import java.security.MessageDigest
 
 /** JSON texts of heads and documents as they lie in the store. */
 object ConfigurationCodec {
@@ -38,8 +38,7 @@
         decodeOrNull { json.decodeFromString(ConfigurationHead.serializer(), text) }
 
     /** SHA-256 of [text] in lower-case hexadecimal. */
-    fun hash(text: String): String =
-        MessageDigest.getInstance("SHA-256").digest(text.encodeToByteArray()).joinToString("") { "%02x".format(it) }
+    fun hash(text: String): String = sha256Hex(text)
 
     private fun <T> decodeOrNull(decode: () -> T): T? =
         try {
--- a/core/src/main/kotlin/io/jackdawring/core/drain/DrainController.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/drain/DrainController.kt
@@ -20,9 +20,6 @@
 
     val isDraining: Boolean get() = phase != Phase.Serving
 
-    /** Whether the process may exit. */
-    val isComplete: Boolean get() = phase == Phase.Complete
-
     fun start() {
         if (isDraining) return
         phase = Phase.Waiting
--- a/core/src/main/kotlin/io/jackdawring/core/membership/Heartbeat.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/membership/Heartbeat.kt
@@ -1,13 +1,13 @@
 package io.jackdawring.core.membership
 
 import io.jackdawring.core.Owner
+import io.jackdawring.core.sha256
 import kotlinx.serialization.KSerializer
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.descriptors.PrimitiveKind
 import kotlinx.serialization.descriptors.PrimitiveSerialDescriptor
 import kotlinx.serialization.encoding.Decoder
 import kotlinx.serialization.encoding.Encoder
-import java.security.MessageDigest
 import java.util.Base64
 
 /**
@@ -27,7 +27,7 @@
         /** Token of one incarnation: the start of the SHA-256 of its id and number, in URL-safe Base64. */
         fun token(owner: Owner): String {
             val text = "${owner.instanceId.value}/${owner.incarnation}"
-            val digest = MessageDigest.getInstance("SHA-256").digest(text.encodeToByteArray())
+            val digest = sha256(text)
             return Base64.getUrlEncoder().encodeToString(digest).take(TOKEN_CHARS)
         }
     }
--- a/core/src/main/kotlin/io/jackdawring/core/membership/Rendezvous.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/membership/Rendezvous.kt
@@ -1,8 +1,8 @@
 package io.jackdawring.core.membership
 
 import io.jackdawring.core.Owner
+import io.jackdawring.core.sha256
 import java.nio.ByteBuffer
-import java.security.MessageDigest
 
 /** Orders [candidates] for [key]: own failure domain first, then by rendezvous hash, highest first. */
 internal fun rendezvousOrder(
@@ -20,5 +20,5 @@
     candidate: Owner,
 ): Long {
     val text = "${key.instanceId.value}/${key.incarnation}/${candidate.instanceId.value}"
-    return ByteBuffer.wrap(MessageDigest.getInstance("SHA-256").digest(text.encodeToByteArray())).long
+    return ByteBuffer.wrap(sha256(text)).long
 }
--- a/core/src/main/kotlin/io/jackdawring/core/session/SubmissionRecord.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/session/SubmissionRecord.kt
@@ -27,10 +27,6 @@
         list.add(replyTo)
     }
 
-    fun removeWaiter(replyTo: ReplyTo) {
-        waiters?.remove(replyTo)
-    }
-
     /** Returns the waiters and forgets them. */
     fun takeWaiters(): List<ReplyTo> = waiters.orEmpty().also { waiters = null }
 }
--- a/core/src/main/kotlin/io/jackdawring/core/target/RealTargetPool.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/target/RealTargetPool.kt
@@ -97,10 +97,7 @@
     override fun learnFleetLoad(
         othersInFlight: Int,
         nowMillis: Long,
-    ) {
-        usage.assumeFleetLoad(targets.values, othersInFlight, nowMillis)
-        targets.values.forEach(::index)
-    }
+    ) = usage.assumeFleetLoad(targets.values, othersInFlight, nowMillis, ::index)
 
     override fun availability(need: TaskNeed): Availability {
         val service = services[need.service] ?: return Availability.NO_TARGETS
--- a/core/src/main/kotlin/io/jackdawring/core/target/UsageTracker.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/target/UsageTracker.kt
@@ -90,6 +90,7 @@
         targets: Collection<PooledTarget>,
         othersInFlight: Int,
         nowMillis: Long,
+        onChanged: (PooledTarget) -> Unit,
     ) {
         val slots = targets.sumOf { if (it.accepting) it.instance.slots else 0 }
         if (othersInFlight > slots * MAX_IDLE_LOAD) return
@@ -98,6 +99,7 @@
             if (target.ageMillis(nowMillis) in 0 until OLD_REPORT_MILLIS) continue
             val assumed = max(ceil(load * target.instance.slots).toInt(), target.instance.slots / RESERVED_PART)
             target.assumeOthersInUse(assumed)
+            onChanged(target)
         }
     }
 
--- a/testing/src/main/kotlin/io/jackdawring/testing/FakeInstance.kt
+++ b/testing/src/main/kotlin/io/jackdawring/testing/FakeInstance.kt
@@ -172,7 +172,7 @@
     private fun exit() {
         alive = false
         breakConnections()
-        world.exited(this)
+        world.exited()
     }
 
     private fun breakConnections() {
--- a/testing/src/main/kotlin/io/jackdawring/testing/FakeTarget.kt
+++ b/testing/src/main/kotlin/io/jackdawring/testing/FakeTarget.kt
@@ -88,7 +88,6 @@
     ) {
         when {
             !alive -> answer(TargetAnswer.NotStarted(NotStartedReason.UNREACHABLE))
-            leaving && refusesWhenLeaving -> answer(TargetAnswer.NotStarted(NotStartedReason.LEAVING, usage()))
             runs.size >= slots -> {
                 busyRefusals++
                 answer(TargetAnswer.NotStarted(NotStartedReason.BUSY, usage()))
@@ -97,9 +96,6 @@
         }
     }
 
-    /** Whether a leaving target refuses tasks itself; if not, only the list and the peers tell that it leaves. */
-    var refusesWhenLeaving: Boolean = false
-
     /** Stops the task of a connection that its sender closed. */
     fun disconnect(connection: Any) {
         runs.remove(connection)
--- a/testing/src/main/kotlin/io/jackdawring/testing/FakeWorld.kt
+++ b/testing/src/main/kotlin/io/jackdawring/testing/FakeWorld.kt
@@ -38,7 +38,6 @@
     var maxListLagMillis: Long = 1_000
     private var listVersion = 0L
     private var incarnations = 0L
-    private val exitListeners = ArrayList<(FakeInstance) -> Unit>()
 
     init {
         startLog.onStart(oracle::started)
@@ -94,13 +93,7 @@
     /** Advances the virtual time by [millis]. */
     fun advance(millis: Long) = clock.advance(millis)
 
-    /** Calls [listener] when an instance completes its graceful shutdown. */
-    fun onExit(listener: (FakeInstance) -> Unit) {
-        exitListeners.add(listener)
-    }
-
-    internal fun exited(instance: FakeInstance) {
-        exitListeners.forEach { it(instance) }
+    internal fun exited() {
         publishList()
     }
 
--- a/testing/src/main/kotlin/io/jackdawring/testing/FuzzRun.kt
+++ b/testing/src/main/kotlin/io/jackdawring/testing/FuzzRun.kt
@@ -35,7 +35,6 @@
     private val sent = ArrayList<SentSubmission>()
     private val pending = ArrayList<PendingRequest>()
     private var lastId = 0
-    private var lastCutMillis = -SETTLE_MILLIS
 
     val violations: List<Violation> get() = world.oracle.violations
 
@@ -211,17 +210,14 @@
     }
 
     private fun cutDomains(step: FuzzStep) {
-        lastCutMillis = Long.MAX_VALUE
         world.network.setCut(domains[step.first % domains.size], domains[step.second % domains.size], true)
     }
 
     private fun cutPlatform(step: FuzzStep) {
-        lastCutMillis = Long.MAX_VALUE
         world.network.setPlatformCut(domains[step.first % domains.size], true)
     }
 
     private fun heal() {
-        if (lastCutMillis == Long.MAX_VALUE) lastCutMillis = world.clock.nowMillis
         world.network.healAll()
         world.publishList()
     }
--- a/testing/src/main/kotlin/io/jackdawring/testing/StartLog.kt
+++ b/testing/src/main/kotlin/io/jackdawring/testing/StartLog.kt
@@ -23,7 +23,4 @@
 
     /** Tasks that started more than once. */
     fun startedTwice(): List<TaskReference> = counts.filterValues { it > 1 }.keys.toList()
-
-    /** Number of tasks that started at least once. */
-    fun startedTasks(): Int = counts.size
 }
