--- a/cli/src/main/kotlin/io/jackdawring/cli/Commands.kt
+++ b/cli/src/main/kotlin/io/jackdawring/cli/Commands.kt
@@ -8,6 +8,7 @@
 import io.jackdawring.cli.commands.ConfigShowCommand
 import io.jackdawring.cli.commands.DemoCommand
 import io.jackdawring.cli.commands.HelpCommand
+import io.jackdawring.cli.commands.InstanceCommand
 import io.jackdawring.cli.commands.LoadCommand
 import io.jackdawring.cli.commands.ScenariosCommand
 import io.jackdawring.cli.commands.ServeCommand
@@ -22,6 +23,7 @@
 internal fun allCommands(): List<Command> =
     listOf(
         ServeCommand(),
+        InstanceCommand(),
         ConfigCheckCommand(),
         ConfigPublishCommand(),
         ConfigShowCommand(),
--- /dev/null
+++ b/core/src/main/kotlin/io/jackdawring/core/fleet/ShardElection.kt
@@ -0,0 +1,131 @@
+package io.jackdawring.core.fleet
+
+import io.jackdawring.core.InstanceId
+
+/**
+ * Decides when this entry instance tries to become the holder of a shard of its failure domain.
+ *
+ * A holder is suspected when it is silent for [SUSPICION_MILLIS] or refuses connections. The members try in the order of
+ * their weight, each a little later than the one before; the store's compare-and-swap decides between them.
+ */
+class ShardElection(
+    private val self: FleetMember,
+) {
+    private class Contact(
+        var heardAtMillis: Long,
+        var refusalsInRow: Int = 0,
+        var denialsInRow: Int = 0,
+    )
+
+    private val contacts = HashMap<InstanceId, Contact>()
+    private val vacantSince = HashMap<ShardId, Long>()
+    private val nextAttempt = HashMap<ShardId, Long>()
+
+    /** Notes that [instanceId] has answered; [holds] is whether it says that it holds the shard the store ascribes to it. */
+    fun onHeard(
+        instanceId: InstanceId,
+        holds: Boolean,
+        nowMillis: Long,
+    ) {
+        val contact = contacts.getOrPut(instanceId) { Contact(nowMillis) }
+        contact.heardAtMillis = nowMillis
+        contact.refusalsInRow = 0
+        contact.denialsInRow = if (holds) 0 else contact.denialsInRow + 1
+    }
+
+    /** Notes that [instanceId] has asked for a sign of life. */
+    fun onAsked(
+        instanceId: InstanceId,
+        nowMillis: Long,
+    ) {
+        val contact = contacts.getOrPut(instanceId) { Contact(nowMillis) }
+        contact.heardAtMillis = nowMillis
+        contact.refusalsInRow = 0
+    }
+
+    /** Notes that [instanceId] has refused a connection. */
+    fun onRefused(
+        instanceId: InstanceId,
+        nowMillis: Long,
+    ) {
+        contacts.getOrPut(instanceId) { Contact(nowMillis) }.refusalsInRow++
+    }
+
+    /** Whether the holder in [holding] is believed not to work as its holder. */
+    fun isSuspected(
+        holding: ShardHolding,
+        nowMillis: Long,
+    ): Boolean {
+        val holder = holding.holder
+        if (holder.instanceId == self.instanceId) return holder.incarnation != self.incarnation
+        val contact = contacts.getOrPut(holder.instanceId) { Contact(nowMillis) }
+        return contact.denialsInRow >= DENIALS_FOR_SUSPICION ||
+            contact.refusalsInRow >= REFUSALS_FOR_SUSPICION ||
+            nowMillis - contact.heardAtMillis >= SUSPICION_MILLIS
+    }
+
+    /** Whether this instance should try to take [shardId] now. */
+    fun shouldClaim(
+        shardId: ShardId,
+        holding: ShardHolding?,
+        members: Collection<FleetMember>,
+        nowMillis: Long,
+    ): Boolean {
+        if (holding != null && !isSuspected(holding, nowMillis)) {
+            vacantSince.remove(shardId)
+            return false
+        }
+        val since = vacantSince.getOrPut(shardId) { nowMillis }
+        val delay = rank(holding?.holder, members) * RANK_DELAY_MILLIS
+        if (nowMillis - since < delay || nowMillis < (nextAttempt[shardId] ?: Long.MIN_VALUE)) return false
+        nextAttempt[shardId] = nowMillis + ATTEMPT_INTERVAL_MILLIS
+        return true
+    }
+
+    /** Best successor of this instance as holder, or null if it knows no other live member. */
+    fun successor(
+        members: Collection<FleetMember>,
+        nowMillis: Long,
+    ): FleetMember? =
+        members
+            .filter { it.failureDomain == self.failureDomain && it.instanceId != self.instanceId }
+            .filter { member ->
+                contacts[member.instanceId]?.let {
+                    nowMillis - it.heardAtMillis < SUSPICION_MILLIS &&
+                        it.refusalsInRow == 0
+                } ==
+                    true
+            }.minWithOrNull(preference)
+
+    private fun rank(
+        suspect: FleetMember?,
+        members: Collection<FleetMember>,
+    ): Int =
+        members.count {
+            it.failureDomain == self.failureDomain &&
+                it.instanceId != suspect?.instanceId &&
+                it.instanceId != self.instanceId &&
+                preference.compare(it, self) < 0
+        }
+
+    private companion object {
+        /** Three missed pings of 150 ms. */
+        const val SUSPICION_MILLIS = 450L
+
+        /** A single refusal may hit a process that has just restarted. */
+        const val REFUSALS_FOR_SUSPICION = 2
+
+        /** A single denial may have crossed the news of the holder's claim. */
+        const val DENIALS_FOR_SUSPICION = 2
+
+        /** Time for the better-ranked member to take the shard and for the news to arrive. */
+        const val RANK_DELAY_MILLIS = 150L
+
+        /** Keeps a claim that fails from loading a store in trouble. */
+        const val ATTEMPT_INTERVAL_MILLIS = 300L
+        val preference: Comparator<FleetMember> =
+            compareByDescending<FleetMember> {
+                it.weight
+            }.thenBy { it.instanceId.value }
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/io/jackdawring/core/routing/RoutingConfiguration.kt
@@ -0,0 +1,20 @@
+package io.jackdawring.core.routing
+
+import kotlinx.collections.immutable.ImmutableList
+
+/** One version of the operators' configuration. */
+class RoutingConfiguration(
+    val version: Long,
+    queues: ImmutableList<QueueRoute>,
+) {
+    private val queuesByHost =
+        queues.groupBy { it.host }.mapValues { (_, list) ->
+            list.sortedByDescending { it.prefix.length }
+        }
+
+    /** The queue with the longest prefix of [path], or null. */
+    fun findQueue(
+        host: String,
+        path: String,
+    ): QueueRoute? = queuesByHost[host]?.firstOrNull { path.startsWith(it.prefix) }
+}
--- /dev/null
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/HeldTarget.kt
@@ -0,0 +1,70 @@
+package io.jackdawring.core.shard
+
+/** What the holder believes about one target. */
+internal class HeldTarget(
+    var facts: ShardTarget,
+) {
+    val id get() = facts.id
+    val runs = LinkedHashMap<TaskKey, HeldRun>()
+    val record = TargetRecord()
+    var contact = Contact.NEW
+
+    /** Time from which the platform no longer lists the target; null while it does. */
+    var unlistedSinceMillis: Long? = null
+
+    /** Highest end that was processed in the incarnation [bornMillis]. */
+    var acknowledgedEnd = 0L
+    var bornMillis: Long? = null
+
+    /** Lower bound of the target's clock minus the steady clock; null before the first answer. */
+    var clockOffsetMillis: Long? = null
+    var lookSequence = 0L
+    var lookOpen = false
+    var lookSentAtMillis = 0L
+    var nextLookMillis = 0L
+
+    /** Latest steady time at which a lease that was asked for can end. */
+    var leaseOverAtMillis = Long.MIN_VALUE
+
+    /** Whether starts are paused because something runs that no job has claimed. */
+    val hasUnclaimedRuns: Boolean get() = runs.values.any { it.owner == null }
+
+    var used = Resources()
+        private set
+
+    val free: Resources get() = facts.capacity - used
+
+    /** Whether the target may be used; an entry that lapsed with the store returns within the grace if it is alive. */
+    fun isListed(nowMillis: Long): Boolean = unlistedSinceMillis?.let { nowMillis - it < UNLISTED_GRACE_MILLIS } ?: true
+
+    fun add(run: HeldRun) {
+        runs[run.key] = run
+        recount()
+    }
+
+    fun remove(run: HeldRun) {
+        if (runs[run.key] === run) runs.remove(run.key)
+        recount()
+    }
+
+    fun recount() {
+        used = runs.values.fold(Resources()) { sum, run -> sum + run.demand }
+    }
+
+    /** State of the connection to a target. */
+    enum class Contact {
+        /** Not yet listed by this holder. */
+        NEW,
+
+        /** The last look was answered. */
+        HELD,
+
+        /** The last look or start was not answered. */
+        SILENT,
+    }
+
+    private companion object {
+        /** The platform's pages give living targets about two seconds to return to the list. */
+        const val UNLISTED_GRACE_MILLIS = 2_500L
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/ShardDecision.kt
@@ -0,0 +1,39 @@
+package io.jackdawring.core.shard
+
+import io.jackdawring.core.TargetId
+
+/** A decision or a change of belief, with the inputs that decided it. */
+sealed interface ShardDecision {
+    /** A job was admitted to the queue. */
+    data class JobAdmitted(
+        val jobId: JobId,
+        val queue: String,
+        val forecastMillis: Long,
+        val objectiveMillis: Long,
+        val queuedTasks: Int,
+    ) : ShardDecision
+
+    /** A job was answered. */
+    data class JobAnswered(
+        val jobId: JobId,
+        val queue: String,
+        val outcome: JobOutcome,
+        val ageMillis: Long,
+        val objectiveMillis: Long,
+    ) : ShardDecision
+
+    /** A run was given up and its task waits again. */
+    data class RunRepeated(
+        val task: TaskKey,
+        val attempt: Int,
+        val targetId: TargetId,
+        val reason: String,
+    ) : ShardDecision
+
+    /** The belief about a target has changed. */
+    data class TargetChanged(
+        val targetId: TargetId,
+        val state: String,
+        val reason: String,
+    ) : ShardDecision
+}
--- /dev/null
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/ShardDispatcher.kt
@@ -0,0 +1,75 @@
+package io.jackdawring.core.shard
+
+import io.jackdawring.core.TargetId
+import kotlinx.collections.immutable.ImmutableCollection
+
+/**
+ * Decides everything about the targets of one shard: admission, queue, placement, retries, leases.
+ *
+ * Single-threaded; all times are milliseconds of one steady clock.
+ */
+interface ShardDispatcher {
+    /** Replaces the list of the shard's targets. */
+    fun updateTargets(
+        targets: ImmutableCollection<ShardTarget>,
+        nowMillis: Long,
+    )
+
+    /** Adds a request for a job; it joins the job if it is known. [remainingMillis] is how long the caller waits. */
+    fun submit(
+        spec: JobSpec,
+        waiter: WaiterId,
+        remainingMillis: Long,
+        nowMillis: Long,
+    )
+
+    /** Removes a request whose connection has closed. */
+    fun withdraw(
+        waiter: WaiterId,
+        nowMillis: Long,
+    )
+
+    fun onStart(
+        targetId: TargetId,
+        order: StartOrder,
+        result: StartResult,
+        nowMillis: Long,
+    )
+
+    fun onStop(
+        targetId: TargetId,
+        task: TaskKey,
+        attempt: Int,
+        result: StopResult,
+        nowMillis: Long,
+    )
+
+    fun onLook(
+        targetId: TargetId,
+        order: LookOrder,
+        result: LookResult,
+        nowMillis: Long,
+    )
+
+    /** Applies everything that is due. */
+    fun tick(nowMillis: Long)
+
+    /** Stops giving orders and answers every waiter with [JobOutcome.Moved]. */
+    fun release(nowMillis: Long)
+
+    /** Jobs of [queue] of which no task has started. */
+    fun pendingJobs(queue: String): Int
+
+    /** Creates dispatchers that give orders to the outlet. */
+    fun interface Factory {
+        fun create(
+            options: ShardOptions,
+            outlet: ShardOutlet,
+        ): ShardDispatcher
+
+        companion object {
+            /** Creates the dispatchers of this package. */
+            val Default: Factory = Factory { options, outlet -> RealShardDispatcher(options, outlet) }
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/WaitForecast.kt
@@ -0,0 +1,89 @@
+package io.jackdawring.core.shard
+
+import java.util.PriorityQueue
+
+/**
+ * Forecasts when a job would be complete if the waiting tasks were placed in order on the places of the shard.
+ *
+ * A place is a running task, which frees it at its expected end, or the room for one more task of the job's size.
+ */
+internal class WaitForecast(
+    private val durations: DurationEstimator,
+    private val farFactor: Double,
+) {
+    private class Place(
+        val target: HeldTarget,
+        val freeAtMillis: Double,
+    )
+
+    /** Expected time of the job's last end, or null if no target can run it. */
+    fun completionMillis(
+        job: HeldJob,
+        targets: Collection<HeldTarget>,
+        waiting: WaitingTasks,
+        nowMillis: Long,
+    ): Double? {
+        val sample = job.steps.first().first()
+        val places = places(sample, targets, nowMillis)
+        if (places.isEmpty()) return null
+        var completion = nowMillis.toDouble()
+        for (task in inOrder(job, waiting)) {
+            val place = places.poll() ?: break
+            val end = place.freeAtMillis + durations.onTargetMillis(task, place.target, farFactor)
+            places.add(Place(place.target, end))
+            if (task.job === job) completion = maxOf(completion, end)
+        }
+        return completion
+    }
+
+    private fun inOrder(
+        job: HeldJob,
+        waiting: WaitingTasks,
+    ): List<HeldTask> {
+        val own = job.steps.first()
+        val latest = waiting.latestStartMillis(own.first())
+        val before =
+            waiting.inOrder().filter {
+                it.job.spec.service == job.spec.service &&
+                    waiting.latestStartMillis(it) <= latest
+            }
+        return before + own
+    }
+
+    private fun places(
+        sample: HeldTask,
+        targets: Collection<HeldTarget>,
+        nowMillis: Long,
+    ): PriorityQueue<Place> {
+        val places = PriorityQueue<Place>(compareBy { it.freeAtMillis })
+        for (target in targets) {
+            if (!TargetChoice.isUsable(target, nowMillis) || !TargetChoice.matches(target, sample)) continue
+            target.runs.values.forEach { run -> places.add(Place(target, expectedEndMillis(run, nowMillis))) }
+            repeat(spareRoom(target.free, sample.spec.demand)) { places.add(Place(target, nowMillis.toDouble())) }
+        }
+        return places
+    }
+
+    private fun expectedEndMillis(
+        run: HeldRun,
+        nowMillis: Long,
+    ): Double = maxOf(run.sentAtMillis + run.expectedMillis, nowMillis + run.expectedMillis / OVERDUE_SHARE).toDouble()
+
+    private fun spareRoom(
+        free: Resources,
+        demand: Resources,
+    ): Int {
+        val byCpu = if (demand.cpuMillis > 0) free.cpuMillis / demand.cpuMillis else MAX_SPARE
+        val byMemory = if (demand.memoryMb > 0) free.memoryMb / demand.memoryMb else MAX_SPARE
+        val byAccelerators = if (demand.accelerators > 0) free.accelerators / demand.accelerators else MAX_SPARE
+        return minOf(byCpu, byMemory, byAccelerators).coerceIn(0, MAX_SPARE)
+    }
+
+    private companion object {
+        /** A run past its expected end is taken to need a further quarter of it. */
+        const val OVERDUE_SHARE = 4
+
+        /** Bounds the work for tasks of negligible size. */
+        const val MAX_SPARE = 64
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/WaitingTasks.kt
@@ -0,0 +1,50 @@
+package io.jackdawring.core.shard
+
+import java.util.TreeSet
+
+/**
+ * Tasks that wait for a target, in the order in which they are placed.
+ *
+ * Jobs that can still meet their objective come first, by the latest time at which they must start; their order follows
+ * from the objective of the queue, which is short for urgent queues.
+ */
+internal class WaitingTasks(
+    private val latestStart: (HeldTask) -> Long,
+) {
+    private class Entry(
+        val task: HeldTask,
+        val latestStartMillis: Long,
+    )
+
+    private val entries =
+        TreeSet<Entry>(
+            compareBy<Entry> { it.latestStartMillis }
+                .thenBy { it.task.job.spec.priority }
+                .thenBy { it.task.job.sequence }
+                .thenBy { it.task.key.step }
+                .thenBy { it.task.key.index },
+        )
+    private val byKey = HashMap<TaskKey, Entry>()
+
+    val size: Int get() = entries.size
+    val isEmpty: Boolean get() = entries.isEmpty()
+
+    fun add(task: HeldTask) {
+        if (task.waiting) return
+        task.waiting = true
+        val entry = Entry(task, latestStart(task))
+        byKey[task.key] = entry
+        entries.add(entry)
+    }
+
+    fun remove(task: HeldTask) {
+        if (!task.waiting) return
+        task.waiting = false
+        byKey.remove(task.key)?.let(entries::remove)
+    }
+
+    /** The waiting tasks in order; a copy, so that tasks may be removed meanwhile. */
+    fun inOrder(): List<HeldTask> = entries.map { it.task }
+
+    fun latestStartMillis(task: HeldTask): Long = byKey[task.key]?.latestStartMillis ?: latestStart(task)
+}
--- /dev/null
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/FleetDirectory.kt
@@ -0,0 +1,76 @@
+package io.jackdawring.fleet
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.jackdawring.core.FailureDomainId
+import io.jackdawring.core.fleet.FleetMember
+import io.jackdawring.core.fleet.ShardHolding
+import io.jackdawring.core.fleet.ShardId
+import io.jackdawring.fleet.peer.peerJson
+import io.jackdawring.fleet.store.StoreItem
+import io.jackdawring.fleet.store.StoreMirror
+import kotlinx.collections.immutable.ImmutableMap
+import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.toImmutableMap
+import kotlinx.serialization.SerializationException
+
+private val logger = KotlinLogging.logger("io.jackdawring.fleet")
+
+/** Members and holders as the store names them; belongs to the control thread. */
+internal class FleetDirectory {
+    var members: ImmutableMap<String, FleetMember> = persistentMapOf()
+        private set
+    var holdings: ImmutableMap<ShardId, ShardHolding> = persistentMapOf()
+        private set
+
+    fun update(mirror: StoreMirror) {
+        val memberItems = mirror.items.filter { it.key.startsWith(FleetKeys.MEMBERS) }
+        members = memberItems.mapNotNull { decodeMember(it) }.associateBy { it.instanceId.value }.toImmutableMap()
+        val found = mirror.items.mapNotNull(::decodeHolding).associateBy { it.shardId }
+        found.values.filter { holdings[it.shardId]?.revision != it.revision }.forEach { holding ->
+            logger.info {
+                "shard ${FleetKeys.shard(
+                    holding.shardId,
+                )} is held by ${holding.holder.instanceId.value}, fence ${holding.revision}"
+            }
+        }
+        holdings = found.toImmutableMap()
+    }
+
+    /** The shards of [domain]; one for now, whatever the number of its targets. */
+    fun shardsOf(domain: FailureDomainId): List<ShardId> = listOf(ShardId(domain, 0))
+
+    private fun decodeHolding(item: StoreItem): ShardHolding? {
+        if (!item.key.startsWith(FleetKeys.SHARDS)) return null
+        val parts = item.key.removePrefix(FleetKeys.SHARDS).split('/')
+        val number = parts.lastOrNull()?.toIntOrNull()
+        val holder = decodeMember(item)
+        if (parts.size != SHARD_KEY_PARTS || number == null || holder == null) return null
+        return ShardHolding(ShardId(FailureDomainId(parts.first()), number), holder, item.revision)
+    }
+
+    private fun decodeMember(item: StoreItem): FleetMember? =
+        try {
+            peerJson.decodeFromString(FleetMember.serializer(), item.value.decodeToString())
+        } catch (e: SerializationException) {
+            logger.warn { "store item ${item.key} at revision ${item.revision} is not a member: ${e.message}" }
+            null
+        }
+
+    private companion object {
+        const val SHARD_KEY_PARTS = 2
+    }
+}
+
+/** Keys of the product in the platform's store. */
+internal object FleetKeys {
+    const val ROOT = "jackdawring/"
+    const val MEMBERS = "jackdawring/members/"
+    const val SHARDS = "jackdawring/shards/"
+
+    fun member(instanceId: String) = "$MEMBERS$instanceId"
+
+    fun shard(id: ShardId) = "$SHARDS${id.failureDomain.value}/${id.number}"
+}
+
+internal fun FleetMember.encode(): ByteArray =
+    peerJson.encodeToString(FleetMember.serializer(), this).encodeToByteArray()
--- /dev/null
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/FleetOptions.kt
@@ -0,0 +1,51 @@
+package io.jackdawring.fleet
+
+import io.jackdawring.core.FailureDomainId
+import io.jackdawring.core.InstanceId
+import io.jackdawring.core.shard.ShardOptions
+import io.jackdawring.core.shard.shardOptions
+
+/** Addresses and limits of an entry instance. */
+class FleetOptions internal constructor(
+    val instanceId: InstanceId,
+    val failureDomain: FailureDomainId,
+    /** Where callers connect. */
+    val callerAddress: String,
+    /** Where the balancer asks for readiness. */
+    val readyAddress: String,
+    /** Where peers connect. */
+    val peerAddress: String,
+    /** Processor capacity in cores of unit speed. */
+    val weight: Double,
+    val shard: ShardOptions,
+    /** Time from the request to stop until the process is killed. */
+    val stopGraceMillis: Long,
+) {
+    /** Builds [FleetOptions]. */
+    class Builder {
+        var instanceId: String = ""
+        var failureDomain: String = ""
+        var callerAddress: String = ""
+        var readyAddress: String = ""
+        var peerAddress: String = ""
+        var weight: Double = 1.0
+        var shard: ShardOptions = shardOptions()
+        var stopGraceMillis: Long = 6_000
+
+        fun build() =
+            FleetOptions(
+                InstanceId(instanceId),
+                FailureDomainId(failureDomain),
+                callerAddress,
+                readyAddress,
+                peerAddress,
+                weight,
+                shard,
+                stopGraceMillis,
+            )
+    }
+}
+
+/** Builds [FleetOptions] with the values set in [configure]. */
+fun fleetOptions(configure: FleetOptions.Builder.() -> Unit): FleetOptions =
+    FleetOptions.Builder().apply(configure).build()
--- /dev/null
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/HeldShards.kt
@@ -0,0 +1,165 @@
+package io.jackdawring.fleet
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.jackdawring.core.InstanceId
+import io.jackdawring.core.fleet.FleetMember
+import io.jackdawring.core.fleet.ShardElection
+import io.jackdawring.core.fleet.ShardHolding
+import io.jackdawring.core.fleet.ShardId
+import io.jackdawring.core.shard.ShardDispatcher
+import io.jackdawring.core.shard.ShardTarget
+import io.jackdawring.fleet.peer.HandOverMessage
+import io.jackdawring.fleet.peer.PeerClient
+import io.jackdawring.fleet.shard.DecisionLog
+import io.jackdawring.fleet.shard.ShardHost
+import io.jackdawring.fleet.store.CommitResult
+import io.jackdawring.fleet.store.KeyValueStore
+import io.jackdawring.fleet.store.StoreChange
+import io.jackdawring.fleet.store.StoreItem
+import io.jackdawring.fleet.store.StoreMirror
+import kotlinx.collections.immutable.ImmutableCollection
+import kotlinx.collections.immutable.persistentListOf
+
+private val logger = KotlinLogging.logger("io.jackdawring.fleet")
+
+/** Takes, holds and lets go of the shards of the own failure domain; belongs to the control thread. */
+internal class HeldShards(
+    private val self: FleetMember,
+    private val options: FleetOptions,
+    private val loop: ControlLoop,
+    private val store: KeyValueStore,
+    private val mirror: StoreMirror,
+    private val directory: FleetDirectory,
+    private val targetClient: TargetClient,
+    private val peers: PeerClient,
+    private val targetsOf: (ShardId) -> ImmutableCollection<ShardTarget>,
+) {
+    private val hosts = HashMap<ShardId, ShardHost>()
+    private val claiming = HashSet<ShardId>()
+    private var leaving = false
+    val election = ShardElection(self)
+
+    val held: Set<ShardId> get() = hosts.keys
+
+    fun host(id: ShardId): ShardHost? = hosts[id]
+
+    /** Claims shards whose holder is missing or suspected. */
+    fun maintain() {
+        if (leaving || !mirror.isLoaded) return
+        val now = loop.nowMillis()
+        for (id in directory.shardsOf(self.failureDomain)) {
+            val holding = directory.holdings[id]
+            if (id in hosts || id in claiming) continue
+            if (election.shouldClaim(id, holding, directory.members.values, now)) claim(id, holding?.revision ?: 0)
+        }
+    }
+
+    /** Lets go of shards that the store ascribes to another holder. */
+    fun onDirectoryChanged() {
+        for (host in hosts.values.toList()) {
+            val current = directory.holdings[host.holding.shardId] ?: continue
+            if (current.revision >
+                host.holding.revision
+            ) {
+                letGo(host, "the store names ${current.holder.instanceId.value}")
+            }
+        }
+    }
+
+    fun onTargetsChanged() = hosts.values.forEach { it.updateTargets(targetsOf(it.holding.shardId)) }
+
+    fun onRelaySilent(relay: InstanceId) = hosts.values.forEach { it.withdrawAll(relay.value) }
+
+    private fun claim(
+        id: ShardId,
+        revision: Long,
+    ) {
+        claiming.add(id)
+        val key = FleetKeys.shard(id)
+        val value = self.encode()
+        val change =
+            StoreChange(
+                persistentListOf(StoreChange.Condition(key, revision)),
+                persistentListOf(StoreChange.Write(key, value)),
+            )
+        store.commit(change) { result ->
+            claiming.remove(id)
+            when (result) {
+                is CommitResult.Committed ->
+                    hold(
+                        ShardHolding(id, self, result.revision),
+                        StoreItem(key, value, result.revision),
+                    )
+                is CommitResult.Conflict -> result.items.forEach(mirror::learn)
+                is CommitResult.LeaseEnded -> Unit
+                is CommitResult.Unavailable ->
+                    logger.info {
+                        "claim of shard $key at revision $revision not answered: ${result.detail}"
+                    }
+            }
+        }
+    }
+
+    private fun hold(
+        holding: ShardHolding,
+        item: StoreItem,
+    ) {
+        if (leaving) return
+        val name = FleetKeys.shard(holding.shardId)
+        logger.info { "took shard $name with fence ${holding.revision}" }
+        val host =
+            ShardHost(holding, options.shard, ShardDispatcher.Factory.Default, targetClient, loop, DecisionLog(name)) {
+                hosts[holding.shardId]
+                    ?.takeIf {
+                        it.holding.revision == holding.revision
+                    }?.let { letGo(it, "a target rejects its fence") }
+            }
+        hosts[holding.shardId] = host
+        mirror.learn(item)
+        host.updateTargets(targetsOf(holding.shardId))
+        host.run()
+    }
+
+    private fun letGo(
+        host: ShardHost,
+        reason: String,
+    ) {
+        logger.info {
+            "let go of shard ${FleetKeys.shard(
+                host.holding.shardId,
+            )} with fence ${host.holding.revision}: $reason"
+        }
+        hosts.remove(host.holding.shardId)
+        host.release()
+    }
+
+    /** Asks a peer to take each shard, and lets go of it when the peer has it or does not answer. */
+    fun handOverAll() {
+        leaving = true
+        for (host in hosts.values.toList()) {
+            val successor = election.successor(directory.members.values, loop.nowMillis())
+            if (successor == null) {
+                logger.warn {
+                    "no live peer to take shard ${FleetKeys.shard(
+                        host.holding.shardId,
+                    )}; holding it until the end"
+                }
+                continue
+            }
+            peers.handOver(successor, HandOverMessage(host.holding.shardId, host.holding.revision)) { reply ->
+                val stillHeld = hosts[host.holding.shardId] === host
+                if (stillHeld) letGo(host, "handed over to ${successor.instanceId.value}: ${reply::class.simpleName}")
+            }
+        }
+    }
+
+    /** Takes a shard from a holder that is leaving. */
+    fun takeOver(message: HandOverMessage) {
+        if (!leaving &&
+            message.shardId !in hosts &&
+            message.shardId !in claiming
+        ) {
+            claim(message.shardId, message.revision)
+        }
+    }
+}
--- /dev/null
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/RealFleetInstance.kt
@@ -0,0 +1,175 @@
+package io.jackdawring.fleet
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.jackdawring.core.fleet.FleetMember
+import io.jackdawring.core.fleet.ShardId
+import io.jackdawring.core.routing.QueueRoute
+import io.jackdawring.core.shard.ShardTarget
+import io.jackdawring.fleet.peer.PeerApi
+import io.jackdawring.fleet.peer.PeerClient
+import io.jackdawring.fleet.relay.JobRelay
+import io.jackdawring.fleet.store.StoreMirror
+import io.jackdawring.server.http.HttpExchange
+import io.jackdawring.server.http.HttpResponseMessage
+import io.jackdawring.server.http.HttpServerOptions
+import kotlinx.collections.immutable.ImmutableCollection
+import kotlinx.collections.immutable.toImmutableList
+import java.util.UUID
+
+private val logger = KotlinLogging.logger("io.jackdawring.fleet")
+
+/** Connects the parts of an entry instance. */
+class RealFleetInstance(
+    private val options: FleetOptions,
+    private val components: FleetComponents,
+) : FleetInstance {
+    private val loop: ControlLoop = RealControlLoop(components.controlTransport.executor())
+    private val self =
+        FleetMember(
+            options.instanceId,
+            UUID.randomUUID().toString(),
+            options.failureDomain,
+            options.peerAddress,
+            options.weight,
+        )
+    private val directory = FleetDirectory()
+    private val peers = PeerClient(components.peerClient)
+    private val fleetMirror = StoreMirror(FleetKeys.ROOT, components.store, loop, ::onFleetChanged)
+    private val targetMirror =
+        StoreMirror(components.storeCodec.targetPrefix, components.store, loop, ::onTargetsChanged)
+    private val configurationMirror =
+        StoreMirror(components.storeCodec.configurationKey, components.store, loop, ::onConfigurationChanged)
+    private var targetsByDomain = emptyMap<String, List<ShardTarget>>()
+    private val shards =
+        HeldShards(
+            self,
+            options,
+            loop,
+            components.store,
+            fleetMirror,
+            directory,
+            components.targets,
+            peers,
+            ::targetsOf,
+        )
+    private val peerWatch = PeerWatch(self, peers, shards, directory, loop)
+    private val relay = JobRelay(loop, HolderAccess(self, shards, directory, peers, loop))
+    private val registration = MemberRegistration(self, components.store, loop, fleetMirror::learn)
+    private val callerApi = CallerApi(components.callerCodec, relay, loop, ::pendingJobs)
+    private val peerApi = PeerApi(self.incarnation, shards, loop, peerWatch::onPing)
+
+    @Volatile
+    private var draining = false
+
+    private val controlServers =
+        components.controlTransport.serverFactory(
+            HttpServerOptions(maxConnections = MAX_PEER_CONNECTIONS),
+        )
+    private val peerServer = controlServers.start(options.peerAddress, peerApi::handle)
+    private val readyServer = controlServers.start(options.readyAddress, ::onReadyRequest)
+    private val callerServer =
+        components.callerTransport.serverFactory().start(
+            options.callerAddress,
+            callerApi::handle,
+        )
+
+    init {
+        logger.info {
+            "entry instance ${self.instanceId.value} of ${self.failureDomain.value} started, incarnation ${self.incarnation}"
+        }
+        loop.execute {
+            fleetMirror.start()
+            targetMirror.start()
+            configurationMirror.start()
+            round()
+        }
+    }
+
+    private fun round() {
+        registration.maintain(fleetMirror[FleetKeys.member(self.instanceId.value)])
+        peerWatch.round()
+        maintainShards()
+        loop.schedule(PeerWatch.PING_INTERVAL_MILLIS, ::round)
+    }
+
+    private fun maintainShards() = shards.maintain()
+
+    private fun onFleetChanged() {
+        directory.update(fleetMirror)
+        shards.onDirectoryChanged()
+        shards.maintain()
+    }
+
+    private fun onTargetsChanged() {
+        targetsByDomain =
+            targetMirror.items.mapNotNull(components.storeCodec::decodeTarget).groupBy { it.failureDomain.value }
+        shards.onTargetsChanged()
+    }
+
+    private fun targetsOf(id: ShardId): ImmutableCollection<ShardTarget> =
+        targetsByDomain[id.failureDomain.value].orEmpty().toImmutableList()
+
+    private fun onConfigurationChanged() {
+        val item = configurationMirror[components.storeCodec.configurationKey] ?: return
+        val decoded = components.storeCodec.decodeConfiguration(item) ?: return
+        val current = callerApi.configuration
+        // The store may answer with older reads than the ones before.
+        if (current != null && decoded.version <= current.version) return
+        callerApi.configuration = decoded
+        logger.info { "configuration version ${decoded.version} is in force, store revision ${item.revision}" }
+    }
+
+    private fun pendingJobs(queue: QueueRoute): Int =
+        directory.shardsOf(self.failureDomain).sumOf { shards.host(it)?.pendingJobs(queue.name) ?: 0 }
+
+    private fun onReadyRequest(exchange: HttpExchange) {
+        exchange.respond(HttpResponseMessage(if (isReady()) STATUS_OK else STATUS_UNAVAILABLE))
+    }
+
+    private fun isReady(): Boolean {
+        if (draining || callerApi.configuration == null) return false
+        return directory.shardsOf(self.failureDomain).all { id ->
+            shards.host(id) != null ||
+                directory.holdings[id]?.let { !shards.election.isSuspected(it, loop.nowMillis()) } == true
+        }
+    }
+
+    override fun drain() {
+        logger.info { "stopping: shards are handed over, ${callerServer.requestsInProgress} requests in progress" }
+        draining = true
+        loop.execute { shards.handOverAll() }
+        val startedAt = loop.nowMillis()
+        callerServer.closeAfterAnswers()
+        Thread.sleep(minOf(ROTATION_MILLIS, options.stopGraceMillis / 2))
+        callerServer.stopAccepting()
+        while (callerServer.requestsInProgress > 0 &&
+            loop.nowMillis() - startedAt < options.stopGraceMillis - EXIT_MARGIN_MILLIS
+        ) {
+            Thread.sleep(DRAIN_POLL_MILLIS)
+        }
+        logger.info {
+            "stopped after ${loop.nowMillis() - startedAt} ms, ${callerServer.requestsInProgress} requests in progress"
+        }
+    }
+
+    override fun close() {
+        callerServer.close()
+        peerServer.close()
+        readyServer.close()
+        components.callerTransport.close()
+        components.controlTransport.close()
+    }
+
+    private companion object {
+        const val STATUS_OK = 200
+        const val STATUS_UNAVAILABLE = 503
+        const val MAX_PEER_CONNECTIONS = 4_000
+
+        /** The balancer asks once a second and takes an instance out of rotation after two misses. */
+        const val ROTATION_MILLIS = 2_600L
+
+        /** Time left for closing before the process would be killed. */
+        const val EXIT_MARGIN_MILLIS = 400L
+        const val DRAIN_POLL_MILLIS = 20L
+    }
+}
--- /dev/null
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/peer/PeerApi.kt
@@ -0,0 +1,85 @@
+package io.jackdawring.fleet.peer
+
+import io.jackdawring.core.InstanceId
+import io.jackdawring.fleet.ControlLoop
+import io.jackdawring.fleet.HeldShards
+import io.jackdawring.server.http.HttpExchange
+import io.jackdawring.server.http.HttpResponseMessage
+import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.serialization.KSerializer
+import kotlinx.serialization.SerializationException
+
+/** Answers messages of other entry instances; belongs to the control thread, on which its listener runs. */
+internal class PeerApi(
+    private val incarnation: String,
+    private val shards: HeldShards,
+    private val loop: ControlLoop,
+    private val onPing: (InstanceId) -> Unit,
+) {
+    fun handle(exchange: HttpExchange) {
+        try {
+            when (exchange.request.path) {
+                PeerPaths.JOB -> onJob(exchange, decode(exchange, JobMessage.serializer()))
+                PeerPaths.PING -> onPing(exchange, decode(exchange, PingMessage.serializer()))
+                PeerPaths.HAND_OVER -> onHandOver(exchange, decode(exchange, HandOverMessage.serializer()))
+                else -> exchange.respond(HttpResponseMessage(STATUS_NOT_FOUND))
+            }
+        } catch (e: SerializationException) {
+            exchange.respond(HttpResponseMessage(STATUS_INVALID, body = "${e.message}\n".encodeToByteArray()))
+        }
+    }
+
+    private fun <T> decode(
+        exchange: HttpExchange,
+        type: KSerializer<T>,
+    ): T = peerJson.decodeFromString(type, exchange.request.body.decodeToString())
+
+    private fun onJob(
+        exchange: HttpExchange,
+        message: JobMessage,
+    ) {
+        val host = shards.host(message.shardId)
+        if (host == null) {
+            exchange.respond(HttpResponseMessage(STATUS_NOT_HOLDER))
+            return
+        }
+        val waiter =
+            host.submit(message.relay, message.job, message.remainingMillis) { outcome ->
+                exchange.respond(json(OutcomeMessage.serializer(), OutcomeMessage.of(outcome)))
+            }
+        exchange.onDisconnected { loop.execute { host.withdraw(waiter) } }
+    }
+
+    private fun onPing(
+        exchange: HttpExchange,
+        message: PingMessage,
+    ) {
+        onPing(InstanceId(message.sender))
+        exchange.respond(pong())
+    }
+
+    private fun onHandOver(
+        exchange: HttpExchange,
+        message: HandOverMessage,
+    ) {
+        shards.takeOver(message)
+        exchange.respond(pong())
+    }
+
+    private fun pong() = json(PongMessage.serializer(), PongMessage(incarnation, shards.held.toList()))
+
+    private fun <T> json(
+        type: KSerializer<T>,
+        value: T,
+    ) = HttpResponseMessage(STATUS_OK, JSON_HEADERS, peerJson.encodeToString(type, value).encodeToByteArray())
+
+    private companion object {
+        const val STATUS_OK = 200
+        const val STATUS_INVALID = 400
+        const val STATUS_NOT_FOUND = 404
+
+        /** Tells a relay that nothing was done because another instance holds the shard. */
+        const val STATUS_NOT_HOLDER = 409
+        val JSON_HEADERS = persistentMapOf("content-type" to "application/json")
+    }
+}
--- /dev/null
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/shard/ShardHost.kt
@@ -0,0 +1,115 @@
+package io.jackdawring.fleet.shard
+
+import io.jackdawring.core.fleet.ShardHolding
+import io.jackdawring.core.shard.JobOutcome
+import io.jackdawring.core.shard.JobSpec
+import io.jackdawring.core.shard.LookOrder
+import io.jackdawring.core.shard.ShardDecision
+import io.jackdawring.core.shard.ShardDispatcher
+import io.jackdawring.core.shard.ShardOptions
+import io.jackdawring.core.shard.ShardOutlet
+import io.jackdawring.core.shard.ShardTarget
+import io.jackdawring.core.shard.StartOrder
+import io.jackdawring.core.shard.TaskKey
+import io.jackdawring.core.shard.WaiterId
+import io.jackdawring.fleet.ControlLoop
+import io.jackdawring.fleet.TargetClient
+import kotlinx.collections.immutable.ImmutableCollection
+
+/** Runs the dispatcher of a shard that this process holds; belongs to the control thread. */
+internal class ShardHost(
+    val holding: ShardHolding,
+    options: ShardOptions,
+    factory: ShardDispatcher.Factory,
+    private val targets: TargetClient,
+    private val loop: ControlLoop,
+    private val log: DecisionLog,
+    private val onFenced: () -> Unit,
+) : ShardOutlet {
+    private class Waiter(
+        val relay: String,
+        val onOutcome: (JobOutcome) -> Unit,
+    )
+
+    private val dispatcher = factory.create(options, this)
+    private val waiters = HashMap<WaiterId, Waiter>()
+    private var nextWaiter = 0L
+    private var released = false
+
+    /** Starts the periodic work. */
+    fun run() {
+        if (released) return
+        dispatcher.tick(loop.nowMillis())
+        loop.schedule(TICK_MILLIS, ::run)
+    }
+
+    fun updateTargets(listed: ImmutableCollection<ShardTarget>) = dispatcher.updateTargets(listed, loop.nowMillis())
+
+    /** Adds a request for a job on behalf of [relay]; [onOutcome] is called at most once. */
+    fun submit(
+        relay: String,
+        job: JobSpec,
+        remainingMillis: Long,
+        onOutcome: (JobOutcome) -> Unit,
+    ): WaiterId {
+        val id = WaiterId(nextWaiter++)
+        waiters[id] = Waiter(relay, onOutcome)
+        dispatcher.submit(job, id, remainingMillis, loop.nowMillis())
+        return id
+    }
+
+    fun withdraw(id: WaiterId) {
+        if (waiters.remove(id) != null) dispatcher.withdraw(id, loop.nowMillis())
+    }
+
+    /** Withdraws the requests of a relay that has fallen silent. */
+    fun withdrawAll(relay: String) =
+        waiters
+            .filterValues { it.relay == relay }
+            .keys
+            .toList()
+            .forEach(::withdraw)
+
+    fun pendingJobs(queue: String): Int = dispatcher.pendingJobs(queue)
+
+    fun release() {
+        released = true
+        dispatcher.release(loop.nowMillis())
+    }
+
+    override fun start(
+        target: ShardTarget,
+        order: StartOrder,
+    ) = targets.start(target, order, holding.revision) { dispatcher.onStart(target.id, order, it, loop.nowMillis()) }
+
+    override fun stop(
+        target: ShardTarget,
+        task: TaskKey,
+        attempt: Int,
+    ) = targets.stop(target, task, attempt, holding.revision) {
+        dispatcher.onStop(target.id, task, attempt, it, loop.nowMillis())
+    }
+
+    override fun look(
+        target: ShardTarget,
+        order: LookOrder,
+    ) = targets.look(target, order, holding.revision) { dispatcher.onLook(target.id, order, it, loop.nowMillis()) }
+
+    override fun answer(
+        waiter: WaiterId,
+        outcome: JobOutcome,
+    ) {
+        waiters.remove(waiter)?.onOutcome?.invoke(outcome)
+    }
+
+    override fun fenced(target: ShardTarget) {
+        if (!released) onFenced()
+    }
+
+    override fun report(decision: ShardDecision) = log.report(decision)
+
+    private companion object {
+        /** Resolution of time limits; short against the shortest latency objective. */
+        const val TICK_MILLIS = 20L
+    }
+}
--- /dev/null
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/store/StoreMirror.kt
@@ -0,0 +1,121 @@
+package io.jackdawring.fleet.store
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.jackdawring.fleet.ControlLoop
+
+private val logger = KotlinLogging.logger("io.jackdawring.store")
+
+/** Keeps a copy of all items under [prefix] by a list and watches; belongs to the control thread. */
+internal class StoreMirror(
+    private val prefix: String,
+    private val store: KeyValueStore,
+    private val loop: ControlLoop,
+    private val onChange: () -> Unit,
+) {
+    private val copy = HashMap<String, StoreItem>()
+    private var revision = 0L
+    private var failuresInRow = 0
+
+    /** Whether the first list has arrived. */
+    var isLoaded = false
+        private set
+
+    val items: Collection<StoreItem> get() = copy.values
+
+    operator fun get(key: String): StoreItem? = copy[key]
+
+    fun start() = list()
+
+    /** Applies [item] that was learned from a write or a peer, unless a newer one is known. */
+    fun learn(item: StoreItem) {
+        val known = copy[item.key]
+        if (known != null && known.revision >= item.revision) return
+        copy[item.key] = item
+        onChange()
+    }
+
+    private fun list() {
+        store.list(prefix) { result ->
+            when (result) {
+                is ListResult.Listed -> {
+                    replace(result)
+                    watch()
+                }
+
+                is ListResult.Unavailable -> {
+                    retry(result.detail, ::list)
+                }
+            }
+        }
+    }
+
+    private fun replace(listed: ListResult.Listed) {
+        reachable()
+        val fresh = listed.items.associateBy { it.key }
+        // Items written after the list was read were learned from elsewhere and are kept.
+        copy.values.removeIf { it.key !in fresh && it.revision <= listed.revision }
+        fresh.values.forEach { item -> if ((copy[item.key]?.revision ?: -1) < item.revision) copy[item.key] = item }
+        revision = listed.revision
+        isLoaded = true
+        onChange()
+    }
+
+    private fun watch() {
+        store.watch(prefix, revision, WATCH_WAIT_MILLIS) { result ->
+            when (result) {
+                is WatchResult.Changed -> {
+                    reachable()
+                    apply(result)
+                    watch()
+                }
+
+                is WatchResult.HistoryLost -> {
+                    logger.info { "history of $prefix after revision $revision is gone; reading it again" }
+                    list()
+                }
+
+                is WatchResult.Unavailable -> {
+                    retry(result.detail, ::watch)
+                }
+            }
+        }
+    }
+
+    private fun apply(changed: WatchResult.Changed) {
+        for (event in changed.events) {
+            when (event) {
+                is StoreEvent.Written -> {
+                    if ((copy[event.key]?.revision ?: -1) < event.item.revision) copy[event.key] = event.item
+                }
+
+                is StoreEvent.Removed -> {
+                    if ((copy[event.key]?.revision ?: -1) < event.revision) copy.remove(event.key)
+                }
+            }
+        }
+        revision = maxOf(revision, changed.revision)
+        if (changed.events.isNotEmpty()) onChange()
+    }
+
+    private fun reachable() {
+        if (failuresInRow > 0) logger.info { "store answers again for $prefix after $failuresInRow failures" }
+        failuresInRow = 0
+    }
+
+    private fun retry(
+        detail: String,
+        action: () -> Unit,
+    ) {
+        if (failuresInRow++ == 0) logger.warn { "store does not answer for $prefix: $detail" }
+        val delay = minOf(MAX_RETRY_MILLIS, FIRST_RETRY_MILLIS shl minOf(failuresInRow, MAX_DOUBLINGS))
+        loop.schedule(delay, action)
+    }
+
+    private companion object {
+        /** Bounds how long a connection that has gone silent hides a change; the configuration must arrive within 2 s. */
+        const val WATCH_WAIT_MILLIS = 2_000L
+        const val FIRST_RETRY_MILLIS = 25L
+        const val MAX_RETRY_MILLIS = 400L
+        const val MAX_DOUBLINGS = 4
+    }
+}
--- a/server/src/main/kotlin/io/jackdawring/server/http/HttpTransport.kt
+++ b/server/src/main/kotlin/io/jackdawring/server/http/HttpTransport.kt
@@ -4,6 +4,7 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup
 import io.netty.channel.nio.NioIoHandler
 import io.netty.util.concurrent.DefaultThreadFactory
+import java.util.concurrent.ScheduledExecutorService
 import java.util.concurrent.TimeUnit
 
 /** Event loops with the HTTP servers and clients that run on them; closing it stops them all. */
@@ -24,6 +25,9 @@
     /** The event loops for timers of callers that run on them. */
     internal fun nextLoop(): EventLoop = group.next()
 
+    /** One of the event loops, for work that has to run on the thread of its connections. */
+    fun executor(): ScheduledExecutorService = nextLoop()
+
     override fun close() {
         group.shutdownGracefully(0, SHUTDOWN_LIMIT_MILLIS, TimeUnit.MILLISECONDS).await(SHUTDOWN_LIMIT_MILLIS)
     }
