Follow the list of targets in holders only, and start a job whenever a target is free

Cause: each heartbeat of a target woke the watches of all nine instances, and the forecast refused jobs while targets had room, because declared durations are off and speeds unknown at first. Change: only holders watch the targets, gathering changes for 400 ms; a job is refused only if its first task cannot start at once.

--- a/core/src/main/kotlin/io/jackdawring/core/shard/RealShardDispatcher.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/RealShardDispatcher.kt
@@ -63,7 +63,8 @@
         val job = HeldJob(spec, nextJobSequence++, nowMillis, nowMillis + remainingMillis)
         claimEarlierRuns(job, nowMillis)
         val completion = forecast.completionMillis(job, control.targets, waiting, nowMillis)
-        val refusal = if (job.started) null else refusal(job, completion, nowMillis)
+        val startsNow = choice.choose(job.steps.first().first(), control.targets, nowMillis) != null
+        val refusal = if (job.started || startsNow) null else refusal(job, completion, nowMillis)
         if (refusal != null) {
             outlet.report(ShardDecision.JobAnswered(spec.id, spec.queue, refusal, 0, spec.objectiveMillis))
             outlet.answer(waiter, refusal)
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/HeldShards.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/HeldShards.kt
@@ -33,6 +33,7 @@
     private val targetClient: TargetClient,
     private val peers: PeerClient,
     private val targetsOf: (ShardId) -> ImmutableCollection<ShardTarget>,
+    private val onHeldChanged: () -> Unit,
 ) {
     private val hosts = HashMap<ShardId, ShardHost>()
     private val claiming = HashSet<ShardId>()
@@ -115,6 +116,7 @@
                     }?.let { letGo(it, "a target rejects its fence") }
             }
         hosts[holding.shardId] = host
+        onHeldChanged()
         mirror.learn(item)
         host.updateTargets(targetsOf(holding.shardId))
         host.run()
@@ -131,6 +133,7 @@
         }
         hosts.remove(host.holding.shardId)
         host.release()
+        onHeldChanged()
     }
 
     /** Asks a peer to take each shard, and lets go of it when the peer has it or does not answer. */
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/RealFleetInstance.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/RealFleetInstance.kt
@@ -34,11 +34,17 @@
         )
     private val directory = FleetDirectory()
     private val peers = PeerClient(components.peerClient)
-    private val fleetMirror = StoreMirror(FleetKeys.ROOT, components.store, loop, ::onFleetChanged)
+    private val fleetMirror = StoreMirror(FleetKeys.ROOT, components.store, loop, onChange = ::onFleetChanged)
     private val targetMirror =
-        StoreMirror(components.storeCodec.targetPrefix, components.store, loop, ::onTargetsChanged)
+        StoreMirror(
+            components.storeCodec.targetPrefix,
+            components.store,
+            loop,
+            TARGET_GATHER_MILLIS,
+            ::onTargetsChanged,
+        )
     private val configurationMirror =
-        StoreMirror(components.storeCodec.configurationKey, components.store, loop, ::onConfigurationChanged)
+        StoreMirror(components.storeCodec.configurationKey, components.store, loop, onChange = ::onConfigurationChanged)
     private var targetsByDomain = emptyMap<String, List<ShardTarget>>()
     private val shards =
         HeldShards(
@@ -51,6 +57,7 @@
             components.targets,
             peers,
             ::targetsOf,
+            ::followTargets,
         )
     private val peerWatch = PeerWatch(self, peers, shards, directory, loop)
     private val relay = JobRelay(loop, HolderAccess(self, shards, directory, peers, loop))
@@ -79,7 +86,6 @@
         }
         loop.execute {
             fleetMirror.start()
-            targetMirror.start()
             configurationMirror.start()
             round()
         }
@@ -92,7 +98,15 @@
         loop.schedule(PeerWatch.PING_INTERVAL_MILLIS, ::round)
     }
 
-    private fun maintainShards() = shards.maintain()
+    private fun maintainShards() {
+        shards.maintain()
+        followTargets()
+    }
+
+    /** Only holders need the list of targets, which changes with every heartbeat. */
+    private fun followTargets() {
+        if (shards.held.isEmpty()) targetMirror.stop() else targetMirror.start()
+    }
 
     private fun onFleetChanged() {
         directory.update(fleetMirror)
@@ -165,6 +179,9 @@
         const val STATUS_UNAVAILABLE = 503
         const val MAX_PEER_CONNECTIONS = 4_000
 
+        /** A leaving target must not get starts after 2 s; several watches fit into that. */
+        const val TARGET_GATHER_MILLIS = 400L
+
         /** The balancer asks once a second and takes an instance out of rotation after two misses. */
         const val ROTATION_MILLIS = 2_600L
 
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/store/StoreMirror.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/store/StoreMirror.kt
@@ -5,11 +5,16 @@
 
 private val logger = KotlinLogging.logger("io.jackdawring.store")
 
-/** Keeps a copy of all items under [prefix] by a list and watches; belongs to the control thread. */
+/**
+ * Keeps a copy of all items under [prefix] by a list and watches; belongs to the control thread.
+ *
+ * Changes are gathered for [gatherMillis] before the next watch, so that a prefix that changes often costs few calls.
+ */
 internal class StoreMirror(
     private val prefix: String,
     private val store: KeyValueStore,
     private val loop: ControlLoop,
+    private val gatherMillis: Long = 0,
     private val onChange: () -> Unit,
 ) {
     private val copy = HashMap<String, StoreItem>()
@@ -24,7 +29,26 @@
 
     operator fun get(key: String): StoreItem? = copy[key]
 
-    fun start() = list()
+    private var running = false
+
+    /** Counts the starts, so that results for earlier ones are told apart. */
+    private var generation = 0
+
+    /** Starts to follow the store; no effect while it does. */
+    fun start() {
+        if (running) return
+        running = true
+        generation++
+        list()
+    }
+
+    /** Stops following the store; the copy is read anew after the next start. */
+    fun stop() {
+        running = false
+        generation++
+    }
+
+    private fun isCurrent(startedIn: Int) = running && startedIn == generation
 
     /** Applies [item] that was learned from a write or a peer, unless a newer one is known. */
     fun learn(item: StoreItem) {
@@ -35,7 +59,9 @@
     }
 
     private fun list() {
+        val startedIn = generation
         store.list(prefix) { result ->
+            if (!isCurrent(startedIn)) return@list
             when (result) {
                 is ListResult.Listed -> {
                     replace(result)
@@ -61,12 +87,14 @@
     }
 
     private fun watch() {
+        val startedIn = generation
         store.watch(prefix, revision, WATCH_WAIT_MILLIS) { result ->
+            if (!isCurrent(startedIn)) return@watch
             when (result) {
                 is WatchResult.Changed -> {
                     reachable()
                     apply(result)
-                    watch()
+                    watchAgain(startedIn)
                 }
 
                 is WatchResult.HistoryLost -> {
@@ -81,6 +109,10 @@
         }
     }
 
+    private fun watchAgain(startedIn: Int) {
+        if (gatherMillis == 0L) watch() else loop.schedule(gatherMillis) { if (isCurrent(startedIn)) watch() }
+    }
+
     private fun apply(changed: WatchResult.Changed) {
         for (event in changed.events) {
             when (event) {
@@ -108,7 +140,8 @@
     ) {
         if (failuresInRow++ == 0) logger.warn { "store does not answer for $prefix: $detail" }
         val delay = minOf(MAX_RETRY_MILLIS, FIRST_RETRY_MILLIS shl minOf(failuresInRow, MAX_DOUBLINGS))
-        loop.schedule(delay, action)
+        val startedIn = generation
+        loop.schedule(delay) { if (isCurrent(startedIn)) action() }
     }
 
     private companion object {
