Pass jobs that a shard refuses to other failure domains, and hand shards over for certain

Change: a relay asks other failure domains after a refusal; a holder queues jobs during its first 250 ms; a hand-over counts when the successor has the key; pings carry newer holders and configuration.

--- a/core/src/main/kotlin/io/jackdawring/core/fleet/ShardElection.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/fleet/ShardElection.kt
@@ -15,7 +15,9 @@
         var heardAtMillis: Long,
         var refusalsInRow: Int = 0,
         var denialsInRow: Int = 0,
-    )
+    ) {
+        fun isLive(nowMillis: Long) = refusalsInRow == 0 && nowMillis - heardAtMillis < SUSPICION_MILLIS
+    }
 
     private val contacts = HashMap<InstanceId, Contact>()
     private val vacantSince = HashMap<ShardId, Long>()
@@ -82,20 +84,15 @@
         return true
     }
 
-    /** Best successor of this instance as holder, or null if it knows no other live member. */
-    fun successor(
+    /** Live members that may succeed this instance as holder, the best first. */
+    fun successors(
         members: Collection<FleetMember>,
         nowMillis: Long,
-    ): FleetMember? =
+    ): List<FleetMember> =
         members
             .filter { it.failureDomain == self.failureDomain && it.instanceId != self.instanceId }
-            .filter { member ->
-                contacts[member.instanceId]?.let {
-                    nowMillis - it.heardAtMillis < SUSPICION_MILLIS &&
-                        it.refusalsInRow == 0
-                } ==
-                    true
-            }.minWithOrNull(preference)
+            .filter { member -> contacts[member.instanceId]?.isLive(nowMillis) == true }
+            .sortedWith(preference)
 
     private fun rank(
         suspect: FleetMember?,
--- a/core/src/main/kotlin/io/jackdawring/core/shard/JobOutcome.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/JobOutcome.kt
@@ -10,10 +10,15 @@
         val reason: String,
     ) : JobOutcome
 
-    /** Nothing of the job has started or will start; the caller may come back after [retryAfterMillis]. */
+    /**
+     * Nothing of the job has started or will start; the caller may come back after [retryAfterMillis].
+     *
+     * [hasRoom] is whether a target had room for its first task, although not for the whole job in time.
+     */
     data class NotRun(
         val reason: String,
         val retryAfterMillis: Long,
+        val hasRoom: Boolean = false,
     ) : JobOutcome
 
     /** The holder gave the job up after at least one of its tasks had started. */
--- a/core/src/main/kotlin/io/jackdawring/core/shard/RealShardDispatcher.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/RealShardDispatcher.kt
@@ -20,11 +20,15 @@
     private var nextJobSequence = 0L
     private var released = false
 
+    /** Time of the first list of targets. */
+    private var heldSinceMillis: Long? = null
+
     override fun updateTargets(
         targets: ImmutableCollection<ShardTarget>,
         nowMillis: Long,
     ) {
         if (released) return
+        if (heldSinceMillis == null && targets.isNotEmpty()) heldSinceMillis = nowMillis
         control.updateTargets(targets, nowMillis)
         place(nowMillis)
     }
@@ -33,6 +37,7 @@
         spec: JobSpec,
         waiter: WaiterId,
         remainingMillis: Long,
+        admission: Admission,
         nowMillis: Long,
     ) {
         val known = jobs[spec.id]
@@ -41,7 +46,7 @@
             released -> outlet.answer(waiter, JobOutcome.Moved)
             known != null -> join(known, waiter)
             outcome != null -> outlet.answer(waiter, outcome)
-            else -> admit(spec, waiter, remainingMillis, nowMillis)
+            else -> admit(spec, waiter, remainingMillis, admission, nowMillis)
         }
     }
 
@@ -58,13 +63,20 @@
         spec: JobSpec,
         waiter: WaiterId,
         remainingMillis: Long,
+        admission: Admission,
         nowMillis: Long,
     ) {
         val job = HeldJob(spec, nextJobSequence++, nowMillis, nowMillis + remainingMillis)
         claimEarlierRuns(job, nowMillis)
         val completion = forecast.completionMillis(job, control.targets, waiting, nowMillis)
-        val startsNow = choice.choose(job.steps.first().first(), control.targets, nowMillis) != null
-        val refusal = if (job.started || startsNow) null else refusal(job, completion, nowMillis)
+        val refusal =
+            if (job.started ||
+                isWarmingUp(nowMillis)
+            ) {
+                null
+            } else {
+                refusal(job, completion, admission, nowMillis)
+            }
         if (refusal != null) {
             outlet.report(ShardDecision.JobAnswered(spec.id, spec.queue, refusal, 0, spec.objectiveMillis))
             outlet.answer(waiter, refusal)
@@ -104,16 +116,25 @@
         }
     }
 
+    /** Whether targets may still answer their first look, so that nothing is known of their room. */
+    private fun isWarmingUp(nowMillis: Long): Boolean {
+        val since = heldSinceMillis ?: return true
+        return nowMillis - since < WARM_UP_MILLIS && control.targets.none { it.contact == HeldTarget.Contact.HELD }
+    }
+
     private fun refusal(
         job: HeldJob,
         completionMillis: Double?,
+        admission: Admission,
         nowMillis: Long,
     ): JobOutcome.NotRun? {
         if (completionMillis == null) return JobOutcome.NotRun("no target can run it now", NO_TARGET_RETRY_MILLIS)
         val lateMillis = (completionMillis - job.objectiveAtMillis).toLong()
         if (lateMillis <= 0) return null
+        val hasRoom = choice.choose(job.steps.first().first(), control.targets, nowMillis) != null
+        if (hasRoom && admission == Admission.ON_TIME_OR_ROOM) return null
         val reason = "forecast of ${completionMillis.toLong() - nowMillis} ms exceeds the objective of ${job.spec.objectiveMillis} ms"
-        return JobOutcome.NotRun(reason, lateMillis)
+        return JobOutcome.NotRun(reason, lateMillis, hasRoom)
     }
 
     private fun releaseSteps(job: HeldJob) = job.releaseSteps().forEach(waiting::add)
@@ -355,6 +376,9 @@
         /** Failures in a row after which a target is suspended; a single one may be the task's fault. */
         const val FAILURES_ALLOWED = 2
 
+        /** Time for the targets to answer the first look of a new holder. */
+        const val WARM_UP_MILLIS = 250L
+
         /** Retry-After without any target; about the time in which targets are found or held again. */
         const val NO_TARGET_RETRY_MILLIS = 1_000L
     }
--- a/core/src/main/kotlin/io/jackdawring/core/shard/ShardDispatcher.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/ShardDispatcher.kt
@@ -20,6 +20,7 @@
         spec: JobSpec,
         waiter: WaiterId,
         remainingMillis: Long,
+        admission: Admission,
         nowMillis: Long,
     )
 
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/HeldShards.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/HeldShards.kt
@@ -10,6 +10,7 @@
 import io.jackdawring.core.shard.ShardTarget
 import io.jackdawring.fleet.peer.HandOverMessage
 import io.jackdawring.fleet.peer.PeerClient
+import io.jackdawring.fleet.peer.PeerReply
 import io.jackdawring.fleet.shard.DecisionLog
 import io.jackdawring.fleet.shard.ShardHost
 import io.jackdawring.fleet.store.CommitResult
@@ -74,6 +75,7 @@
     private fun claim(
         id: ShardId,
         revision: Long,
+        onResult: (Boolean) -> Unit = {},
     ) {
         claiming.add(id)
         val key = FleetKeys.shard(id)
@@ -94,10 +96,11 @@
                 is CommitResult.Conflict -> result.items.forEach(mirror::learn)
                 is CommitResult.LeaseEnded -> Unit
                 is CommitResult.Unavailable ->
-                    logger.info {
+                    logger.debug {
                         "claim of shard $key at revision $revision not answered: ${result.detail}"
                     }
             }
+            onResult(id in hosts)
         }
     }
 
@@ -136,33 +139,49 @@
         onHeldChanged()
     }
 
-    /** Asks a peer to take each shard, and lets go of it when the peer has it or does not answer. */
+    /** Asks peers to take the shards; those that nobody takes are held on. */
     fun handOverAll() {
         leaving = true
-        for (host in hosts.values.toList()) {
-            val successor = election.successor(directory.members.values, loop.nowMillis())
-            if (successor == null) {
-                logger.warn {
-                    "no live peer to take shard ${FleetKeys.shard(
-                        host.holding.shardId,
-                    )}; holding it until the end"
-                }
-                continue
+        hosts.values.toList().forEach { handOver(it, election.successors(directory.members.values, loop.nowMillis())) }
+    }
+
+    private fun handOver(
+        host: ShardHost,
+        candidates: List<FleetMember>,
+    ) {
+        val id = host.holding.shardId
+        if (hosts[id] !== host) return
+        val successor = candidates.firstOrNull()
+        if (successor == null) {
+            loop.schedule(HAND_OVER_RETRY_MILLIS) {
+                handOver(host, election.successors(directory.members.values, loop.nowMillis()))
             }
-            peers.handOver(successor, HandOverMessage(host.holding.shardId, host.holding.revision)) { reply ->
-                val stillHeld = hosts[host.holding.shardId] === host
-                if (stillHeld) letGo(host, "handed over to ${successor.instanceId.value}: ${reply::class.simpleName}")
+            return
+        }
+        peers.handOver(successor, HandOverMessage(id, host.holding.revision)) { reply ->
+            val taken = reply is PeerReply.Answered && reply.message.taken
+            when {
+                hosts[id] !== host -> Unit
+                taken -> letGo(host, "handed over to ${successor.instanceId.value}")
+                else -> handOver(host, candidates.drop(1))
             }
         }
     }
 
-    /** Takes a shard from a holder that is leaving. */
-    fun takeOver(message: HandOverMessage) {
-        if (!leaving &&
-            message.shardId !in hosts &&
-            message.shardId !in claiming
-        ) {
-            claim(message.shardId, message.revision)
+    /** Takes a shard from a holder that is leaving; [onResult] tells whether it was taken. */
+    fun takeOver(
+        message: HandOverMessage,
+        onResult: (Boolean) -> Unit,
+    ) {
+        if (leaving || message.shardId in claiming) {
+            onResult(false)
+        } else {
+            claim(message.shardId, message.revision, onResult)
         }
     }
+
+    private companion object {
+        /** Interval of looking for a successor while none is there, for example while all peers restart. */
+        const val HAND_OVER_RETRY_MILLIS = 200L
+    }
 }
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/HolderAccess.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/HolderAccess.kt
@@ -1,9 +1,12 @@
 package io.jackdawring.fleet
 
+import io.jackdawring.core.InstanceId
 import io.jackdawring.core.fleet.FleetMember
 import io.jackdawring.core.fleet.ShardHolding
+import io.jackdawring.core.shard.Admission
 import io.jackdawring.core.shard.JobSpec
 import io.jackdawring.fleet.peer.JobMessage
+import io.jackdawring.fleet.peer.OutcomeMessage
 import io.jackdawring.fleet.peer.PeerClient
 import io.jackdawring.fleet.peer.PeerReply
 import io.jackdawring.fleet.relay.HolderReply
@@ -17,29 +20,65 @@
     private val peers: PeerClient,
     private val loop: ControlLoop,
 ) : ShardAccess {
+    private val openQuestions = HashMap<InstanceId, Int>()
+
+    /** Holders that work on jobs of this relay. */
+    val holdersAsked: List<FleetMember>
+        get() =
+            directory.holdings.values
+                .map { it.holder }
+                .filter { (openQuestions[it.instanceId] ?: 0) > 0 }
+
     override fun findHolder(job: JobSpec): ShardHolding? {
         val ids = directory.shardsOf(self.failureDomain)
         val id = ids[Math.floorMod(job.id.value.hashCode(), ids.size)]
         shards.host(id)?.let { return it.holding }
-        return directory.holdings[id]?.takeIf {
-            it.holder.instanceId != self.instanceId && !shards.election.isSuspected(it, loop.nowMillis())
-        }
+        return directory.holdings[id]?.takeIf(::isUsable)
+    }
+
+    override fun findOtherHolders(job: JobSpec): List<ShardHolding> {
+        val others = directory.holdings.values.filter { it.shardId.failureDomain != self.failureDomain && isUsable(it) }
+        if (others.isEmpty()) return others
+        // Each job begins at another failure domain, so that one with room does not get them all.
+        val first = Math.floorMod(job.id.value.hashCode() / SPREAD, others.size)
+        return others.drop(first) + others.take(first)
     }
 
+    private fun isUsable(holding: ShardHolding): Boolean {
+        val instance = holding.holder.instanceId
+        if (instance == self.instanceId) return false
+        val now = loop.nowMillis()
+        if (holding.shardId.failureDomain == self.failureDomain) return !shards.election.isSuspected(holding, now)
+        return (unreachableUntil[instance] ?: Long.MIN_VALUE) <= now
+    }
+
+    /** Holders of other failure domains that did not answer lately; they are not pinged while no job is there. */
+    private val unreachableUntil = HashMap<InstanceId, Long>()
+
     override fun ask(
         holding: ShardHolding,
         job: JobSpec,
         remainingMillis: Long,
+        admission: Admission,
         onReply: (HolderReply) -> Unit,
     ): ShardAccess.OpenQuestion {
         val host = shards.host(holding.shardId)
         if (host != null) {
-            val waiter = host.submit(self.instanceId.value, job, remainingMillis) { onReply(HolderReply.Decided(it)) }
+            val waiter =
+                host.submit(
+                    self.instanceId.value,
+                    job,
+                    remainingMillis,
+                    admission,
+                ) { onReply(HolderReply.Decided(it)) }
             return ShardAccess.OpenQuestion { host.withdraw(waiter) }
         }
-        val message = JobMessage(self.instanceId.value, holding.shardId, remainingMillis, job)
+        val holder = holding.holder
+        val message = JobMessage(self.instanceId.value, holding.shardId, remainingMillis, admission, job)
+        openQuestions.merge(holder.instanceId, 1, Int::plus)
         val call =
-            peers.askForOutcome(holding.holder, message, remainingMillis + ANSWER_SLACK_MILLIS) {
+            peers.askForOutcome(holder, message, remainingMillis + ANSWER_SLACK_MILLIS) {
+                openQuestions.merge(holder.instanceId, -1, Int::plus)
                 onReply(toHolderReply(holding, it))
             }
         return ShardAccess.OpenQuestion(call::cancel)
@@ -47,7 +86,7 @@
 
     private fun toHolderReply(
         holding: ShardHolding,
-        reply: PeerReply<io.jackdawring.fleet.peer.OutcomeMessage>,
+        reply: PeerReply<OutcomeMessage>,
     ): HolderReply =
         when (reply) {
             is PeerReply.Answered -> {
@@ -60,10 +99,12 @@
 
             is PeerReply.NotSent -> {
                 shards.election.onRefused(holding.holder.instanceId, loop.nowMillis())
+                unreachableUntil[holding.holder.instanceId] = loop.nowMillis() + UNREACHABLE_MILLIS
                 HolderReply.NotTaken
             }
 
             is PeerReply.Broken -> {
+                unreachableUntil[holding.holder.instanceId] = loop.nowMillis() + UNREACHABLE_MILLIS
                 HolderReply.Lost(reply.detail)
             }
         }
@@ -71,5 +112,11 @@
     private companion object {
         /** The holder answers at the deadline itself; this covers the way back. */
         const val ANSWER_SLACK_MILLIS = 100L
+
+        /** Time for which a holder that did not answer gets no jobs of other failure domains. */
+        const val UNREACHABLE_MILLIS = 1_000L
+
+        /** Takes bits of the hash that do not also choose the shard. */
+        const val SPREAD = 31
     }
 }
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/PeerWatch.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/PeerWatch.kt
@@ -4,7 +4,6 @@
 import io.jackdawring.core.fleet.FleetMember
 import io.jackdawring.fleet.peer.PeerClient
 import io.jackdawring.fleet.peer.PeerReply
-import io.jackdawring.fleet.peer.PingMessage
 
 /** Asks the holders of the own failure domain for signs of life, and notes which relays are silent; control thread. */
 internal class PeerWatch(
@@ -12,26 +11,22 @@
     private val peers: PeerClient,
     private val shards: HeldShards,
     private val directory: FleetDirectory,
+    private val news: FleetNews,
     private val loop: ControlLoop,
 ) {
     private val lastAsked = HashMap<InstanceId, Long>()
 
-    /** Notes the ping of [sender]. */
-    fun onPing(sender: InstanceId) {
+    /** Notes a message of [sender]. */
+    fun onAsked(sender: InstanceId) {
         val now = loop.nowMillis()
         lastAsked[sender] = now
         shards.election.onAsked(sender, now)
     }
 
-    /** Pings every holder of the own failure domain once and drops the jobs of silent relays. */
-    fun round() {
+    /** Pings the holders that this instance depends on and drops the jobs of silent relays. */
+    fun round(holdersAsked: Collection<FleetMember>) {
         val now = loop.nowMillis()
-        val holdings = directory.shardsOf(self.failureDomain).mapNotNull { directory.holdings[it] }
-        holdings
-            .map { it.holder }
-            .filter { it.instanceId != self.instanceId }
-            .distinct()
-            .forEach(::ping)
+        peersToPing(holdersAsked, now).filter { it.instanceId != self.instanceId }.forEach(::ping)
         val silent = lastAsked.filterValues { now - it >= RELAY_SILENCE_MILLIS }.keys.toList()
         silent.forEach {
             lastAsked.remove(it)
@@ -39,11 +34,28 @@
         }
     }
 
+    /**
+     * The holders of the own failure domain and those that work on jobs of this relay.
+     *
+     * While an own holder is suspected, all members of the failure domain are asked for news of its successor, which the
+     * store may not tell.
+     */
+    private fun peersToPing(
+        holdersAsked: Collection<FleetMember>,
+        now: Long,
+    ): List<FleetMember> {
+        val holdings = directory.shardsOf(self.failureDomain).map { directory.holdings[it] }
+        val searching = holdings.any { it == null || shards.election.isSuspected(it, now) }
+        val neighbours = directory.members.values.filter { searching && it.failureDomain == self.failureDomain }
+        return (holdings.mapNotNull { it?.holder } + holdersAsked + neighbours).distinctBy { it.instanceId }
+    }
+
     private fun ping(holder: FleetMember) {
-        peers.ping(holder, PingMessage(self.instanceId.value)) { reply ->
+        peers.ping(holder, news.question(self.instanceId.value)) { reply ->
             val now = loop.nowMillis()
             when (reply) {
                 is PeerReply.Answered -> {
+                    news.learn(reply.message.news)
                     val ascribed =
                         directory.holdings.values
                             .filter { it.holder.instanceId == holder.instanceId }
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/RealFleetInstance.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/RealFleetInstance.kt
@@ -59,15 +59,20 @@
             ::targetsOf,
             ::followTargets,
         )
-    private val peerWatch = PeerWatch(self, peers, shards, directory, loop)
-    private val relay = JobRelay(loop, HolderAccess(self, shards, directory, peers, loop))
+    private val news = FleetNews(fleetMirror, configurationMirror)
+    private val peerWatch = PeerWatch(self, peers, shards, directory, news, loop)
+    private val holders = HolderAccess(self, shards, directory, peers, loop)
+    private val relay = JobRelay(loop, holders)
     private val registration = MemberRegistration(self, components.store, loop, fleetMirror::learn)
     private val callerApi = CallerApi(components.callerCodec, relay, loop, ::pendingJobs)
-    private val peerApi = PeerApi(self.incarnation, shards, loop, peerWatch::onPing)
+    private val peerApi = PeerApi(self.incarnation, shards, loop, news::after, peerWatch::onAsked)
 
     @Volatile
     private var draining = false
 
+    @Volatile
+    private var holdsShards = false
+
     private val controlServers =
         components.controlTransport.serverFactory(
             HttpServerOptions(maxConnections = MAX_PEER_CONNECTIONS),
@@ -93,7 +98,7 @@
 
     private fun round() {
         registration.maintain(fleetMirror[FleetKeys.member(self.instanceId.value)])
-        peerWatch.round()
+        peerWatch.round(holders.holdersAsked)
         maintainShards()
         loop.schedule(PeerWatch.PING_INTERVAL_MILLIS, ::round)
     }
@@ -105,7 +110,8 @@
 
     /** Only holders need the list of targets, which changes with every heartbeat. */
     private fun followTargets() {
-        if (shards.held.isEmpty()) targetMirror.stop() else targetMirror.start()
+        holdsShards = shards.held.isNotEmpty()
+        if (holdsShards) targetMirror.start() else targetMirror.stop()
     }
 
     private fun onFleetChanged() {
@@ -156,7 +162,7 @@
         callerServer.closeAfterAnswers()
         Thread.sleep(minOf(ROTATION_MILLIS, options.stopGraceMillis / 2))
         callerServer.stopAccepting()
-        while (callerServer.requestsInProgress > 0 &&
+        while ((callerServer.requestsInProgress > 0 || holdsShards) &&
             loop.nowMillis() - startedAt < options.stopGraceMillis - EXIT_MARGIN_MILLIS
         ) {
             Thread.sleep(DRAIN_POLL_MILLIS)
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/peer/PeerApi.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/peer/PeerApi.kt
@@ -14,7 +14,8 @@
     private val incarnation: String,
     private val shards: HeldShards,
     private val loop: ControlLoop,
-    private val onPing: (InstanceId) -> Unit,
+    private val newsAfter: (PingMessage) -> List<ItemMessage>,
+    private val onAsked: (InstanceId) -> Unit,
 ) {
     fun handle(exchange: HttpExchange) {
         try {
@@ -43,8 +44,9 @@
             exchange.respond(HttpResponseMessage(STATUS_NOT_HOLDER))
             return
         }
+        onAsked(InstanceId(message.relay))
         val waiter =
-            host.submit(message.relay, message.job, message.remainingMillis) { outcome ->
+            host.submit(message.relay, message.job, message.remainingMillis, message.admission) { outcome ->
                 exchange.respond(json(OutcomeMessage.serializer(), OutcomeMessage.of(outcome)))
             }
         exchange.onDisconnected { loop.execute { host.withdraw(waiter) } }
@@ -54,20 +56,19 @@
         exchange: HttpExchange,
         message: PingMessage,
     ) {
-        onPing(InstanceId(message.sender))
-        exchange.respond(pong())
+        onAsked(InstanceId(message.sender))
+        exchange.respond(
+            json(PongMessage.serializer(), PongMessage(incarnation, shards.held.toList(), newsAfter(message))),
+        )
     }
 
     private fun onHandOver(
         exchange: HttpExchange,
         message: HandOverMessage,
     ) {
-        shards.takeOver(message)
-        exchange.respond(pong())
+        shards.takeOver(message) { taken -> exchange.respond(json(HandOverReply.serializer(), HandOverReply(taken))) }
     }
 
-    private fun pong() = json(PongMessage.serializer(), PongMessage(incarnation, shards.held.toList()))
-
     private fun <T> json(
         type: KSerializer<T>,
         value: T,
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/peer/PeerClient.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/peer/PeerClient.kt
@@ -50,14 +50,14 @@
     fun handOver(
         member: FleetMember,
         message: HandOverMessage,
-        onReply: (PeerReply<PongMessage>) -> Unit,
+        onReply: (PeerReply<HandOverReply>) -> Unit,
     ): HttpCall =
         send(
             member,
             PeerPaths.HAND_OVER,
             HandOverMessage.serializer(),
             message,
-            PongMessage.serializer(),
+            HandOverReply.serializer(),
             HAND_OVER_TIMEOUT_MILLIS,
             onReply,
         )
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/peer/PeerMessages.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/peer/PeerMessages.kt
@@ -1,6 +1,7 @@
 package io.jackdawring.fleet.peer
 
 import io.jackdawring.core.fleet.ShardId
+import io.jackdawring.core.shard.Admission
 import io.jackdawring.core.shard.JobOutcome
 import io.jackdawring.core.shard.JobSpec
 import kotlinx.serialization.Serializable
@@ -11,6 +12,7 @@
     val relay: String,
     val shardId: ShardId,
     val remainingMillis: Long,
+    val admission: Admission,
     val job: JobSpec,
 )
 
@@ -20,12 +22,13 @@
     val kind: Kind,
     val reason: String = "",
     val retryAfterMillis: Long = 0,
+    val hasRoom: Boolean = false,
 ) {
     fun toOutcome(): JobOutcome =
         when (kind) {
             Kind.COMPLETED -> JobOutcome.Completed
             Kind.FAILED -> JobOutcome.Failed(reason)
-            Kind.NOT_RUN -> JobOutcome.NotRun(reason, retryAfterMillis)
+            Kind.NOT_RUN -> JobOutcome.NotRun(reason, retryAfterMillis, hasRoom)
             Kind.GIVEN_UP -> JobOutcome.GivenUp(reason)
             Kind.MOVED -> JobOutcome.Moved
         }
@@ -37,24 +40,51 @@
             when (outcome) {
                 is JobOutcome.Completed -> OutcomeMessage(Kind.COMPLETED)
                 is JobOutcome.Failed -> OutcomeMessage(Kind.FAILED, outcome.reason)
-                is JobOutcome.NotRun -> OutcomeMessage(Kind.NOT_RUN, outcome.reason, outcome.retryAfterMillis)
+                is JobOutcome.NotRun ->
+                    OutcomeMessage(
+                        Kind.NOT_RUN,
+                        outcome.reason,
+                        outcome.retryAfterMillis,
+                        outcome.hasRoom,
+                    )
                 is JobOutcome.GivenUp -> OutcomeMessage(Kind.GIVEN_UP, outcome.reason)
                 is JobOutcome.Moved -> OutcomeMessage(Kind.MOVED)
             }
     }
 }
 
-/** Asks a peer for a sign of life; [sender] lets it know that the sender's jobs are still waited for. */
+/**
+ * Asks a peer for a sign of life; [sender] lets it know that the sender's jobs are still waited for.
+ *
+ * The revisions are the newest that the sender knows; the peer answers with newer items.
+ */
 @Serializable
 internal data class PingMessage(
     val sender: String,
+    val fleetRevision: Long,
+    val configurationRevision: Long,
 )
 
-/** Sign of life with the shards that the peer holds. */
+/** Sign of life with the shards that the peer holds, and items of the store that are news to the asking instance. */
 @Serializable
 internal data class PongMessage(
     val incarnation: String,
     val shards: List<ShardId>,
+    val news: List<ItemMessage> = emptyList(),
+)
+
+/** An item of the store; [value] is its text. */
+@Serializable
+internal data class ItemMessage(
+    val key: String,
+    val value: String,
+    val revision: Long,
+)
+
+/** Reply to a hand-over; [taken] is whether the peer holds the shard now. */
+@Serializable
+internal data class HandOverReply(
+    val taken: Boolean,
 )
 
 /** Asks a peer to take over [shardId], whose key has [revision]. */
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/shard/ShardHost.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/shard/ShardHost.kt
@@ -1,6 +1,7 @@
 package io.jackdawring.fleet.shard
 
 import io.jackdawring.core.fleet.ShardHolding
+import io.jackdawring.core.shard.Admission
 import io.jackdawring.core.shard.JobOutcome
 import io.jackdawring.core.shard.JobSpec
 import io.jackdawring.core.shard.LookOrder
@@ -50,11 +51,12 @@
         relay: String,
         job: JobSpec,
         remainingMillis: Long,
+        admission: Admission,
         onOutcome: (JobOutcome) -> Unit,
     ): WaiterId {
         val id = WaiterId(nextWaiter++)
         waiters[id] = Waiter(relay, onOutcome)
-        dispatcher.submit(job, id, remainingMillis, loop.nowMillis())
+        dispatcher.submit(job, id, remainingMillis, admission, loop.nowMillis())
         return id
     }
 
