Look again at once after a target's first answer; test a shard under load patterns

Cause, found by the new test of an idle shard: the look after the first one waited for the interval of silent targets, so that ends of a new holder's first 200 ms were seen late.

--- a/core/src/main/kotlin/io/jackdawring/core/shard/TargetControl.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/TargetControl.kt
@@ -206,6 +206,7 @@
         target.clockOffsetMillis = seen.clockMillis - nowMillis
         if (target.contact != HeldTarget.Contact.HELD) {
             target.contact = HeldTarget.Contact.HELD
+            target.nextLookMillis = nowMillis
             report(target, "held", "answered after ${nowMillis - target.lookSentAtMillis} ms")
         }
         seen.ended.forEach { applyEnd(target, it, nowMillis) }
--- /dev/null
+++ b/testing/src/main/kotlin/io/jackdawring/testing/shard/FakeShardTarget.kt
@@ -0,0 +1,155 @@
+package io.jackdawring.testing.shard
+
+import io.jackdawring.core.FailureDomainId
+import io.jackdawring.core.TargetId
+import io.jackdawring.core.shard.EndedRun
+import io.jackdawring.core.shard.LookOrder
+import io.jackdawring.core.shard.LookResult
+import io.jackdawring.core.shard.Resources
+import io.jackdawring.core.shard.RunningRun
+import io.jackdawring.core.shard.ShardTarget
+import io.jackdawring.core.shard.StartOrder
+import io.jackdawring.core.shard.StartResult
+import io.jackdawring.core.shard.TaskKey
+import kotlinx.collections.immutable.persistentSetOf
+import kotlinx.collections.immutable.toImmutableList
+
+/** A target on virtual time, with the lease, fence and list of ends of a real one. */
+class FakeShardTarget(
+    id: String,
+    val capacity: Resources = Resources(32_000, 65_536),
+    /** Speed relative to the declared durations. */
+    val speed: Double = 1.0,
+    labels: Set<String> = emptySet(),
+) {
+    val facts =
+        ShardTarget(
+            TargetId(id),
+            "orders",
+            "10.0.0.1:1",
+            FailureDomainId("a"),
+            capacity,
+            persistentSetOf<String>().addAll(labels),
+            draining = false,
+        )
+
+    /** What the target does with orders and runs. */
+    var mode = Mode.HEALTHY
+
+    /** The target's clock minus the virtual time. */
+    val clockOffsetMillis = 100_000L
+
+    internal class Run(
+        val key: TaskKey,
+        val attempt: Int,
+        val demand: Resources,
+        val endsAtMillis: Long,
+        val fails: Boolean,
+    )
+
+    internal val runs = LinkedHashMap<TaskKey, Run>()
+    private val ends = ArrayList<EndedRun>()
+    private val stopped = HashMap<TaskKey, Int>()
+    private var nextEnd = 1L
+    private var leaseUntilMillis = 0L
+    private var bornMillis = 1L
+
+    enum class Mode {
+        HEALTHY,
+
+        /** Fails every run at once. */
+        FAILS,
+
+        /** Runs never end. */
+        HANGS,
+
+        /** Answers nothing and does nothing. */
+        SILENT,
+
+        /** Starts runs and does not answer. */
+        ANSWERS_LOST,
+    }
+
+    internal fun start(
+        order: StartOrder,
+        demand: Resources,
+        workMillis: Long,
+        nowMillis: Long,
+    ): StartResult {
+        val clock = nowMillis + clockOffsetMillis
+        val free = runs.values.fold(capacity) { free, run -> free - run.demand }
+        val rejection =
+            when {
+                order.leaseUntilMillis < clock -> StartResult.Reason.LATE
+                order.attempt <= (stopped[order.task] ?: 0) -> StartResult.Reason.OLD_ATTEMPT
+                !demand.fitsInto(free) -> StartResult.Reason.NO_ROOM
+                else -> null
+            }
+        if (rejection != null) return StartResult.Rejected(rejection, clock)
+        val duration = if (mode == Mode.HANGS) FOREVER_MILLIS else (workMillis / speed).toLong()
+        val fails = mode == Mode.FAILS
+        runs[order.task] = Run(order.task, order.attempt, demand, nowMillis + (if (fails) 1 else duration), fails)
+        extendLease(order.leaseUntilMillis)
+        return StartResult.Accepted(clock)
+    }
+
+    internal fun stop(
+        task: TaskKey,
+        attempt: Int,
+    ) {
+        stopped.merge(task, attempt, ::maxOf)
+        runs[task]?.takeIf { it.attempt <= attempt }?.let { end(it, EndedRun.Ending.STOPPED) }
+    }
+
+    internal fun look(
+        order: LookOrder,
+        nowMillis: Long,
+    ): LookResult.Seen {
+        order.leaseUntilMillis?.let(::extendLease)
+        ends.removeAll { it.sequence <= order.acknowledgedEnd }
+        val running = runs.values.map { RunningRun(it.key, it.attempt) }.toImmutableList()
+        return LookResult.Seen(nowMillis + clockOffsetMillis, bornMillis, running, ends.toImmutableList())
+    }
+
+    internal val hasNews: Boolean get() = ends.isNotEmpty()
+
+    /** Ends the runs whose time or lease is over. */
+    internal fun advance(nowMillis: Long) {
+        for (run in runs.values.toList()) {
+            when {
+                nowMillis + clockOffsetMillis > leaseUntilMillis -> end(run, EndedRun.Ending.LAPSED)
+                nowMillis >= run.endsAtMillis ->
+                    end(
+                        run,
+                        if (run.fails) EndedRun.Ending.FAILED else EndedRun.Ending.DONE,
+                    )
+            }
+        }
+    }
+
+    /** Starts anew and has forgotten everything. */
+    fun restart() {
+        runs.clear()
+        ends.clear()
+        stopped.clear()
+        nextEnd = 1
+        bornMillis++
+    }
+
+    private fun extendLease(untilMillis: Long) {
+        leaseUntilMillis = maxOf(leaseUntilMillis, untilMillis)
+    }
+
+    private fun end(
+        run: Run,
+        ending: EndedRun.Ending,
+    ) {
+        runs.remove(run.key)
+        stopped.merge(run.key, run.attempt, ::maxOf)
+        ends.add(EndedRun(nextEnd++, run.key, run.attempt, ending))
+    }
+
+    private companion object {
+        const val FOREVER_MILLIS = 1_000_000L
+    }
+}
