--- /dev/null
+++ b/core/src/test/kotlin/io/jackdawring/core/fleet/ShardElectionTest.kt
@@ -0,0 +1,95 @@
+package io.jackdawring.core.fleet
+
+import io.jackdawring.core.FailureDomainId
+import io.jackdawring.core.InstanceId
+import org.junit.jupiter.api.DynamicTest
+import org.junit.jupiter.api.TestFactory
+import kotlin.test.assertEquals
+
+/** Guards against holders that are replaced without need, too late, or by all members at once. */
+class ShardElectionTest {
+    private fun member(
+        id: String,
+        weight: Double = 1.0,
+        domain: String = "a",
+        incarnation: String = "1",
+    ) = FleetMember(InstanceId(id), incarnation, FailureDomainId(domain), "10.0.0.1:1", weight)
+
+    private val self = member("e2")
+    private val shard = ShardId(FailureDomainId("a"), 0)
+    private val members = listOf(member("e1", 2.0), self, member("e3"), member("x", 9.0, "b"))
+
+    private fun holdBy(holder: FleetMember) = ShardHolding(shard, holder, 7)
+
+    private class Row(
+        val name: String,
+        val expected: Boolean,
+        val claims: ShardElectionTest.() -> Boolean,
+    )
+
+    private fun claims(
+        holding: ShardHolding?,
+        atMillis: Long,
+        before: ShardElection.() -> Unit = {},
+    ): Boolean {
+        val election = ShardElection(self)
+        election.before()
+        // The vacancy is noted by the first question.
+        election.shouldClaim(shard, holding, members, 0)
+        return election.shouldClaim(shard, holding, members, atMillis)
+    }
+
+    private val rows =
+        listOf(
+            Row("a holder that answers keeps its shard", false) {
+                claims(holdBy(members[0]), 400) { onHeard(InstanceId("e1"), true, 0) }
+            },
+            Row("a holder that was never heard is given time", false) { claims(holdBy(members[0]), 400) },
+            Row("a silent holder is replaced", true) {
+                val election = ShardElection(self)
+                election.onHeard(InstanceId("e1"), true, 0)
+                (1L..1_000L step 50).any { election.shouldClaim(shard, holdBy(members[0]), members, it) }
+            },
+            Row("one refused connection is no reason", false) {
+                claims(holdBy(members[0]), 300) { onRefused(InstanceId("e1"), 0) }
+            },
+            Row("refused connections are a reason", true) {
+                claims(holdBy(members[0]), 300) { repeat(2) { onRefused(InstanceId("e1"), 0) } }
+            },
+            Row("one denial may have crossed the claim", false) {
+                claims(holdBy(members[0]), 300) { onHeard(InstanceId("e1"), false, 0) }
+            },
+            Row("a holder that denies holding is replaced", true) {
+                claims(holdBy(members[0]), 300) { repeat(2) { onHeard(InstanceId("e1"), false, 0) } }
+            },
+            Row("a vacant shard is left to the better member at first", false) { claims(null, 100) },
+            Row("a vacant shard is taken after the better member's time", true) { claims(null, 160) },
+            Row("the own earlier incarnation is replaced", true) {
+                claims(holdBy(member("e2", incarnation = "0")), 160)
+            },
+            Row("a failed claim is not repeated at once", false) {
+                val election = ShardElection(self)
+                election.shouldClaim(shard, null, listOf(self), 0)
+                election.shouldClaim(shard, null, listOf(self), 50)
+            },
+        )
+
+    @TestFactory
+    fun `claims of a shard`() =
+        rows.map { row ->
+            DynamicTest.dynamicTest(row.name) { assertEquals(row.expected, row.claims(this)) }
+        }
+
+    @TestFactory
+    fun `successors are live members of the failure domain, the strongest first`() =
+        listOf(
+            "nobody heard" to emptyList<String>(),
+            "all heard" to listOf("e1", "e3"),
+        ).map { (name, expected) ->
+            DynamicTest.dynamicTest(name) {
+                val election = ShardElection(self)
+                if (expected.isNotEmpty()) members.forEach { election.onAsked(it.instanceId, 0) }
+                assertEquals(expected, election.successors(members, 100).map { it.instanceId.value })
+            }
+        }
+}
