Wait for every target's list before a job that may run already starts again

Ruled out: late orders (the fence rejects them) and spilled jobs (both runs were in one failure domain). Change: requests say whether the job may run already; the holder decides on those when all targets have answered or their leases are over. A relay that was silent cannot have its dropped job started again. Tests: rows of ShardLoadPatternTest on a late answer, a silent target and a relay that wakes.

--- a/core/src/main/kotlin/io/jackdawring/core/shard/HeldTarget.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/HeldTarget.kt
@@ -9,6 +9,9 @@
     val record = TargetRecord()
     var contact = Contact.NEW
 
+    /** Whether this holder has ever seen what runs there. */
+    var seen = false
+
     /** Time from which the platform no longer lists the target; null while it does. */
     var unlistedSinceMillis: Long? = null
 
--- a/core/src/main/kotlin/io/jackdawring/core/shard/RealShardDispatcher.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/RealShardDispatcher.kt
@@ -17,6 +17,9 @@
     private val jobsByWaiter = HashMap<WaiterId, HeldJob>()
     private val outcomes = OutcomeMemory(options.outcomeRetentionMillis)
     private val unclaimedEnds = UnclaimedEnds(options.outcomeRetentionMillis)
+
+    /** Jobs that an earlier holder may have started, until it is known what runs. */
+    private val undecided = LinkedHashSet<HeldJob>()
     private var nextJobSequence = 0L
     private var released = false
 
@@ -34,19 +37,22 @@
     }
 
     override fun submit(
-        spec: JobSpec,
+        request: JobRequest,
         waiter: WaiterId,
-        remainingMillis: Long,
-        admission: Admission,
         nowMillis: Long,
     ) {
-        val known = jobs[spec.id]
-        val outcome = outcomes.find(spec.id, nowMillis)
+        val known = jobs[request.job.id]
+        val outcome =
+            outcomes
+                .find(
+                    request.job.id,
+                    nowMillis,
+                ).takeUnless { it is JobOutcome.GivenUp && !request.mayRun }
         when {
             released -> outlet.answer(waiter, JobOutcome.Moved)
             known != null -> join(known, waiter)
             outcome != null -> outlet.answer(waiter, outcome)
-            else -> admit(spec, waiter, remainingMillis, admission, nowMillis)
+            else -> admit(request, waiter, nowMillis)
         }
     }
 
@@ -60,13 +66,19 @@
     }
 
     private fun admit(
-        spec: JobSpec,
+        request: JobRequest,
         waiter: WaiterId,
-        remainingMillis: Long,
-        admission: Admission,
         nowMillis: Long,
     ) {
-        val job = HeldJob(spec, nextJobSequence++, nowMillis, nowMillis + remainingMillis)
+        val spec = request.job
+        val job = HeldJob(spec, nextJobSequence++, nowMillis, nowMillis + request.remainingMillis)
+        if (request.mayRun && !control.allSeen(nowMillis)) {
+            jobs[spec.id] = job
+            job.started = true
+            join(job, waiter)
+            undecided.add(job)
+            return
+        }
         claimEarlierRuns(job, nowMillis)
         val completion = forecast.completionMillis(job, control.targets, waiting, nowMillis)
         val refusal =
@@ -75,7 +87,7 @@
             ) {
                 null
             } else {
-                refusal(job, completion, admission, nowMillis)
+                refusal(job, completion, request.admission, nowMillis)
             }
         if (refusal != null) {
             outlet.report(ShardDecision.JobAnswered(spec.id, spec.queue, refusal, 0, spec.objectiveMillis))
@@ -88,10 +100,26 @@
         outlet.report(
             ShardDecision.JobAdmitted(spec.id, spec.queue, forecastMillis, spec.objectiveMillis, waiting.size),
         )
-        if (job.isComplete) finish(job, JobOutcome.Completed, nowMillis) else releaseSteps(job)
+        proceed(job, nowMillis)
         place(nowMillis)
     }
 
+    private fun proceed(
+        job: HeldJob,
+        nowMillis: Long,
+    ) = if (job.isComplete) finish(job, JobOutcome.Completed, nowMillis) else releaseSteps(job)
+
+    /** Decides on jobs that may run already, once every target has told what runs there. */
+    private fun decideOnEarlierJobs(nowMillis: Long) {
+        if (undecided.isEmpty() || !control.allSeen(nowMillis)) return
+        val decided = undecided.filter { jobs[it.spec.id] === it }
+        undecided.clear()
+        for (job in decided) {
+            claimEarlierRuns(job, nowMillis)
+            proceed(job, nowMillis)
+        }
+    }
+
     /** Finds runs and ends of an earlier holder that belong to [job]. */
     private fun claimEarlierRuns(
         job: HeldJob,
@@ -150,6 +178,16 @@
         if (!job.started) abandon(job, "nobody waits for it", nowMillis)
     }
 
+    override fun dismiss(
+        waiter: WaiterId,
+        nowMillis: Long,
+    ) {
+        val job = jobsByWaiter[waiter] ?: return
+        withdraw(waiter, nowMillis)
+        if (job.waiters.isEmpty()) outcomes.add(job.spec.id, JobOutcome.GivenUp("its relay fell silent"), nowMillis)
+        outlet.answer(waiter, JobOutcome.GivenUp("its relay fell silent"))
+    }
+
     override fun onStart(
         targetId: TargetId,
         order: StartOrder,
@@ -225,6 +263,7 @@
     }
 
     private fun place(nowMillis: Long) {
+        decideOnEarlierJobs(nowMillis)
         if (waiting.isEmpty) return
         val fullFor = HashSet<Triple<String, Resources, String?>>()
         for (task in waiting.inOrder()) {
@@ -256,7 +295,7 @@
         val job = task.job
         job.markDone(task)
         if (jobs[job.spec.id] !== job) return
-        if (job.isComplete) finish(job, JobOutcome.Completed, nowMillis) else releaseSteps(job)
+        proceed(job, nowMillis)
     }
 
     override fun onFailed(
--- a/core/src/main/kotlin/io/jackdawring/core/shard/ShardDispatcher.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/ShardDispatcher.kt
@@ -15,12 +15,10 @@
         nowMillis: Long,
     )
 
-    /** Adds a request for a job; it joins the job if it is known. [remainingMillis] is how long the caller waits. */
+    /** Adds a request for a job; it joins the job if it is known. */
     fun submit(
-        spec: JobSpec,
+        request: JobRequest,
         waiter: WaiterId,
-        remainingMillis: Long,
-        admission: Admission,
         nowMillis: Long,
     )
 
@@ -30,6 +28,16 @@
         nowMillis: Long,
     )
 
+    /**
+     * Ends a request of a relay that has fallen silent.
+     *
+     * The caller may have sent the job to another shard meanwhile, so the relay cannot have it started again here.
+     */
+    fun dismiss(
+        waiter: WaiterId,
+        nowMillis: Long,
+    )
+
     fun onStart(
         targetId: TargetId,
         order: StartOrder,
--- a/core/src/main/kotlin/io/jackdawring/core/shard/TargetControl.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/TargetControl.kt
@@ -13,12 +13,23 @@
 
     val targets: Collection<HeldTarget> get() = byId.values
 
-    fun target(id: TargetId): HeldTarget? = byId[id]
+    /** Time of the first list of targets; null before. */
+    private var listedAtMillis: Long? = null
+
+    /** Whether nothing that an earlier holder started can run unseen. */
+    fun allSeen(nowMillis: Long): Boolean {
+        val since = listedAtMillis ?: return false
+        return byId.values.all { it.seen } || nowMillis - since >= longestLeaseMillis
+    }
+
+    private val longestLeaseMillis =
+        options.leaseMillis + options.leaseMillis / SLOW_CLOCK_SHARE + options.stopMillis + LEASE_MARGIN_MILLIS
 
     fun updateTargets(
         listed: ImmutableCollection<ShardTarget>,
         nowMillis: Long,
     ) {
+        if (listedAtMillis == null && listed.isNotEmpty()) listedAtMillis = nowMillis
         val seen = HashSet<TargetId>()
         for (facts in listed) {
             seen.add(facts.id)
@@ -203,6 +214,7 @@
             forgetIncarnation(target, "it has started anew", nowMillis)
         }
         target.bornMillis = seen.bornMillis
+        target.seen = true
         target.clockOffsetMillis = seen.clockMillis - nowMillis
         if (target.contact != HeldTarget.Contact.HELD) {
             target.contact = HeldTarget.Contact.HELD
@@ -405,7 +417,7 @@
         target: HeldTarget,
         nowMillis: Long,
     ): Long {
-        val over = nowMillis + options.leaseMillis + options.leaseMillis / SLOW_CLOCK_SHARE + LEASE_MARGIN_MILLIS
+        val over = nowMillis + longestLeaseMillis
         target.leaseOverAtMillis = maxOf(target.leaseOverAtMillis, over)
         return over
     }
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/HeldShards.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/HeldShards.kt
@@ -70,7 +70,7 @@
 
     fun onTargetsChanged() = hosts.values.forEach { it.updateTargets(targetsOf(it.holding.shardId)) }
 
-    fun onRelaySilent(relay: InstanceId) = hosts.values.forEach { it.withdrawAll(relay.value) }
+    fun onRelaySilent(relay: InstanceId) = hosts.values.forEach { it.dismissAll(relay.value) }
 
     private fun claim(
         id: ShardId,
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/HolderAccess.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/HolderAccess.kt
@@ -3,7 +3,7 @@
 import io.jackdawring.core.InstanceId
 import io.jackdawring.core.fleet.FleetMember
 import io.jackdawring.core.fleet.ShardHolding
-import io.jackdawring.core.shard.Admission
+import io.jackdawring.core.shard.JobRequest
 import io.jackdawring.core.shard.JobSpec
 import io.jackdawring.fleet.peer.JobMessage
 import io.jackdawring.fleet.peer.OutcomeMessage
@@ -57,27 +57,19 @@
 
     override fun ask(
         holding: ShardHolding,
-        job: JobSpec,
-        remainingMillis: Long,
-        admission: Admission,
+        request: JobRequest,
         onReply: (HolderReply) -> Unit,
     ): ShardAccess.OpenQuestion {
         val host = shards.host(holding.shardId)
         if (host != null) {
-            val waiter =
-                host.submit(
-                    self.instanceId.value,
-                    job,
-                    remainingMillis,
-                    admission,
-                ) { onReply(HolderReply.Decided(it)) }
+            val waiter = host.submit(self.instanceId.value, request) { onReply(HolderReply.Decided(it)) }
             return ShardAccess.OpenQuestion { host.withdraw(waiter) }
         }
         val holder = holding.holder
-        val message = JobMessage(self.instanceId.value, holding.shardId, remainingMillis, admission, job)
+        val message = JobMessage(self.instanceId.value, holding.shardId, request)
         openQuestions.merge(holder.instanceId, 1, Int::plus)
         val call =
-            peers.askForOutcome(holder, message, remainingMillis + ANSWER_SLACK_MILLIS) {
+            peers.askForOutcome(holder, message, request.remainingMillis + ANSWER_SLACK_MILLIS) {
                 openQuestions.merge(holder.instanceId, -1, Int::plus)
                 onReply(toHolderReply(holding, it))
             }
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/peer/PeerApi.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/peer/PeerApi.kt
@@ -46,7 +46,7 @@
         }
         onAsked(InstanceId(message.relay))
         val waiter =
-            host.submit(message.relay, message.job, message.remainingMillis, message.admission) { outcome ->
+            host.submit(message.relay, message.request) { outcome ->
                 exchange.respond(json(OutcomeMessage.serializer(), OutcomeMessage.of(outcome)))
             }
         exchange.onDisconnected { loop.execute { host.withdraw(waiter) } }
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/peer/PeerMessages.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/peer/PeerMessages.kt
@@ -1,9 +1,8 @@
 package io.jackdawring.fleet.peer
 
 import io.jackdawring.core.fleet.ShardId
-import io.jackdawring.core.shard.Admission
 import io.jackdawring.core.shard.JobOutcome
-import io.jackdawring.core.shard.JobSpec
+import io.jackdawring.core.shard.JobRequest
 import kotlinx.serialization.Serializable
 
 /** Asks the holder of [shardId] for the outcome of a job on behalf of a caller of the entry instance [relay]. */
@@ -11,9 +10,7 @@
 internal data class JobMessage(
     val relay: String,
     val shardId: ShardId,
-    val remainingMillis: Long,
-    val admission: Admission,
-    val job: JobSpec,
+    val request: JobRequest,
 )
 
 /** Outcome of a job; [kind] names a variant of [JobOutcome]. */
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/relay/RelayedJob.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/relay/RelayedJob.kt
@@ -1,13 +1,17 @@
 package io.jackdawring.fleet.relay
 
+import io.github.oshai.kotlinlogging.KotlinLogging
 import io.jackdawring.core.fleet.ShardHolding
 import io.jackdawring.core.fleet.ShardId
 import io.jackdawring.core.shard.Admission
 import io.jackdawring.core.shard.JobOutcome
+import io.jackdawring.core.shard.JobRequest
 import io.jackdawring.core.shard.JobSpec
 import io.jackdawring.fleet.CallerAnswer
 import io.jackdawring.fleet.ControlLoop
 
+private val logger = KotlinLogging.logger("io.jackdawring.relay")
+
 /**
  * One job of a caller until it is answered.
  *
@@ -94,7 +98,7 @@
         val number = ++questionNumber
         val previous = question
         question =
-            shards.ask(holding, job, maxOf(1, deadlineMillis - now), admission) {
+            shards.ask(holding, JobRequest(job, maxOf(1, deadlineMillis - now), admission, takenBy != null)) {
                 if (number == questionNumber) onReply(holding.shardId, it)
             }
         // Cancelled after the new question is sent, so that the holder always has one for a job in progress.
@@ -192,9 +196,26 @@
         if (ended) return
         ended = true
         question?.cancel()
+        logUnserved(answer)
         onAnswer(answer)
     }
 
+    private fun logUnserved(answer: CallerAnswer) {
+        val what =
+            when (answer) {
+                is CallerAnswer.NotRun -> "not run: ${answer.reason}"
+                is CallerAnswer.GivenUp -> "given up: ${answer.reason}"
+                else -> return
+            }
+        logger.info {
+            "job ${job.id.value} queue ${job.queue} $what; age ${loop.nowMillis() - arrivedAtMillis} ms, " +
+                "objective ${job.objectiveMillis} ms, refused by ${refusals.keys.map {
+                    it.failureDomain.value
+                }}, taken by " +
+                takenBy?.failureDomain?.value
+        }
+    }
+
     private companion object {
         /** Interval of looking for a holder; short against the shortest latency objective. */
         const val RETRY_MILLIS = 15L
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/relay/ShardAccess.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/relay/ShardAccess.kt
@@ -1,8 +1,8 @@
 package io.jackdawring.fleet.relay
 
 import io.jackdawring.core.fleet.ShardHolding
-import io.jackdawring.core.shard.Admission
 import io.jackdawring.core.shard.JobOutcome
+import io.jackdawring.core.shard.JobRequest
 import io.jackdawring.core.shard.JobSpec
 
 /** Finds and asks the holders of shards. */
@@ -16,9 +16,7 @@
     /** Asks the holder in [holding]; [onReply] is called at most once. */
     fun ask(
         holding: ShardHolding,
-        job: JobSpec,
-        remainingMillis: Long,
-        admission: Admission,
+        request: JobRequest,
         onReply: (HolderReply) -> Unit,
     ): OpenQuestion
 
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/shard/ShardHost.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/shard/ShardHost.kt
@@ -1,9 +1,8 @@
 package io.jackdawring.fleet.shard
 
 import io.jackdawring.core.fleet.ShardHolding
-import io.jackdawring.core.shard.Admission
 import io.jackdawring.core.shard.JobOutcome
-import io.jackdawring.core.shard.JobSpec
+import io.jackdawring.core.shard.JobRequest
 import io.jackdawring.core.shard.LookOrder
 import io.jackdawring.core.shard.ShardDecision
 import io.jackdawring.core.shard.ShardDispatcher
@@ -49,14 +48,12 @@
     /** Adds a request for a job on behalf of [relay]; [onOutcome] is called at most once. */
     fun submit(
         relay: String,
-        job: JobSpec,
-        remainingMillis: Long,
-        admission: Admission,
+        request: JobRequest,
         onOutcome: (JobOutcome) -> Unit,
     ): WaiterId {
         val id = WaiterId(nextWaiter++)
         waiters[id] = Waiter(relay, onOutcome)
-        dispatcher.submit(job, id, remainingMillis, admission, loop.nowMillis())
+        dispatcher.submit(request, id, loop.nowMillis())
         return id
     }
 
@@ -64,13 +61,13 @@
         if (waiters.remove(id) != null) dispatcher.withdraw(id, loop.nowMillis())
     }
 
-    /** Withdraws the requests of a relay that has fallen silent. */
-    fun withdrawAll(relay: String) =
+    /** Ends the requests of a relay that has fallen silent. */
+    fun dismissAll(relay: String) =
         waiters
             .filterValues { it.relay == relay }
             .keys
             .toList()
-            .forEach(::withdraw)
+            .forEach { dispatcher.dismiss(it, loop.nowMillis()) }
 
     fun pendingJobs(queue: String): Int = dispatcher.pendingJobs(queue)
 
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/store/StoreMirror.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/store/StoreMirror.kt
@@ -39,6 +39,8 @@
         if (running) return
         running = true
         generation++
+        copy.clear()
+        isLoaded = false
         list()
     }
 
--- a/fleet/src/test/kotlin/io/jackdawring/fleet/relay/RelayedJobTest.kt
+++ b/fleet/src/test/kotlin/io/jackdawring/fleet/relay/RelayedJobTest.kt
@@ -8,6 +8,7 @@
 import io.jackdawring.core.shard.Admission
 import io.jackdawring.core.shard.JobId
 import io.jackdawring.core.shard.JobOutcome
+import io.jackdawring.core.shard.JobRequest
 import io.jackdawring.core.shard.JobSpec
 import io.jackdawring.core.shard.Resources
 import io.jackdawring.core.shard.StepSpec
@@ -40,12 +41,10 @@
 
         override fun ask(
             holding: ShardHolding,
-            job: JobSpec,
-            remainingMillis: Long,
-            admission: Admission,
+            request: JobRequest,
             onReply: (HolderReply) -> Unit,
         ): ShardAccess.OpenQuestion {
-            val question = Question(holding.shardId.failureDomain.value, admission, onReply)
+            val question = Question(holding.shardId.failureDomain.value, request.admission, onReply)
             questions.add(question)
             return ShardAccess.OpenQuestion { question.cancelled = true }
         }
--- a/testing/src/main/kotlin/io/jackdawring/testing/shard/FakeShardTarget.kt
+++ b/testing/src/main/kotlin/io/jackdawring/testing/shard/FakeShardTarget.kt
@@ -39,6 +39,9 @@
     /** The target's clock minus the virtual time. */
     val clockOffsetMillis = 100_000L
 
+    /** Delay of the next look, as if its connection were slow to open. */
+    var firstLookDelayMillis = 0L
+
     internal class Run(
         val key: TaskKey,
         val attempt: Int,
--- a/testing/src/main/kotlin/io/jackdawring/testing/shard/FakeShardWorld.kt
+++ b/testing/src/main/kotlin/io/jackdawring/testing/shard/FakeShardWorld.kt
@@ -3,6 +3,7 @@
 import io.jackdawring.core.shard.Admission
 import io.jackdawring.core.shard.JobId
 import io.jackdawring.core.shard.JobOutcome
+import io.jackdawring.core.shard.JobRequest
 import io.jackdawring.core.shard.JobSpec
 import io.jackdawring.core.shard.LookOrder
 import io.jackdawring.core.shard.LookResult
@@ -83,7 +84,8 @@
                     reply { it.onLook(target.id, order, LookResult.Unknown("timed out"), nowMillis) }
                 }
             } else {
-                schedule(LATENCY_MILLIS) {
+                schedule(LATENCY_MILLIS + fake.firstLookDelayMillis) {
+                    fake.firstLookDelayMillis = 0
                     fake.look(order, nowMillis)
                     awaitEnd(fake, order, nowMillis + order.waitMillis)
                 }
@@ -168,13 +170,16 @@
         job: JobSpec,
         remainingMillis: Long = 2_000,
         admission: Admission = Admission.ON_TIME_OR_ROOM,
+        mayRun: Boolean = false,
     ): WaiterId {
         jobs[job.id] = job
         val waiter = WaiterId(nextWaiter++)
-        holder.dispatcher.submit(job, waiter, remainingMillis, admission, nowMillis)
+        holder.dispatcher.submit(JobRequest(job, remainingMillis, admission, mayRun), waiter, nowMillis)
         return waiter
     }
 
+    fun dismiss(waiter: WaiterId) = holder.dispatcher.dismiss(waiter, nowMillis)
+
     fun withdraw(waiter: WaiterId) = holder.dispatcher.withdraw(waiter, nowMillis)
 
     /** Lists only [listed] as targets. */
--- a/testing/src/test/kotlin/io/jackdawring/testing/shard/ShardLoadPatternTest.kt
+++ b/testing/src/test/kotlin/io/jackdawring/testing/shard/ShardLoadPatternTest.kt
@@ -188,6 +188,40 @@
                 assertEquals(JobOutcome.Completed, world.outcome(again))
                 assertEquals(4, world.starts.size)
             },
+            Row("the holder is replaced and one target answers late: tasks that run there do not start elsewhere") {
+                val world = world()
+                world.submit(job("a", tasks = 6, estimateMillis = 600))
+                world.runFor(100)
+                world.targets[2].firstLookDelayMillis = 60
+                world.replaceHolder()
+                world.runFor(10)
+                val again = world.submit(job("a", tasks = 6, estimateMillis = 600), mayRun = true)
+                world.runFor(700)
+                assertEquals(JobOutcome.Completed, world.outcome(again))
+                assertEquals(6, world.starts.size)
+            },
+            Row("the holder is replaced while a target is silent: the rest of a job waits for the end of its lease") {
+                val world = world()
+                world.submit(job("a", tasks = 6, estimateMillis = 600))
+                world.runFor(100)
+                world.targets[2].mode = Mode.SILENT
+                world.replaceHolder()
+                val again = world.submit(job("a", tasks = 6, estimateMillis = 600), mayRun = true)
+                world.runFor(1_900)
+                assertEquals(JobOutcome.Completed, world.outcome(again))
+            },
+            Row("a relay wakes from a pause: its job is not started again where it was dropped") {
+                val world = world()
+                val waiter = world.submit(job("a", tasks = 2, estimateMillis = 900))
+                world.runFor(100)
+                world.dismiss(waiter)
+                world.runFor(200)
+                assertIs<JobOutcome.GivenUp>(world.outcome(waiter))
+                assertIs<JobOutcome.GivenUp>(
+                    world.outcome(world.submit(job("a", tasks = 2, estimateMillis = 900), mayRun = true)),
+                )
+                assertEquals(2, world.starts.size)
+            },
             Row("the holder is replaced and a job does not come again: its runs are stopped") {
                 val world = world(count = 1)
                 world.submit(job("a", tasks = 2, estimateMillis = 1_900))
