Wait for the old holder's leases unless it has handed its targets over

Ruled out: the order of the looks. Change: only a hand-over, which now names the targets, lets a new holder decide before the leases are over. Tests: rows of ShardLoadPatternTest on a list that lacks a target.

--- a/core/src/main/kotlin/io/jackdawring/core/shard/RealShardDispatcher.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/RealShardDispatcher.kt
@@ -2,6 +2,8 @@
 
 import io.jackdawring.core.TargetId
 import kotlinx.collections.immutable.ImmutableCollection
+import kotlinx.collections.immutable.ImmutableList
+import kotlinx.collections.immutable.toImmutableList
 
 internal class RealShardDispatcher(
     private val options: ShardOptions,
@@ -36,6 +38,16 @@
         place(nowMillis)
     }
 
+    override fun knownTargets(): ImmutableList<ShardTarget> = control.targets.map { it.facts }.toImmutableList()
+
+    override fun inherit(
+        targets: ImmutableCollection<ShardTarget>,
+        nowMillis: Long,
+    ) {
+        if (heldSinceMillis == null) heldSinceMillis = nowMillis
+        control.inherit(targets, nowMillis)
+    }
+
     override fun submit(
         request: JobRequest,
         waiter: WaiterId,
--- a/core/src/main/kotlin/io/jackdawring/core/shard/ShardDispatcher.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/ShardDispatcher.kt
@@ -2,6 +2,7 @@
 
 import io.jackdawring.core.TargetId
 import kotlinx.collections.immutable.ImmutableCollection
+import kotlinx.collections.immutable.ImmutableList
 
 /**
  * Decides everything about the targets of one shard: admission, queue, placement, retries, leases.
@@ -15,6 +16,19 @@
         nowMillis: Long,
     )
 
+    /** Every target that may run something of this shard. */
+    fun knownTargets(): ImmutableList<ShardTarget>
+
+    /**
+     * Adds the targets that the holder before knew, some of which the list may lack for a while.
+     *
+     * Without them, jobs that may run already wait until every lease of the holder before is over.
+     */
+    fun inherit(
+        targets: ImmutableCollection<ShardTarget>,
+        nowMillis: Long,
+    )
+
     /** Adds a request for a job; it joins the job if it is known. */
     fun submit(
         request: JobRequest,
--- a/core/src/main/kotlin/io/jackdawring/core/shard/TargetControl.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/TargetControl.kt
@@ -16,10 +16,13 @@
     /** Time of the first list of targets; null before. */
     private var listedAtMillis: Long? = null
 
+    /** Whether the targets of the holder before are known; the list alone may lack some that still run. */
+    private var inherited = false
+
     /** Whether nothing that an earlier holder started can run unseen. */
     fun allSeen(nowMillis: Long): Boolean {
         val since = listedAtMillis ?: return false
-        return byId.values.all { it.seen } || nowMillis - since >= longestLeaseMillis
+        return (inherited && byId.values.all { it.seen }) || nowMillis - since >= longestLeaseMillis
     }
 
     private val longestLeaseMillis =
@@ -51,6 +54,22 @@
         }
     }
 
+    /** Adds the targets that the holder before knew. */
+    fun inherit(
+        targets: ImmutableCollection<ShardTarget>,
+        nowMillis: Long,
+    ) {
+        inherited = true
+        if (listedAtMillis == null) listedAtMillis = nowMillis
+        for (facts in targets) {
+            if (facts.id in byId) continue
+            val target = HeldTarget(facts)
+            target.unlistedSinceMillis = nowMillis
+            byId[facts.id] = target
+            look(target, nowMillis)
+        }
+    }
+
     fun start(
         task: HeldTask,
         target: HeldTarget,
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/HeldShards.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/HeldShards.kt
@@ -11,6 +11,7 @@
 import io.jackdawring.fleet.peer.HandOverMessage
 import io.jackdawring.fleet.peer.PeerClient
 import io.jackdawring.fleet.peer.PeerReply
+import io.jackdawring.fleet.peer.TargetMessage
 import io.jackdawring.fleet.shard.DecisionLog
 import io.jackdawring.fleet.shard.ShardHost
 import io.jackdawring.fleet.store.CommitResult
@@ -20,6 +21,7 @@
 import io.jackdawring.fleet.store.StoreMirror
 import kotlinx.collections.immutable.ImmutableCollection
 import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.toImmutableList
 
 private val logger = KotlinLogging.logger("io.jackdawring.fleet")
 
@@ -158,7 +160,10 @@
             }
             return
         }
-        peers.handOver(successor, HandOverMessage(id, host.holding.revision)) { reply ->
+        peers.handOver(
+            successor,
+            HandOverMessage(id, host.holding.revision, host.knownTargets().map(TargetMessage::of)),
+        ) { reply ->
             val taken = reply is PeerReply.Answered && reply.message.taken
             when {
                 hosts[id] !== host -> Unit
@@ -176,7 +181,10 @@
         if (leaving || message.shardId in claiming) {
             onResult(false)
         } else {
-            claim(message.shardId, message.revision, onResult)
+            claim(message.shardId, message.revision) { taken ->
+                hosts[message.shardId]?.inherit(message.targets.map { it.toTarget() }.toImmutableList())
+                onResult(taken)
+            }
         }
     }
 
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/peer/PeerMessages.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/peer/PeerMessages.kt
@@ -1,8 +1,13 @@
 package io.jackdawring.fleet.peer
 
+import io.jackdawring.core.FailureDomainId
+import io.jackdawring.core.TargetId
 import io.jackdawring.core.fleet.ShardId
 import io.jackdawring.core.shard.JobOutcome
 import io.jackdawring.core.shard.JobRequest
+import io.jackdawring.core.shard.Resources
+import io.jackdawring.core.shard.ShardTarget
+import kotlinx.collections.immutable.toImmutableSet
 import kotlinx.serialization.Serializable
 
 /** Asks the holder of [shardId] for the outcome of a job on behalf of a caller of the entry instance [relay]. */
@@ -84,9 +89,37 @@
     val taken: Boolean,
 )
 
-/** Asks a peer to take over [shardId], whose key has [revision]. */
+/** Asks a peer to take over [shardId], whose key has [revision] and which may have runs on [targets]. */
 @Serializable
 internal data class HandOverMessage(
     val shardId: ShardId,
     val revision: Long,
+    val targets: List<TargetMessage>,
 )
+
+/** A target as its holder knows it. */
+@Serializable
+internal data class TargetMessage(
+    val id: TargetId,
+    val service: String,
+    val address: String,
+    val failureDomain: FailureDomainId,
+    val capacity: Resources,
+    val labels: Set<String>,
+    val draining: Boolean,
+) {
+    fun toTarget() = ShardTarget(id, service, address, failureDomain, capacity, labels.toImmutableSet(), draining)
+
+    companion object {
+        fun of(target: ShardTarget) =
+            TargetMessage(
+                target.id,
+                target.service,
+                target.address,
+                target.failureDomain,
+                target.capacity,
+                target.labels,
+                target.draining,
+            )
+    }
+}
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/shard/ShardHost.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/shard/ShardHost.kt
@@ -45,6 +45,11 @@
 
     fun updateTargets(listed: ImmutableCollection<ShardTarget>) = dispatcher.updateTargets(listed, loop.nowMillis())
 
+    /** Adds the targets that the holder before knew. */
+    fun inherit(targets: ImmutableCollection<ShardTarget>) = dispatcher.inherit(targets, loop.nowMillis())
+
+    fun knownTargets(): List<ShardTarget> = dispatcher.knownTargets()
+
     /** Adds a request for a job on behalf of [relay]; [onOutcome] is called at most once. */
     fun submit(
         relay: String,
--- a/testing/src/main/kotlin/io/jackdawring/testing/shard/FakeShardWorld.kt
+++ b/testing/src/main/kotlin/io/jackdawring/testing/shard/FakeShardWorld.kt
@@ -159,11 +159,20 @@
         schedule(TICK_MILLIS, ::tick)
     }
 
-    /** Replaces the holder by a new one that knows nothing but the targets. */
-    fun replaceHolder() {
+    /**
+     * Replaces the holder by a new one that knows the [listed] targets.
+     *
+     * It also gets the targets of the old holder if that one was able to [handOver].
+     */
+    fun replaceHolder(
+        listed: List<FakeShardTarget> = targets,
+        handOver: Boolean = false,
+    ) {
+        val known = holder.dispatcher.knownTargets()
         holder.alive = false
         holder = Holder()
-        holder.dispatcher.updateTargets(targets.map { it.facts }.toImmutableList(), nowMillis)
+        holder.dispatcher.updateTargets(listed.map { it.facts }.toImmutableList(), nowMillis)
+        if (handOver) holder.dispatcher.inherit(known, nowMillis)
     }
 
     fun submit(
--- a/testing/src/test/kotlin/io/jackdawring/testing/shard/ShardLoadPatternTest.kt
+++ b/testing/src/test/kotlin/io/jackdawring/testing/shard/ShardLoadPatternTest.kt
@@ -193,13 +193,36 @@
                 world.submit(job("a", tasks = 6, estimateMillis = 600))
                 world.runFor(100)
                 world.targets[2].firstLookDelayMillis = 60
-                world.replaceHolder()
+                world.replaceHolder(handOver = true)
                 world.runFor(10)
                 val again = world.submit(job("a", tasks = 6, estimateMillis = 600), mayRun = true)
                 world.runFor(700)
                 assertEquals(JobOutcome.Completed, world.outcome(again))
                 assertEquals(6, world.starts.size)
             },
+            Row(
+                "the holder is lost and the list lacks a target that still runs: its tasks wait for the end of its lease",
+            ) {
+                val world = world()
+                world.submit(job("a", tasks = 6, estimateMillis = 600))
+                world.runFor(100)
+                world.replaceHolder(listed = world.targets.take(2))
+                world.runFor(10)
+                val again = world.submit(job("a", tasks = 6, estimateMillis = 600), mayRun = true)
+                world.runFor(1_900)
+                assertEquals(JobOutcome.Completed, world.outcome(again))
+            },
+            Row("the shard is handed over and the list lacks a target: its runs are adopted") {
+                val world = world()
+                world.submit(job("a", tasks = 6, estimateMillis = 600))
+                world.runFor(100)
+                world.replaceHolder(listed = world.targets.take(2), handOver = true)
+                world.runFor(10)
+                val again = world.submit(job("a", tasks = 6, estimateMillis = 600), mayRun = true)
+                world.runFor(800)
+                assertEquals(JobOutcome.Completed, world.outcome(again))
+                assertEquals(6, world.starts.size)
+            },
             Row("the holder is replaced while a target is silent: the rest of a job waits for the end of its lease") {
                 val world = world()
                 world.submit(job("a", tasks = 6, estimateMillis = 600))
