Open the caller listener when jobs can be served

Change: the listener opens once the configuration and a holder are known, or 3 s after the start. A holder that has started anew takes its shard back at once.

--- a/core/src/main/kotlin/io/jackdawring/core/fleet/ShardElection.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/fleet/ShardElection.kt
@@ -78,7 +78,9 @@
             return false
         }
         val since = vacantSince.getOrPut(shardId) { nowMillis }
-        val delay = rank(holding?.holder, members) * RANK_DELAY_MILLIS
+        // A holder that has started anew takes its shard back at once; nobody else suspects it as early.
+        val rank = if (holding?.holder?.instanceId == self.instanceId) 0 else rank(holding?.holder, members)
+        val delay = rank * RANK_DELAY_MILLIS
         if (nowMillis - since < delay || nowMillis < (nextAttempt[shardId] ?: Long.MIN_VALUE)) return false
         nextAttempt[shardId] = nowMillis + ATTEMPT_INTERVAL_MILLIS
         return true
--- a/core/src/test/kotlin/io/jackdawring/core/fleet/ShardElectionTest.kt
+++ b/core/src/test/kotlin/io/jackdawring/core/fleet/ShardElectionTest.kt
@@ -64,8 +64,8 @@
             },
             Row("a vacant shard is left to the better member at first", false) { claims(null, 100) },
             Row("a vacant shard is taken after the better member's time", true) { claims(null, 160) },
-            Row("the own earlier incarnation is replaced", true) {
-                claims(holdBy(member("e2", incarnation = "0")), 160)
+            Row("the own earlier incarnation is replaced at once, whatever the rank", true) {
+                ShardElection(self).shouldClaim(shard, holdBy(member("e2", incarnation = "0")), members, 0)
             },
             Row("a failed claim is not repeated at once", false) {
                 val election = ShardElection(self)
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/RealFleetInstance.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/RealFleetInstance.kt
@@ -11,6 +11,7 @@
 import io.jackdawring.fleet.store.StoreMirror
 import io.jackdawring.server.http.HttpExchange
 import io.jackdawring.server.http.HttpResponseMessage
+import io.jackdawring.server.http.HttpServer
 import io.jackdawring.server.http.HttpServerOptions
 import kotlinx.collections.immutable.ImmutableCollection
 import kotlinx.collections.immutable.toImmutableList
@@ -79,11 +80,11 @@
         )
     private val peerServer = controlServers.start(options.peerAddress, peerApi::handle)
     private val readyServer = controlServers.start(options.readyAddress, ::onReadyRequest)
-    private val callerServer =
-        components.callerTransport.serverFactory().start(
-            options.callerAddress,
-            callerApi::handle,
-        )
+    private val startedAtMillis = loop.nowMillis()
+
+    /** Opened when jobs can be served, so that callers do not reach an instance that could only refuse them. */
+    @Volatile
+    private var callerServer: HttpServer? = null
 
     init {
         logger.info {
@@ -100,6 +101,7 @@
         registration.maintain(fleetMirror[FleetKeys.member(self.instanceId.value)])
         peerWatch.round(holders.holdersAsked)
         maintainShards()
+        openCallerServer()
         loop.schedule(PeerWatch.PING_INTERVAL_MILLIS, ::round)
     }
 
@@ -114,10 +116,18 @@
         if (holdsShards) targetMirror.start() else targetMirror.stop()
     }
 
+    private fun openCallerServer() {
+        if (callerServer != null || draining) return
+        if (!isReady() && loop.nowMillis() - startedAtMillis < STARTUP_LIMIT_MILLIS) return
+        callerServer = components.callerTransport.serverFactory().start(options.callerAddress, callerApi::handle)
+        logger.info { "listening for callers ${loop.nowMillis() - startedAtMillis} ms after the start" }
+    }
+
     private fun onFleetChanged() {
         directory.update(fleetMirror)
         shards.onDirectoryChanged()
         shards.maintain()
+        openCallerServer()
     }
 
     private fun onTargetsChanged() {
@@ -136,6 +146,7 @@
         // The store may answer with older reads than the ones before.
         if (current != null && decoded.version <= current.version) return
         callerApi.configuration = decoded
+        openCallerServer()
         logger.info { "configuration version ${decoded.version} is in force, store revision ${item.revision}" }
     }
 
@@ -154,26 +165,28 @@
         }
     }
 
+    private val requestsInProgress: Int get() = callerServer?.requestsInProgress ?: 0
+
     override fun drain() {
-        logger.info { "stopping: shards are handed over, ${callerServer.requestsInProgress} requests in progress" }
+        logger.info { "stopping: shards are handed over, $requestsInProgress requests in progress" }
         draining = true
         loop.execute { shards.handOverAll() }
         val startedAt = loop.nowMillis()
-        callerServer.closeAfterAnswers()
+        callerServer?.closeAfterAnswers()
         Thread.sleep(minOf(ROTATION_MILLIS, options.stopGraceMillis / 2))
-        callerServer.stopAccepting()
-        while ((callerServer.requestsInProgress > 0 || holdsShards) &&
+        callerServer?.stopAccepting()
+        while ((requestsInProgress > 0 || holdsShards) &&
             loop.nowMillis() - startedAt < options.stopGraceMillis - EXIT_MARGIN_MILLIS
         ) {
             Thread.sleep(DRAIN_POLL_MILLIS)
         }
         logger.info {
-            "stopped after ${loop.nowMillis() - startedAt} ms, ${callerServer.requestsInProgress} requests in progress"
+            "stopped after ${loop.nowMillis() - startedAt} ms, $requestsInProgress requests in progress"
         }
     }
 
     override fun close() {
-        callerServer.close()
+        callerServer?.close()
         peerServer.close()
         readyServer.close()
         components.callerTransport.close()
@@ -188,6 +201,9 @@
         /** A leaving target must not get starts after 2 s; several watches fit into that. */
         const val TARGET_GATHER_MILLIS = 400L
 
+        /** An instance that cannot serve by then listens all the same and says so to each caller. */
+        const val STARTUP_LIMIT_MILLIS = 3_000L
+
         /** The balancer asks once a second and takes an instance out of rotation after two misses. */
         const val ROTATION_MILLIS = 2_600L
 
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/relay/RelayedJob.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/relay/RelayedJob.kt
@@ -227,7 +227,7 @@
         const val PATIENCE_SHARE = 8
 
         /** Bounds the messages of a job that no failure domain can take in time. */
-        const val OTHER_SHARDS = 2
+        const val OTHER_SHARDS = 3
 
         /** About the time that a take-over needs. */
         const val NO_HOLDER_RETRY_MILLIS = 1_000L
