--- a/cli/src/main/kotlin/io/jackdawring/cli/commands/InstanceCommand.kt
+++ b/cli/src/main/kotlin/io/jackdawring/cli/commands/InstanceCommand.kt
@@ -9,6 +9,7 @@
 import io.jackdawring.cli.settings.ResolvedSettings
 import io.jackdawring.platform.PlatformInstance
 import io.jackdawring.server.logging.LogFormat
+import io.jackdawring.server.logging.LogOutput
 import io.jackdawring.server.logging.configureLogging
 import org.kohsuke.args4j.Option
 import java.io.IOException
@@ -33,7 +34,7 @@
         context: CommandContext,
         settings: ResolvedSettings,
     ): ExitCode {
-        configureLogging(LogFormat.TEXT)
+        configureLogging(LogFormat.JSON, output = LogOutput.STANDARD_OUTPUT_BOUNDED)
         val path =
             settingsFile ?: context.environment[PlatformInstance.SETTINGS_VARIABLE]
                 ?: throw UsageException(
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/FleetOptions.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/FleetOptions.kt
@@ -15,6 +15,8 @@
     val readyAddress: String,
     /** Where peers connect. */
     val peerAddress: String,
+    /** Where metrics are read, or null for nowhere. */
+    val metricsAddress: String?,
     /** Processor capacity in cores of unit speed. */
     val weight: Double,
     val shard: ShardOptions,
@@ -28,6 +30,7 @@
         var callerAddress: String = ""
         var readyAddress: String = ""
         var peerAddress: String = ""
+        var metricsAddress: String? = null
         var weight: Double = 1.0
         var shard: ShardOptions = shardOptions()
         var stopGraceMillis: Long = 6_000
@@ -39,6 +42,7 @@
                 callerAddress,
                 readyAddress,
                 peerAddress,
+                metricsAddress,
                 weight,
                 shard,
                 stopGraceMillis,
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/HeldShards.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/HeldShards.kt
@@ -8,6 +8,7 @@
 import io.jackdawring.core.fleet.ShardId
 import io.jackdawring.core.shard.ShardDispatcher
 import io.jackdawring.core.shard.ShardTarget
+import io.jackdawring.fleet.metrics.FleetMetrics
 import io.jackdawring.fleet.peer.HandOverMessage
 import io.jackdawring.fleet.peer.PeerClient
 import io.jackdawring.fleet.peer.PeerReply
@@ -35,6 +36,7 @@
     private val directory: FleetDirectory,
     private val targetClient: TargetClient,
     private val peers: PeerClient,
+    private val metrics: FleetMetrics,
     private val targetsOf: (ShardId) -> ImmutableCollection<ShardTarget>,
     private val onHeldChanged: () -> Unit,
 ) {
@@ -112,9 +114,17 @@
     ) {
         if (leaving) return
         val name = FleetKeys.shard(holding.shardId)
+        metrics.shardTaken()
         logger.info { "took shard $name with fence ${holding.revision}" }
         val host =
-            ShardHost(holding, options.shard, ShardDispatcher.Factory.Default, targetClient, loop, DecisionLog(name)) {
+            ShardHost(
+                holding,
+                options.shard,
+                ShardDispatcher.Factory.Default,
+                targetClient,
+                loop,
+                DecisionLog(name, metrics),
+            ) {
                 hosts[holding.shardId]
                     ?.takeIf {
                         it.holding.revision == holding.revision
@@ -136,6 +146,7 @@
                 host.holding.shardId,
             )} with fence ${host.holding.revision}: $reason"
         }
+        metrics.shardLetGo()
         hosts.remove(host.holding.shardId)
         host.release()
         onHeldChanged()
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/RealFleetInstance.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/RealFleetInstance.kt
@@ -5,6 +5,7 @@
 import io.jackdawring.core.fleet.ShardId
 import io.jackdawring.core.routing.QueueRoute
 import io.jackdawring.core.shard.ShardTarget
+import io.jackdawring.fleet.metrics.FleetMetrics
 import io.jackdawring.fleet.peer.PeerApi
 import io.jackdawring.fleet.peer.PeerClient
 import io.jackdawring.fleet.relay.JobRelay
@@ -33,6 +34,7 @@
             options.peerAddress,
             options.weight,
         )
+    private val metrics = FleetMetrics()
     private val directory = FleetDirectory()
     private val peers = PeerClient(components.peerClient)
     private val fleetMirror = StoreMirror(FleetKeys.ROOT, components.store, loop, onChange = ::onFleetChanged)
@@ -57,13 +59,14 @@
             directory,
             components.targets,
             peers,
+            metrics,
             ::targetsOf,
             ::followTargets,
         )
     private val news = FleetNews(fleetMirror, configurationMirror)
     private val peerWatch = PeerWatch(self, peers, shards, directory, news, loop)
     private val holders = HolderAccess(self, shards, directory, peers, loop)
-    private val relay = JobRelay(loop, holders)
+    private val relay = JobRelay(loop, holders, metrics)
     private val registration = MemberRegistration(self, components.store, loop, fleetMirror::learn)
     private val callerApi = CallerApi(components.callerCodec, relay, loop, ::pendingJobs)
     private val peerApi = PeerApi(self.incarnation, shards, loop, news::after, peerWatch::onAsked)
@@ -79,6 +82,7 @@
             HttpServerOptions(maxConnections = MAX_PEER_CONNECTIONS),
         )
     private val peerServer = controlServers.start(options.peerAddress, peerApi::handle)
+    private val metricsServer = options.metricsAddress?.let { controlServers.start(it, ::onMetricsRequest) }
     private val readyServer = controlServers.start(options.readyAddress, ::onReadyRequest)
     private val startedAtMillis = loop.nowMillis()
 
@@ -157,6 +161,18 @@
         exchange.respond(HttpResponseMessage(if (isReady()) STATUS_OK else STATUS_UNAVAILABLE))
     }
 
+    private fun onMetricsRequest(exchange: HttpExchange) {
+        exchange.respond(
+            if (exchange.request.path ==
+                METRICS_PATH
+            ) {
+                metrics.expose()
+            } else {
+                HttpResponseMessage(STATUS_NOT_FOUND)
+            },
+        )
+    }
+
     private fun isReady(): Boolean {
         if (draining || callerApi.configuration == null) return false
         return directory.shardsOf(self.failureDomain).all { id ->
@@ -189,6 +205,7 @@
         callerServer?.close()
         peerServer.close()
         readyServer.close()
+        metricsServer?.close()
         components.callerTransport.close()
         components.controlTransport.close()
     }
@@ -196,6 +213,8 @@
     private companion object {
         const val STATUS_OK = 200
         const val STATUS_UNAVAILABLE = 503
+        const val STATUS_NOT_FOUND = 404
+        const val METRICS_PATH = "/metrics"
         const val MAX_PEER_CONNECTIONS = 4_000
 
         /** A leaving target must not get starts after 2 s; several watches fit into that. */
--- /dev/null
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/metrics/FleetMetrics.kt
@@ -0,0 +1,107 @@
+package io.jackdawring.fleet.metrics
+
+import io.jackdawring.core.shard.JobOutcome
+import io.jackdawring.fleet.CallerAnswer
+import io.jackdawring.fleet.shard.label
+import io.jackdawring.server.http.HttpResponseMessage
+import io.jackdawring.server.logging.droppedLogLines
+import io.prometheus.metrics.core.metrics.Counter
+import io.prometheus.metrics.core.metrics.CounterWithCallback
+import io.prometheus.metrics.core.metrics.Histogram
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter
+import io.prometheus.metrics.model.registry.PrometheusRegistry
+import kotlinx.collections.immutable.persistentMapOf
+import java.io.ByteArrayOutputStream
+
+/** Counters and histograms of an entry instance; labels never hold ids of jobs or targets. */
+internal class FleetMetrics {
+    private val registry = PrometheusRegistry()
+    private val answers = counter("jackdawring_caller_answers", "Requests of callers answered, by outcome.", "outcome")
+    private val answerSeconds =
+        Histogram
+            .builder()
+            .name("jackdawring_caller_answer_seconds")
+            .help("Time from a caller's job to its answer, by queue and outcome.")
+            .labelNames("queue", "outcome")
+            .classicOnly()
+            .classicUpperBounds(*BUCKETS_SECONDS)
+            .withoutExemplars()
+            .register(registry)
+    private val shardAnswers =
+        counter("jackdawring_shard_answers", "Jobs answered by held shards, by outcome.", "outcome")
+    private val repeats = counter("jackdawring_repeated_runs", "Runs that were over without a result.")
+    private val targetChanges =
+        counter("jackdawring_target_changes", "Changes of belief about targets, by new state.", "state")
+    private val holdings = counter("jackdawring_shard_changes", "Shards taken and let go, by change.", "change")
+
+    init {
+        CounterWithCallback
+            .builder()
+            .name("jackdawring_dropped_log_lines")
+            .help("Log lines dropped because the queue of the log was full.")
+            .callback { it.call(droppedLogLines.toDouble()) }
+            .register(registry)
+    }
+
+    private fun counter(
+        name: String,
+        help: String,
+        vararg labels: String,
+    ): Counter =
+        Counter
+            .builder()
+            .name(name)
+            .help(help)
+            .labelNames(*labels)
+            .withoutExemplars()
+            .register(registry)
+
+    /** Counts an answer to a caller's job of [queue] that took [ageMillis]. */
+    fun jobAnswered(
+        queue: String,
+        answer: CallerAnswer,
+        ageMillis: Long,
+    ) {
+        val outcome = answer.label
+        answers.labelValues(outcome).inc()
+        answerSeconds.labelValues(queue, outcome).observe(ageMillis / MILLIS_PER_SECOND)
+    }
+
+    fun shardAnswered(outcome: JobOutcome) = shardAnswers.labelValues(outcome.label).inc()
+
+    fun runRepeated() = repeats.inc()
+
+    fun targetChanged(state: String) = targetChanges.labelValues(state).inc()
+
+    fun shardTaken() = holdings.labelValues("taken").inc()
+
+    fun shardLetGo() = holdings.labelValues("let-go").inc()
+
+    /** All metrics in the Prometheus text format. */
+    fun expose(): HttpResponseMessage {
+        val body = ByteArrayOutputStream()
+        PrometheusTextFormatWriter.builder().build().write(body, registry.scrape())
+        return HttpResponseMessage(
+            STATUS_OK,
+            persistentMapOf("content-type" to PrometheusTextFormatWriter.CONTENT_TYPE),
+            body.toByteArray(),
+        )
+    }
+
+    private val CallerAnswer.label: String
+        get() =
+            when (this) {
+                is CallerAnswer.Ended -> if (completed) "completed" else "failed"
+                is CallerAnswer.NotRun -> "not-run"
+                is CallerAnswer.GivenUp -> "given-up"
+                else -> "other"
+            }
+
+    private companion object {
+        const val STATUS_OK = 200
+        const val MILLIS_PER_SECOND = 1_000.0
+
+        /** Around the latency objectives of sub-second tasks. */
+        val BUCKETS_SECONDS = doubleArrayOf(0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.6, 0.8, 1.0, 1.5, 2.0, 3.0, 5.0)
+    }
+}
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/relay/JobRelay.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/relay/JobRelay.kt
@@ -3,16 +3,22 @@
 import io.jackdawring.core.shard.JobSpec
 import io.jackdawring.fleet.CallerAnswer
 import io.jackdawring.fleet.ControlLoop
+import io.jackdawring.fleet.metrics.FleetMetrics
 
 /** Passes jobs of callers on to the holders of shards; belongs to the control thread. */
 internal class JobRelay(
     private val loop: ControlLoop,
     private val shards: ShardAccess,
+    private val metrics: FleetMetrics,
 ) {
     /** Submits [job] for a caller that waits [waitMillis]; [onAnswer] is called at most once. */
     fun submit(
         job: JobSpec,
         waitMillis: Long,
         onAnswer: (CallerAnswer) -> Unit,
-    ): RelayedJob = RelayedJob(job, waitMillis, loop, shards, onAnswer).also { it.start() }
+    ): RelayedJob =
+        RelayedJob(job, waitMillis, loop, shards) { answer, ageMillis ->
+            metrics.jobAnswered(job.queue, answer, ageMillis)
+            onAnswer(answer)
+        }.also { it.start() }
 }
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/relay/RelayedJob.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/relay/RelayedJob.kt
@@ -23,7 +23,7 @@
     waitMillis: Long,
     private val loop: ControlLoop,
     private val shards: ShardAccess,
-    private val onAnswer: (CallerAnswer) -> Unit,
+    private val onAnswer: (answer: CallerAnswer, ageMillis: Long) -> Unit,
 ) {
     private val arrivedAtMillis = loop.nowMillis()
     private val deadlineMillis = arrivedAtMillis + waitMillis
@@ -196,23 +196,34 @@
         if (ended) return
         ended = true
         question?.cancel()
-        logUnserved(answer)
-        onAnswer(answer)
+        val age = loop.nowMillis() - arrivedAtMillis
+        logUnserved(answer, age)
+        onAnswer(answer, age)
     }
 
-    private fun logUnserved(answer: CallerAnswer) {
-        val what =
+    private fun logUnserved(
+        answer: CallerAnswer,
+        ageMillis: Long,
+    ) {
+        val (outcome, reason) =
             when (answer) {
-                is CallerAnswer.NotRun -> "not run: ${answer.reason}"
-                is CallerAnswer.GivenUp -> "given up: ${answer.reason}"
+                is CallerAnswer.NotRun -> "not-run" to answer.reason
+                is CallerAnswer.GivenUp -> "given-up" to answer.reason
                 else -> return
             }
-        logger.info {
-            "job ${job.id.value} queue ${job.queue} $what; age ${loop.nowMillis() - arrivedAtMillis} ms, " +
-                "objective ${job.objectiveMillis} ms, refused by ${refusals.keys.map {
-                    it.failureDomain.value
-                }}, taken by " +
-                takenBy?.failureDomain?.value
+        logger.atInfo {
+            message = "job not served"
+            payload =
+                mapOf(
+                    "job" to job.id.value,
+                    "queue" to job.queue,
+                    "outcome" to outcome,
+                    "reason" to reason,
+                    "ageMillis" to ageMillis,
+                    "objectiveMillis" to job.objectiveMillis,
+                    "refusedBy" to refusals.keys.joinToString { it.failureDomain.value },
+                    "takenBy" to takenBy?.failureDomain?.value.orEmpty(),
+                )
         }
     }
 
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/shard/DecisionLog.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/shard/DecisionLog.kt
@@ -3,48 +3,90 @@
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.jackdawring.core.shard.JobOutcome
 import io.jackdawring.core.shard.ShardDecision
+import io.jackdawring.fleet.metrics.FleetMetrics
 
 private val logger = KotlinLogging.logger("io.jackdawring.decision")
 
-/** Writes one line for each decision of a shard. */
+/** Counts the decisions of a shard and writes one line for each. */
 internal class DecisionLog(
     private val shardName: String,
+    private val metrics: FleetMetrics,
 ) {
     fun report(decision: ShardDecision) {
         when (decision) {
-            is ShardDecision.JobAdmitted -> {
-                logger.info {
-                    "$shardName job ${decision.jobId.value} queue ${decision.queue} admitted, forecast " +
-                        "${decision.forecastMillis} ms, objective ${decision.objectiveMillis} ms, ${decision.queuedTasks} tasks wait"
-                }
-            }
-
-            is ShardDecision.JobAnswered -> {
-                logger.info {
-                    "$shardName job ${decision.jobId.value} queue ${decision.queue} ${describe(decision.outcome)} " +
-                        "after ${decision.ageMillis} ms, objective ${decision.objectiveMillis} ms"
-                }
-            }
-
-            is ShardDecision.RunRepeated -> {
-                logger.info {
-                    "$shardName task ${decision.task.jobId.value}.${decision.task.step}.${decision.task.index} attempt " +
-                        "${decision.attempt} on ${decision.targetId.value} is over: ${decision.reason}"
-                }
-            }
-
-            is ShardDecision.TargetChanged -> {
-                logger.info { "$shardName target ${decision.targetId.value} ${decision.state}: ${decision.reason}" }
-            }
+            is ShardDecision.JobAdmitted -> onAdmitted(decision)
+            is ShardDecision.JobAnswered -> onAnswered(decision)
+            is ShardDecision.RunRepeated -> onRepeated(decision)
+            is ShardDecision.TargetChanged -> onTargetChanged(decision)
         }
     }
 
-    private fun describe(outcome: JobOutcome): String =
-        when (outcome) {
+    private fun onAdmitted(decision: ShardDecision.JobAdmitted) =
+        log(
+            "job admitted",
+            "job" to decision.jobId.value,
+            "queue" to decision.queue,
+            "forecastMillis" to decision.forecastMillis,
+            "objectiveMillis" to decision.objectiveMillis,
+            "waitingTasks" to decision.queuedTasks,
+        )
+
+    private fun onAnswered(decision: ShardDecision.JobAnswered) {
+        val outcome = decision.outcome
+        metrics.shardAnswered(outcome)
+        log(
+            "job answered",
+            "job" to decision.jobId.value,
+            "queue" to decision.queue,
+            "outcome" to outcome.label,
+            "reason" to outcome.reasonText,
+            "ageMillis" to decision.ageMillis,
+            "objectiveMillis" to decision.objectiveMillis,
+        )
+    }
+
+    private fun onRepeated(decision: ShardDecision.RunRepeated) {
+        metrics.runRepeated()
+        log(
+            "run over without a result",
+            "job" to decision.task.jobId.value,
+            "task" to "${decision.task.step}.${decision.task.index}",
+            "attempt" to decision.attempt,
+            "target" to decision.targetId.value,
+            "reason" to decision.reason,
+        )
+    }
+
+    private fun onTargetChanged(decision: ShardDecision.TargetChanged) {
+        metrics.targetChanged(decision.state)
+        log("target ${decision.state}", "target" to decision.targetId.value, "reason" to decision.reason)
+    }
+
+    private fun log(
+        text: String,
+        vararg fields: Pair<String, Any>,
+    ) = logger.atInfo {
+        message = text
+        payload = mapOf("shard" to shardName, *fields)
+    }
+}
+
+/** Short name of the outcome for log fields and labels. */
+internal val JobOutcome.label: String
+    get() =
+        when (this) {
             is JobOutcome.Completed -> "completed"
-            is JobOutcome.Failed -> "failed (${outcome.reason})"
-            is JobOutcome.NotRun -> "refused (${outcome.reason}), retry after ${outcome.retryAfterMillis} ms"
-            is JobOutcome.GivenUp -> "given up (${outcome.reason})"
+            is JobOutcome.Failed -> "failed"
+            is JobOutcome.NotRun -> "not-run"
+            is JobOutcome.GivenUp -> "given-up"
             is JobOutcome.Moved -> "moved"
         }
-}
+
+private val JobOutcome.reasonText: String
+    get() =
+        when (this) {
+            is JobOutcome.Completed, is JobOutcome.Moved -> ""
+            is JobOutcome.Failed -> reason
+            is JobOutcome.NotRun -> reason
+            is JobOutcome.GivenUp -> reason
+        }
--- a/fleet/src/test/kotlin/io/jackdawring/fleet/relay/RelayedJobTest.kt
+++ b/fleet/src/test/kotlin/io/jackdawring/fleet/relay/RelayedJobTest.kt
@@ -14,6 +14,7 @@
 import io.jackdawring.core.shard.StepSpec
 import io.jackdawring.fleet.CallerAnswer
 import io.jackdawring.fleet.FakeControlLoop
+import io.jackdawring.fleet.metrics.FleetMetrics
 import org.junit.jupiter.api.DynamicTest
 import org.junit.jupiter.api.TestFactory
 import kotlin.test.assertEquals
@@ -56,7 +57,7 @@
         var answer: CallerAnswer? = null
         val asked get() = shards.questions.map { it.domain }
 
-        fun submit() = JobRelay(loop, shards).submit(JOB, WAIT_MILLIS) { answer = it }
+        fun submit() = JobRelay(loop, shards, FleetMetrics()).submit(JOB, WAIT_MILLIS) { answer = it }
 
         fun reply(reply: HolderReply) = shards.questions.last().onReply(reply)
 
--- a/server/src/main/kotlin/io/jackdawring/server/logging/Logging.kt
+++ b/server/src/main/kotlin/io/jackdawring/server/logging/Logging.kt
@@ -4,6 +4,7 @@
 import ch.qos.logback.classic.LoggerContext
 import ch.qos.logback.classic.encoder.PatternLayoutEncoder
 import ch.qos.logback.classic.spi.ILoggingEvent
+import ch.qos.logback.core.Appender
 import ch.qos.logback.core.ConsoleAppender
 import ch.qos.logback.core.encoder.Encoder
 import net.logstash.logback.encoder.LogstashEncoder
@@ -19,26 +20,48 @@
     TEXT,
 }
 
-/** Sends all logs of the process to standard error in [format]; libraries log warnings and errors only. */
+/** Where log lines are written. */
+enum class LogOutput {
+    /** Standard error, on the thread that logs. */
+    STANDARD_ERROR,
+
+    /** Standard output, by a thread with a bounded queue. */
+    STANDARD_OUTPUT_BOUNDED,
+}
+
+/** Lines that were dropped because the queue of [LogOutput.STANDARD_OUTPUT_BOUNDED] was full. */
+val droppedLogLines: Long get() = BoundedAppender.droppedLines
+
+/** Sends all logs of the process to [output] in [format]; libraries log warnings and errors only. */
 fun configureLogging(
     format: LogFormat,
     debug: Boolean = false,
+    output: LogOutput = LogOutput.STANDARD_ERROR,
 ) {
     val context = LoggerFactory.getILoggerFactory() as LoggerContext
     context.reset()
     val appender =
         ConsoleAppender<ILoggingEvent>().apply {
             this.context = context
-            target = "System.err"
+            target = if (output == LogOutput.STANDARD_ERROR) "System.err" else "System.out"
             encoder = createEncoder(context, format)
             start()
         }
     val root = context.getLogger(Logger.ROOT_LOGGER_NAME)
     root.level = Level.WARN
-    root.addAppender(appender)
+    root.addAppender(if (output == LogOutput.STANDARD_ERROR) appender else bounded(context, appender))
     context.getLogger("io.jackdawring").level = if (debug) Level.DEBUG else Level.INFO
 }
 
+private fun bounded(
+    loggerContext: LoggerContext,
+    sink: Appender<ILoggingEvent>,
+) = BoundedAppender().apply {
+    context = loggerContext
+    addAppender(sink)
+    start()
+}
+
 private fun createEncoder(
     loggerContext: LoggerContext,
     format: LogFormat,
