Record a class archive in the build; forecast with fast free targets first

Cause: after all instances were killed, starting them took most of the time without service; the forecast put tasks on whichever target was free, also a slow one beside a fast one, and refused jobs in time. Change: the build plays the new subcommand platform-demo to record the classes, and instances start with the archive; the forecast orders places by the end of a task there.

--- a/cli/src/main/kotlin/io/jackdawring/cli/Commands.kt
+++ b/cli/src/main/kotlin/io/jackdawring/cli/Commands.kt
@@ -10,6 +10,7 @@
 import io.jackdawring.cli.commands.HelpCommand
 import io.jackdawring.cli.commands.InstanceCommand
 import io.jackdawring.cli.commands.LoadCommand
+import io.jackdawring.cli.commands.PlatformDemoCommand
 import io.jackdawring.cli.commands.ScenariosCommand
 import io.jackdawring.cli.commands.ServeCommand
 import io.jackdawring.cli.commands.SettingsCommand
@@ -36,6 +37,7 @@
         ScenariosCommand(),
         BenchCommand(),
         DemoCommand(),
+        PlatformDemoCommand(),
         SettingsCommand(),
         CompletionBashCommand(::allCommands),
         VersionCommand(),
--- /dev/null
+++ b/cli/src/main/kotlin/io/jackdawring/cli/commands/PlatformDemoCommand.kt
@@ -0,0 +1,51 @@
+package io.jackdawring.cli.commands
+
+import arrow.core.Either
+import io.jackdawring.cli.Command
+import io.jackdawring.cli.CommandContext
+import io.jackdawring.cli.ExitCode
+import io.jackdawring.cli.StartException
+import io.jackdawring.cli.settings.ResolvedSettings
+import io.jackdawring.platform.PlatformInstance
+import io.jackdawring.standins.platform.StandInSite
+
+/** Runs two entry instances against stand-ins of the platform; the build also records the classes that this loads. */
+internal class PlatformDemoCommand :
+    Command(
+        "platform-demo",
+        "run two entry instances against stand-ins of the platform on loopback",
+        "jackdawring platform-demo",
+    ) {
+    override fun run(
+        context: CommandContext,
+        settings: ResolvedSettings,
+    ): ExitCode =
+        StandInSite().use { site ->
+            site.open()
+            val completed = List(INSTANCES) { play(site, "e$it") }.sum()
+            context.out.println("$completed of ${INSTANCES * JOBS} jobs completed")
+            if (completed == INSTANCES * JOBS) ExitCode.OK else ExitCode.FAILED
+        }
+
+    /** Starts an instance, sends its jobs and drains it. */
+    private fun play(
+        site: StandInSite,
+        name: String,
+    ): Int {
+        val addresses = site.newAddresses()
+        val instance =
+            when (val started = PlatformInstance.start(site.settings(name, addresses))) {
+                is Either.Left -> throw StartException(started.value)
+                is Either.Right -> started.value
+            }
+        return instance.use {
+            site.awaitReady(addresses)
+            List(JOBS) { job -> site.submit(addresses, name.hashCode() * JOBS + job) }.count { it == StandInSite.OK }
+        }
+    }
+
+    private companion object {
+        const val INSTANCES = 2
+        const val JOBS = 20
+    }
+}
--- a/core/src/main/kotlin/io/jackdawring/core/shard/WaitForecast.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/WaitForecast.kt
@@ -11,11 +11,19 @@
     private val durations: DurationEstimator,
     private val farFactor: Double,
 ) {
+    /** [sampleEndMillis] orders the places: a free one on a fast target comes before a free one on a slow target. */
     private class Place(
         val target: HeldTarget,
         val freeAtMillis: Double,
+        val sampleEndMillis: Double,
     )
 
+    private fun place(
+        target: HeldTarget,
+        freeAtMillis: Double,
+        sample: HeldTask,
+    ) = Place(target, freeAtMillis, freeAtMillis + durations.onTargetMillis(sample, target, farFactor))
+
     /** Expected time of the job's last end, or null if no target can run it. */
     fun completionMillis(
         job: HeldJob,
@@ -30,7 +38,7 @@
         for (task in inOrder(job, waiting)) {
             val place = places.poll() ?: break
             val end = place.freeAtMillis + durations.onTargetMillis(task, place.target, farFactor)
-            places.add(Place(place.target, end))
+            places.add(place(place.target, end, sample))
             if (task.job === job) completion = maxOf(completion, end)
         }
         return completion
@@ -55,11 +63,13 @@
         targets: Collection<HeldTarget>,
         nowMillis: Long,
     ): PriorityQueue<Place> {
-        val places = PriorityQueue<Place>(compareBy { it.freeAtMillis })
+        val places = PriorityQueue<Place>(compareBy { it.sampleEndMillis })
         for (target in targets) {
             if (!TargetChoice.isUsable(target, nowMillis) || !TargetChoice.matches(target, sample)) continue
-            target.runs.values.forEach { run -> places.add(Place(target, expectedEndMillis(run, nowMillis))) }
-            repeat(spareRoom(target.free, sample.spec.demand)) { places.add(Place(target, nowMillis.toDouble())) }
+            target.runs.values.forEach { run -> places.add(place(target, expectedEndMillis(run, nowMillis), sample)) }
+            repeat(
+                spareRoom(target.free, sample.spec.demand),
+            ) { places.add(place(target, nowMillis.toDouble(), sample)) }
         }
         return places
     }
