--- a/cli/src/main/kotlin/io/jackdawring/cli/ExitCode.kt
+++ b/cli/src/main/kotlin/io/jackdawring/cli/ExitCode.kt
@@ -1,6 +1,6 @@
 package io.jackdawring.cli
 
-/** Exit codes of every subcommand; documented by `jackdawring help` and in `docs/operations.md`. */
+/** Exit codes of every subcommand; documented by `jackdawring help` and in `docs/OPERATIONS.md`. */
 enum class ExitCode(
     val code: Int,
     val meaning: String,
--- a/cli/src/main/kotlin/io/jackdawring/cli/commands/InstanceCommand.kt
+++ b/cli/src/main/kotlin/io/jackdawring/cli/commands/InstanceCommand.kt
@@ -40,11 +40,13 @@
                 ?: throw UsageException(
                     "neither --settings nor ${PlatformInstance.SETTINGS_VARIABLE} names a settings file",
                 )
+        val text = read(path)
         val instance =
-            when (val started = PlatformInstance.start(read(path))) {
+            when (val started = PlatformInstance.start(text)) {
                 is Either.Left -> throw StartException("settings file $path: ${started.value}")
                 is Either.Right -> started.value
             }
+        SettingsFileWatch(Path.of(path), text, instance::reload).start()
         return context.lifecycle.runUntilShutdown {
             instance.drain()
             instance.close()
--- a/cli/src/test/kotlin/io/jackdawring/cli/ReferencePageTest.kt
+++ b/cli/src/test/kotlin/io/jackdawring/cli/ReferencePageTest.kt
@@ -28,7 +28,7 @@
     /** Guards against a subcommand or exit code that the operators' page does not explain. */
     @Test
     fun `the operations page names all subcommands and exit codes`() {
-        val page = File(docs, "operations.md").readText()
+        val page = File(docs, "OPERATIONS.md").readText()
         allCommands().forEach { assertContains(page, "`${it.name}`") }
         ExitCode.entries.forEach { assertContains(page, "| ${it.code} | ${it.meaning} |") }
     }
