--- a/cli/src/main/kotlin/io/jackdawring/cli/commands/PlatformDemoCommand.kt
+++ b/cli/src/main/kotlin/io/jackdawring/cli/commands/PlatformDemoCommand.kt
@@ -7,7 +7,11 @@
 import io.jackdawring.cli.StartException
 import io.jackdawring.cli.settings.ResolvedSettings
 import io.jackdawring.platform.PlatformInstance
+import io.jackdawring.server.logging.LogFormat
+import io.jackdawring.server.logging.LogOutput
+import io.jackdawring.server.logging.configureLogging
 import io.jackdawring.standins.platform.StandInSite
+import org.kohsuke.args4j.Option
 
 /** Runs two entry instances against stand-ins of the platform; the build also records the classes that this loads. */
 internal class PlatformDemoCommand :
@@ -16,10 +20,18 @@
         "run two entry instances against stand-ins of the platform on loopback",
         "jackdawring platform-demo",
     ) {
+    @Option(name = "--logs", usage = "print the structured log lines of the entry instances")
+    var logs: Boolean = false
+
     override fun run(
         context: CommandContext,
         settings: ResolvedSettings,
-    ): ExitCode =
+    ): ExitCode {
+        if (logs) configureLogging(LogFormat.JSON, output = LogOutput.STANDARD_OUTPUT_BOUNDED)
+        return play(context)
+    }
+
+    private fun play(context: CommandContext): ExitCode =
         StandInSite().use { site ->
             site.open()
             val completed = List(INSTANCES) { play(site, "e$it") }.sum()
--- a/core/src/main/kotlin/io/jackdawring/core/shard/RealShardDispatcher.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/RealShardDispatcher.kt
@@ -268,8 +268,11 @@
         run: HeldRun,
         nowMillis: Long,
     ) {
-        if (run.owner == null || run.state != HeldRun.State.RUNNING || run.expectedMillis <= 0) return
-        if (nowMillis - run.sentAtMillis < HANG_FACTOR * run.expectedMillis + HANG_SLACK_MILLIS) return
+        val task = run.owner ?: return
+        val elapsed = nowMillis - run.sentAtMillis
+        if (run.state != HeldRun.State.RUNNING || run.expectedMillis <= 0) return
+        if (elapsed < HANG_FACTOR * run.expectedMillis + HANG_SLACK_MILLIS) return
+        durations.onOverdue(task, run.target, elapsed)
         control.fault(run.target, "a run takes over $HANG_FACTOR times as long as expected", HANGS_ALLOWED, nowMillis)
         control.stop(run, "takes too long", nowMillis)
     }
--- a/core/src/main/kotlin/io/jackdawring/core/shard/TargetRecord.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/TargetRecord.kt
@@ -31,9 +31,22 @@
     ) {
         faultsInRow = 0
         suspensions = 0
-        val ratio = ln((expectedAtUnitSpeedMillis / observedMillis.coerceAtLeast(1)).coerceIn(MIN_SPEED, MAX_SPEED))
         samples++
-        val weight = maxOf(1.0 / samples, SPEED_WEIGHT)
+        learn(expectedAtUnitSpeedMillis, observedMillis, maxOf(1.0 / samples, SPEED_WEIGHT))
+    }
+
+    /** Lowers the speed because a run has taken [elapsedMillis] and is not over. */
+    fun onOverdue(
+        expectedAtUnitSpeedMillis: Double,
+        elapsedMillis: Long,
+    ) = learn(expectedAtUnitSpeedMillis, elapsedMillis, OVERDUE_WEIGHT)
+
+    private fun learn(
+        expectedAtUnitSpeedMillis: Double,
+        observedMillis: Long,
+        weight: Double,
+    ) {
+        val ratio = ln((expectedAtUnitSpeedMillis / observedMillis.coerceAtLeast(1)).coerceIn(MIN_SPEED, MAX_SPEED))
         logSpeed += weight * (ratio - logSpeed)
     }
 
@@ -62,6 +75,9 @@
     private companion object {
         /** Weight of the newest run in the speed; declared durations are off by tens of percent. */
         const val SPEED_WEIGHT = 0.12
+
+        /** Weight of a run far beyond its expected end; such runs are rare on sound targets. */
+        const val OVERDUE_WEIGHT = 0.4
         const val MIN_SPEED = 0.05
         const val MAX_SPEED = 8.0
 
