--- a/core/src/main/kotlin/io/jackdawring/core/shard/RealShardDispatcher.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/RealShardDispatcher.kt
@@ -173,7 +173,8 @@
         if (lateMillis <= 0) return null
         val hasRoom = choice.choose(job.steps.first().first(), control.targets, nowMillis) != null
         if (hasRoom && admission == Admission.ON_TIME_OR_ROOM) return null
-        val reason = "forecast of ${completionMillis.toLong() - nowMillis} ms exceeds the objective of ${job.spec.objectiveMillis} ms"
+        val forecastMillis = completionMillis.toLong() - nowMillis
+        val reason = "forecast of $forecastMillis ms exceeds the objective of ${job.spec.objectiveMillis} ms"
         return JobOutcome.NotRun(reason, lateMillis, hasRoom)
     }
 
--- a/core/src/main/kotlin/io/jackdawring/core/shard/TargetRecord.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/TargetRecord.kt
@@ -32,7 +32,9 @@
         faultsInRow = 0
         suspensions = 0
         samples++
-        learn(expectedAtUnitSpeedMillis, observedMillis, maxOf(1.0 / samples, SPEED_WEIGHT))
+        val faster = expectedAtUnitSpeedMillis / observedMillis.coerceAtLeast(1) > RECOVERY_FACTOR * speed
+        val weight = if (faster) RECOVERY_WEIGHT else SPEED_WEIGHT
+        learn(expectedAtUnitSpeedMillis, observedMillis, maxOf(1.0 / samples, weight))
     }
 
     /** Lowers the speed because a run has taken [elapsedMillis] and is not over. */
@@ -76,6 +78,10 @@
         /** Weight of the newest run in the speed; declared durations are off by tens of percent. */
         const val SPEED_WEIGHT = 0.12
 
+        /** A run this much faster than believed shows that the target is no longer slow. */
+        const val RECOVERY_FACTOR = 1.5
+        const val RECOVERY_WEIGHT = 0.5
+
         /** Weight of a run far beyond its expected end; such runs are rare on sound targets. */
         const val OVERDUE_WEIGHT = 0.4
         const val MIN_SPEED = 0.05
--- a/standins/src/main/kotlin/io/jackdawring/standins/platform/StandInWorker.kt
+++ b/standins/src/main/kotlin/io/jackdawring/standins/platform/StandInWorker.kt
@@ -60,8 +60,8 @@
         service: String,
         state: String = "ready",
     ): String =
-        """{"service":"$service","address":"$address","zone":"$failureDomain","version":"v1","slots":8,"state":"$state",""" +
-            """"coldMs":0,"capacity":{"cpu":${slots * CPU_PER_SLOT},"memMb":65536,"gpu":0},"labels":["a"],"seqNo":1}"""
+        """{"service":"$service","address":"$address","zone":"$failureDomain","version":"v1","slots":8,""" +
+            """"state":"$state","coldMs":0,"capacity":{"cpu":${slots * CPU_PER_SLOT},"memMb":65536,"gpu":0},"labels":["a"],"seqNo":1}"""
 
     private fun handle(exchange: HttpExchange) {
         val expected = exchange.request.header("x-expect-instance")
