--- a/core/src/main/kotlin/io/jackdawring/core/shard/DurationEstimator.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/DurationEstimator.kt
@@ -24,13 +24,6 @@
             (if (far) farFactor else 1.0)
     }
 
-    /** Lowers the speed of [target] because [task] has taken [elapsedMillis] and is not over. */
-    fun onOverdue(
-        task: HeldTask,
-        target: HeldTarget,
-        elapsedMillis: Long,
-    ) = target.record.onOverdue(atUnitSpeedMillis(task.job.spec.queue, task.spec.estimateMillis), elapsedMillis)
-
     fun onDone(
         task: HeldTask,
         target: HeldTarget,
--- a/core/src/main/kotlin/io/jackdawring/core/shard/RealShardDispatcher.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/RealShardDispatcher.kt
@@ -14,26 +14,25 @@
     private val control = TargetControl(options, outlet, this)
     private val choice = TargetChoice(durations, options.farFactor)
     private val forecast = WaitForecast(durations, options.farFactor)
+    private val admissions = JobAdmissions(control, choice)
     private val waiting = WaitingTasks(::latestStartMillis)
     private val jobs = LinkedHashMap<JobId, HeldJob>()
     private val jobsByWaiter = HashMap<WaiterId, HeldJob>()
-    private val outcomes = OutcomeMemory(options.outcomeRetentionMillis)
-    private val unclaimedEnds = UnclaimedEnds(options.outcomeRetentionMillis)
+    private val outcomes = RecentMap<JobId, JobOutcome>(options.outcomeRetentionMillis)
+
+    /** Ends of runs that an earlier holder started, until their jobs arrive again. */
+    private val unclaimedEnds = RecentMap<TaskKey, EndedRun.Ending>(options.outcomeRetentionMillis)
 
     /** Jobs that an earlier holder may have started, until it is known what runs. */
     private val undecided = LinkedHashSet<HeldJob>()
     private var nextJobSequence = 0L
     private var released = false
 
-    /** Time of the first list of targets. */
-    private var heldSinceMillis: Long? = null
-
     override fun updateTargets(
         targets: ImmutableCollection<ShardTarget>,
         nowMillis: Long,
     ) {
         if (released) return
-        if (heldSinceMillis == null && targets.isNotEmpty()) heldSinceMillis = nowMillis
         control.updateTargets(targets, nowMillis)
         place(nowMillis)
     }
@@ -44,7 +43,6 @@
         targets: ImmutableCollection<ShardTarget>,
         nowMillis: Long,
     ) {
-        if (heldSinceMillis == null) heldSinceMillis = nowMillis
         control.inherit(targets, nowMillis)
     }
 
@@ -93,14 +91,8 @@
         }
         claimEarlierRuns(job, nowMillis)
         val completion = forecast.completionMillis(job, control.targets, waiting, nowMillis)
-        val refusal =
-            if (job.started ||
-                isWarmingUp(nowMillis)
-            ) {
-                null
-            } else {
-                refusal(job, completion, request.admission, nowMillis)
-            }
+        val undecidable = job.started || admissions.isWarmingUp(nowMillis)
+        val refusal = if (undecidable) null else admissions.refusal(job, completion, request.admission, nowMillis)
         if (refusal != null) {
             outlet.report(ShardDecision.JobAnswered(spec.id, spec.queue, refusal, 0, spec.objectiveMillis))
             outlet.answer(waiter, refusal)
@@ -156,28 +148,6 @@
         }
     }
 
-    /** Whether targets may still answer their first look, so that nothing is known of their room. */
-    private fun isWarmingUp(nowMillis: Long): Boolean {
-        val since = heldSinceMillis ?: return true
-        return nowMillis - since < WARM_UP_MILLIS && control.targets.none { it.contact == HeldTarget.Contact.HELD }
-    }
-
-    private fun refusal(
-        job: HeldJob,
-        completionMillis: Double?,
-        admission: Admission,
-        nowMillis: Long,
-    ): JobOutcome.NotRun? {
-        if (completionMillis == null) return JobOutcome.NotRun("no target can run it now", NO_TARGET_RETRY_MILLIS)
-        val lateMillis = (completionMillis - job.objectiveAtMillis).toLong()
-        if (lateMillis <= 0) return null
-        val hasRoom = choice.choose(job.steps.first().first(), control.targets, nowMillis) != null
-        if (hasRoom && admission == Admission.ON_TIME_OR_ROOM) return null
-        val forecastMillis = completionMillis.toLong() - nowMillis
-        val reason = "forecast of $forecastMillis ms exceeds the objective of ${job.spec.objectiveMillis} ms"
-        return JobOutcome.NotRun(reason, lateMillis, hasRoom)
-    }
-
     private fun releaseSteps(job: HeldJob) = job.releaseSteps().forEach(waiting::add)
 
     override fun withdraw(
@@ -197,7 +167,7 @@
     ) {
         val job = jobsByWaiter[waiter] ?: return
         withdraw(waiter, nowMillis)
-        if (job.waiters.isEmpty()) outcomes.add(job.spec.id, JobOutcome.GivenUp("its relay fell silent"), nowMillis)
+        if (job.waiters.isEmpty()) outcomes.put(job.spec.id, JobOutcome.GivenUp("its relay fell silent"), nowMillis)
         outlet.answer(waiter, JobOutcome.GivenUp("its relay fell silent"))
     }
 
@@ -269,11 +239,9 @@
         run: HeldRun,
         nowMillis: Long,
     ) {
-        val task = run.owner ?: return
         val elapsed = nowMillis - run.sentAtMillis
-        if (run.state != HeldRun.State.RUNNING || run.expectedMillis <= 0) return
+        if (run.owner == null || run.state != HeldRun.State.RUNNING || run.expectedMillis <= 0) return
         if (elapsed < HANG_FACTOR * run.expectedMillis + HANG_SLACK_MILLIS) return
-        durations.onOverdue(task, run.target, elapsed)
         control.fault(run.target, "a run takes over $HANG_FACTOR times as long as expected", HANGS_ALLOWED, nowMillis)
         control.stop(run, "takes too long", nowMillis)
     }
@@ -356,7 +324,7 @@
     override fun onUnclaimedEnd(
         end: EndedRun,
         nowMillis: Long,
-    ) = unclaimedEnds.add(end, nowMillis)
+    ) = unclaimedEnds.put(end.task, end.ending, nowMillis)
 
     private fun fail(
         job: HeldJob,
@@ -396,7 +364,7 @@
         if (outcome is JobOutcome.Completed ||
             outcome is JobOutcome.Failed
         ) {
-            outcomes.add(job.spec.id, outcome, nowMillis)
+            outcomes.put(job.spec.id, outcome, nowMillis)
         }
         val age = nowMillis - job.arrivedAtMillis
         outlet.report(ShardDecision.JobAnswered(job.spec.id, job.spec.queue, outcome, age, job.spec.objectiveMillis))
@@ -430,11 +398,5 @@
 
         /** Failures in a row after which a target is suspended; a single one may be the task's fault. */
         const val FAILURES_ALLOWED = 2
-
-        /** Time for the targets to answer the first look of a new holder. */
-        const val WARM_UP_MILLIS = 250L
-
-        /** Retry-After without any target; about the time in which targets are found or held again. */
-        const val NO_TARGET_RETRY_MILLIS = 1_000L
     }
 }
--- a/core/src/main/kotlin/io/jackdawring/core/shard/TargetControl.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/TargetControl.kt
@@ -10,11 +10,13 @@
     private val listener: RunListener,
 ) {
     private val byId = LinkedHashMap<TargetId, HeldTarget>()
+    private val looks = TargetLooks(options, outlet)
 
     val targets: Collection<HeldTarget> get() = byId.values
 
     /** Time of the first list of targets; null before. */
-    private var listedAtMillis: Long? = null
+    var listedAtMillis: Long? = null
+        private set
 
     /** Whether the targets of the holder before are known; the list alone may lack some that still run. */
     private var inherited = false
@@ -22,12 +24,9 @@
     /** Whether nothing that an earlier holder started can run unseen. */
     fun allSeen(nowMillis: Long): Boolean {
         val since = listedAtMillis ?: return false
-        return (inherited && byId.values.all { it.seen }) || nowMillis - since >= longestLeaseMillis
+        return (inherited && byId.values.all { it.seen }) || nowMillis - since >= looks.longestLeaseMillis
     }
 
-    private val longestLeaseMillis =
-        options.leaseMillis + options.leaseMillis / SLOW_CLOCK_SHARE + options.stopMillis + LEASE_MARGIN_MILLIS
-
     fun updateTargets(
         listed: ImmutableCollection<ShardTarget>,
         nowMillis: Long,
@@ -45,7 +44,7 @@
             if (target.facts.address != facts.address) forgetIncarnation(target, "its address has changed", nowMillis)
             target.facts = facts
             target.unlistedSinceMillis = null
-            look(target, nowMillis)
+            looks.look(target, nowMillis)
         }
         for (target in byId.values) {
             if (target.id in seen || target.unlistedSinceMillis != null) continue
@@ -66,7 +65,7 @@
             val target = HeldTarget(facts)
             target.unlistedSinceMillis = nowMillis
             byId[facts.id] = target
-            look(target, nowMillis)
+            looks.look(target, nowMillis)
         }
     }
 
@@ -79,7 +78,7 @@
         val offset = target.clockOffsetMillis ?: return
         task.lastAttempt++
         val run = HeldRun(task.key, task.lastAttempt, target, task, nowMillis, expectedMillis)
-        run.leaseOverAtMillis = extendLease(target, nowMillis)
+        run.leaseOverAtMillis = looks.extendLease(target, nowMillis)
         task.run = run
         target.add(run)
         val leaseUntil = nowMillis + offset + options.leaseMillis
@@ -140,7 +139,7 @@
             }
 
             StartResult.Reason.LATE, StartResult.Reason.NO_ROOM -> {
-                lookAgain(target, nowMillis)
+                looks.lookAgain(target, nowMillis)
             }
 
             StartResult.Reason.UNHEALTHY -> {
@@ -166,7 +165,7 @@
         detail: String,
         nowMillis: Long,
     ) {
-        silence(run.target, detail, nowMillis)
+        looks.silence(run.target, detail, nowMillis)
         lose(run, "not sent: $detail", nowMillis)
     }
 
@@ -176,7 +175,7 @@
         nowMillis: Long,
     ) {
         if (run.state == HeldRun.State.STARTING) run.state = HeldRun.State.UNCERTAIN
-        silence(run.target, detail, nowMillis)
+        looks.silence(run.target, detail, nowMillis)
     }
 
     fun onStop(
@@ -192,7 +191,7 @@
             is StopResult.Accepted -> {
                 run.state = HeldRun.State.STOPPING
                 run.listedFromMillis = nowMillis
-                lookAgain(target, nowMillis)
+                looks.lookAgain(target, nowMillis)
             }
 
             is StopResult.Fenced -> {
@@ -200,7 +199,7 @@
             }
 
             is StopResult.Unknown -> {
-                silence(target, result.detail, nowMillis)
+                looks.silence(target, result.detail, nowMillis)
             }
         }
     }
@@ -219,9 +218,9 @@
             is LookResult.Seen -> onSeen(target, result, nowMillis)
             is LookResult.Fenced -> outlet.fenced(target.facts)
             is LookResult.OtherIncarnation -> forgetIncarnation(target, "another incarnation answers", nowMillis)
-            is LookResult.Unknown -> silence(target, result.detail, nowMillis)
+            is LookResult.Unknown -> looks.silence(target, result.detail, nowMillis)
         }
-        look(target, nowMillis)
+        looks.look(target, nowMillis)
     }
 
     private fun onSeen(
@@ -334,7 +333,7 @@
             target.runs.values
                 .toList()
                 .forEach { checkRun(it, nowMillis) }
-            look(target, nowMillis)
+            looks.look(target, nowMillis)
             if (!target.isListed(nowMillis) && target.runs.isEmpty()) byId.remove(target.id)
         }
     }
@@ -349,46 +348,6 @@
         if (unconfirmed && nowMillis - run.stopSentAtMillis >= STOP_RETRY_MILLIS) sendStop(run, nowMillis)
     }
 
-    private fun look(
-        target: HeldTarget,
-        nowMillis: Long,
-    ) {
-        if (target.lookOpen || nowMillis < target.nextLookMillis) return
-        val held = target.contact == HeldTarget.Contact.HELD
-        val leaseUntil = target.clockOffsetMillis?.takeIf { held }?.let { nowMillis + it + options.leaseMillis }
-        if (leaseUntil != null) extendLease(target, nowMillis)
-        target.lookOpen = true
-        target.lookSequence++
-        target.lookSentAtMillis = nowMillis
-        target.nextLookMillis = nowMillis + if (held) 0 else SILENT_LOOK_INTERVAL_MILLIS
-        val wait = if (held) options.lookWaitMillis else 0
-        outlet.look(target.facts, LookOrder(target.lookSequence, leaseUntil, target.acknowledgedEnd, wait))
-    }
-
-    /** Replaces the open look, whose answer may be long in coming or too old. */
-    private fun lookAgain(
-        target: HeldTarget,
-        nowMillis: Long,
-    ) {
-        target.lookOpen = false
-        target.nextLookMillis = minOf(target.nextLookMillis, nowMillis)
-        look(target, nowMillis)
-    }
-
-    /** Gives no further starts or leases to [target] until it answers a look. */
-    private fun silence(
-        target: HeldTarget,
-        detail: String,
-        nowMillis: Long,
-    ) {
-        if (target.contact == HeldTarget.Contact.HELD) {
-            target.contact = HeldTarget.Contact.SILENT
-            target.nextLookMillis = nowMillis
-            report(target, "silent", detail)
-            lookAgain(target, nowMillis)
-        }
-    }
-
     private fun forgetIncarnation(
         target: HeldTarget,
         reason: String,
@@ -432,15 +391,6 @@
         outlet.stop(run.target.facts, run.key, run.attempt)
     }
 
-    private fun extendLease(
-        target: HeldTarget,
-        nowMillis: Long,
-    ): Long {
-        val over = nowMillis + longestLeaseMillis
-        target.leaseOverAtMillis = maxOf(target.leaseOverAtMillis, over)
-        return over
-    }
-
     private fun report(
         target: HeldTarget,
         state: String,
@@ -448,15 +398,6 @@
     ) = outlet.report(ShardDecision.TargetChanged(target.id, state, reason))
 
     private companion object {
-        /** Targets' clocks may be 2% slow, as the platform's pages say. */
-        const val SLOW_CLOCK_SHARE = 50
-
-        /** Covers the network and the time to end the runs; several round trips. */
-        const val LEASE_MARGIN_MILLIS = 60L
-
-        /** Interval of looks at a silent target; short against the lease. */
-        const val SILENT_LOOK_INTERVAL_MILLIS = 200L
-
         /** Interval of stop orders without an answer; above the usual round trip by far. */
         const val STOP_RETRY_MILLIS = 200L
 
--- a/core/src/main/kotlin/io/jackdawring/core/shard/TargetRecord.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/TargetRecord.kt
@@ -31,25 +31,9 @@
     ) {
         faultsInRow = 0
         suspensions = 0
-        samples++
-        val faster = expectedAtUnitSpeedMillis / observedMillis.coerceAtLeast(1) > RECOVERY_FACTOR * speed
-        val weight = if (faster) RECOVERY_WEIGHT else SPEED_WEIGHT
-        learn(expectedAtUnitSpeedMillis, observedMillis, maxOf(1.0 / samples, weight))
-    }
-
-    /** Lowers the speed because a run has taken [elapsedMillis] and is not over. */
-    fun onOverdue(
-        expectedAtUnitSpeedMillis: Double,
-        elapsedMillis: Long,
-    ) = learn(expectedAtUnitSpeedMillis, elapsedMillis, OVERDUE_WEIGHT)
-
-    private fun learn(
-        expectedAtUnitSpeedMillis: Double,
-        observedMillis: Long,
-        weight: Double,
-    ) {
         val ratio = ln((expectedAtUnitSpeedMillis / observedMillis.coerceAtLeast(1)).coerceIn(MIN_SPEED, MAX_SPEED))
-        logSpeed += weight * (ratio - logSpeed)
+        samples++
+        logSpeed += maxOf(1.0 / samples, SPEED_WEIGHT) * (ratio - logSpeed)
     }
 
     /** Returns whether the target is suspended by this fault. */
@@ -77,13 +61,6 @@
     private companion object {
         /** Weight of the newest run in the speed; declared durations are off by tens of percent. */
         const val SPEED_WEIGHT = 0.12
-
-        /** A run this much faster than believed shows that the target is no longer slow. */
-        const val RECOVERY_FACTOR = 1.5
-        const val RECOVERY_WEIGHT = 0.5
-
-        /** Weight of a run far beyond its expected end; such runs are rare on sound targets. */
-        const val OVERDUE_WEIGHT = 0.4
         const val MIN_SPEED = 0.05
         const val MAX_SPEED = 8.0
 
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/metrics/FleetMetrics.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/metrics/FleetMetrics.kt
@@ -5,18 +5,21 @@
 import io.jackdawring.fleet.shard.label
 import io.jackdawring.server.http.HttpResponseMessage
 import io.jackdawring.server.logging.droppedLogLines
-import io.prometheus.metrics.core.metrics.Counter
+import io.jackdawring.server.metrics.counter
+import io.jackdawring.server.metrics.expose
 import io.prometheus.metrics.core.metrics.CounterWithCallback
 import io.prometheus.metrics.core.metrics.Histogram
-import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter
 import io.prometheus.metrics.model.registry.PrometheusRegistry
-import kotlinx.collections.immutable.persistentMapOf
-import java.io.ByteArrayOutputStream
 
 /** Counters and histograms of an entry instance; labels never hold ids of jobs or targets. */
 internal class FleetMetrics {
     private val registry = PrometheusRegistry()
-    private val answers = counter("jackdawring_caller_answers", "Requests of callers answered, by outcome.", "outcome")
+    private val answers =
+        registry.counter(
+            "jackdawring_caller_answers",
+            "Requests of callers answered, by outcome.",
+            "outcome",
+        )
     private val answerSeconds =
         Histogram
             .builder()
@@ -28,11 +31,16 @@
             .withoutExemplars()
             .register(registry)
     private val shardAnswers =
-        counter("jackdawring_shard_answers", "Jobs answered by held shards, by outcome.", "outcome")
-    private val repeats = counter("jackdawring_repeated_runs", "Runs that were over without a result.")
+        registry.counter("jackdawring_shard_answers", "Jobs answered by held shards, by outcome.", "outcome")
+    private val repeats = registry.counter("jackdawring_repeated_runs", "Runs that were over without a result.")
     private val targetChanges =
-        counter("jackdawring_target_changes", "Changes of belief about targets, by new state.", "state")
-    private val holdings = counter("jackdawring_shard_changes", "Shards taken and let go, by change.", "change")
+        registry.counter("jackdawring_target_changes", "Changes of belief about targets, by new state.", "state")
+    private val holdings =
+        registry.counter(
+            "jackdawring_shard_changes",
+            "Shards taken and let go, by change.",
+            "change",
+        )
 
     init {
         CounterWithCallback
@@ -43,19 +51,6 @@
             .register(registry)
     }
 
-    private fun counter(
-        name: String,
-        help: String,
-        vararg labels: String,
-    ): Counter =
-        Counter
-            .builder()
-            .name(name)
-            .help(help)
-            .labelNames(*labels)
-            .withoutExemplars()
-            .register(registry)
-
     /** Counts an answer to a caller's job of [queue] that took [ageMillis]. */
     fun jobAnswered(
         queue: String,
@@ -78,15 +73,7 @@
     fun shardLetGo() = holdings.labelValues("let-go").inc()
 
     /** All metrics in the Prometheus text format. */
-    fun expose(): HttpResponseMessage {
-        val body = ByteArrayOutputStream()
-        PrometheusTextFormatWriter.builder().build().write(body, registry.scrape())
-        return HttpResponseMessage(
-            STATUS_OK,
-            persistentMapOf("content-type" to PrometheusTextFormatWriter.CONTENT_TYPE),
-            body.toByteArray(),
-        )
-    }
+    fun expose(): HttpResponseMessage = registry.expose()
 
     private val CallerAnswer.label: String
         get() =
@@ -98,7 +85,6 @@
             }
 
     private companion object {
-        const val STATUS_OK = 200
         const val MILLIS_PER_SECOND = 1_000.0
 
         /** Around the latency objectives of sub-second tasks. */
--- a/server/src/main/kotlin/io/jackdawring/server/metrics/ServerMetrics.kt
+++ b/server/src/main/kotlin/io/jackdawring/server/metrics/ServerMetrics.kt
@@ -8,7 +8,6 @@
 import io.jackdawring.core.TargetAnswer
 import io.jackdawring.server.burn.BurnSource
 import io.jackdawring.server.burn.ObjectiveCounters
-import io.prometheus.metrics.core.metrics.Counter
 import io.prometheus.metrics.core.metrics.Gauge
 import io.prometheus.metrics.core.metrics.Histogram
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter
@@ -24,7 +23,7 @@
     private val registry = PrometheusRegistry()
 
     private val jobs =
-        counter("jackdawring_jobs", "Jobs answered, by outcome and reason.", "outcome", "reason")
+        registry.counter("jackdawring_jobs", "Jobs answered, by outcome and reason.", "outcome", "reason")
     private val jobSeconds =
         Histogram
             .builder()
@@ -36,7 +35,7 @@
             .withoutExemplars()
             .register(registry)
     private val objectiveTotal =
-        counter(
+        registry.counter(
             "jackdawring_objective_requests",
             "Jobs of kinds with an objective, without those that are wrong or cancelled by their caller.",
             "service",
@@ -44,7 +43,7 @@
             "priority",
         )
     private val objectiveGood =
-        counter(
+        registry.counter(
             "jackdawring_objective_good_requests",
             "Jobs that were answered in full within the latency of their objective.",
             "service",
@@ -54,32 +53,35 @@
 
     /** Requests by kind, apart from the metrics, whose labels change with the priority of a kind. */
     private val objectiveCounts = ConcurrentHashMap<ServiceKind, ObjectiveCount>()
-    private val tasks = counter("jackdawring_task_answers", "Task starts that ended, by result.", "result")
-    private val peerMessages = counter("jackdawring_peer_messages_sent", "Messages to peers, by result.", "result")
-    private val storeCalls = counter("jackdawring_store_calls", "Store calls, by call and answer.", "call", "answer")
-    private val sessions = counter("jackdawring_session_requests", "Requests for a session, by result.", "result")
-    private val invalid = counter("jackdawring_invalid_requests", "Requests outside the documented limits.")
+    private val tasks = registry.counter("jackdawring_task_answers", "Task starts that ended, by result.", "result")
+    private val peerMessages =
+        registry.counter(
+            "jackdawring_peer_messages_sent",
+            "Messages to peers, by result.",
+            "result",
+        )
+    private val storeCalls =
+        registry.counter(
+            "jackdawring_store_calls",
+            "Store calls, by call and answer.",
+            "call",
+            "answer",
+        )
+    private val sessions =
+        registry.counter(
+            "jackdawring_session_requests",
+            "Requests for a session, by result.",
+            "result",
+        )
+    private val invalid = registry.counter("jackdawring_invalid_requests", "Requests outside the documented limits.")
     private val refusedByQueue =
-        counter("jackdawring_queue_refusals", "Caller requests refused because the control queue was full.")
-    private val changes = counter("jackdawring_state_changes", "Changes of state, by kind.", "change")
+        registry.counter("jackdawring_queue_refusals", "Caller requests refused because the control queue was full.")
+    private val changes = registry.counter("jackdawring_state_changes", "Changes of state, by kind.", "change")
     private val gauges = ConcurrentHashMap<String, Gauge>()
 
     /** Services and kinds that exist; names that a caller made up must not become label values. */
     private val knownKinds = ConcurrentHashMap.newKeySet<ServiceKind>()
 
-    private fun counter(
-        name: String,
-        help: String,
-        vararg labels: String,
-    ): Counter =
-        Counter
-            .builder()
-            .name(name)
-            .help(help)
-            .labelNames(*labels)
-            .withoutExemplars()
-            .register(registry)
-
     fun jobAnswered(
         key: ServiceKind,
         outcome: Outcome,
--- a/testing/src/main/kotlin/io/jackdawring/testing/shard/FakeShardTarget.kt
+++ b/testing/src/main/kotlin/io/jackdawring/testing/shard/FakeShardTarget.kt
@@ -36,9 +36,6 @@
     /** What the target does with orders and runs. */
     var mode = Mode.HEALTHY
 
-    /** Factor by which runs that start now take longer. */
-    var slowdown = 1.0
-
     /** The target's clock minus the virtual time. */
     val clockOffsetMillis = 100_000L
 
@@ -92,7 +89,7 @@
                 else -> null
             }
         if (rejection != null) return StartResult.Rejected(rejection, clock)
-        val duration = if (mode == Mode.HANGS) FOREVER_MILLIS else (workMillis * slowdown / speed).toLong()
+        val duration = if (mode == Mode.HANGS) FOREVER_MILLIS else (workMillis / speed).toLong()
         val fails = mode == Mode.FAILS
         runs[order.task] = Run(order.task, order.attempt, demand, nowMillis + (if (fails) 1 else duration), fails)
         extendLease(order.leaseUntilMillis)
