--- a/standins/src/main/kotlin/io/jackdawring/standins/platform/StandInSite.kt
+++ b/standins/src/main/kotlin/io/jackdawring/standins/platform/StandInSite.kt
@@ -27,13 +27,19 @@
     /** Registers the targets and writes a configuration with one queue. */
     fun open() {
         workers.forEach { store.put("servers/${it.id}", it.registration(FAILURE_DOMAIN, "s")) }
-        store.put(
-            "op/config",
-            """{"version":1,"routes":[{"name":"q","host":"$HOST","prefix":"/p/","service":"s",""" +
-                """"sloLatencyMs":500,"priority":0,"maxAttempts":4,"stretch":1.6}]}""",
-        )
+        configure(version = 1, prefix = "/p/")
     }
 
+    /** Writes a configuration with one queue under [prefix]. */
+    fun configure(
+        version: Int,
+        prefix: String,
+    ) = store.put(
+        "op/config",
+        """{"version":$version,"routes":[{"name":"q","host":"$HOST","prefix":"$prefix","service":"s",""" +
+            """"timeoutMs":1500,"sloLatencyMs":500,"priority":0,"maxAttempts":4,"stretch":1.6}]}""",
+    )
+
     fun newAddresses() = Addresses(freeAddress(), freeAddress(), freeAddress())
 
     private fun freeAddress() = ServerSocket(0).use { "127.0.0.1:${it.localPort}" }
@@ -67,12 +73,13 @@
     fun submit(
         addresses: Addresses,
         number: Int,
+        prefix: String = "/p/",
     ): Int =
         send(
             addresses.callers,
             HttpRequestMessage(
                 "POST",
-                "/p/%016x".format(number),
+                "$prefix%016x".format(number),
                 headers = persistentMapOf("host" to HOST, "x-deadline-ms" to "5000"),
                 body =
                     """{"spec":"t","steps":[{"count":3,"cpu":1000,"estimateMs":30}],"bestEffort":true}"""
@@ -97,6 +104,9 @@
         /** Status of a job that is complete. */
         const val OK = 200
 
+        /** Status of a job whose queue is not configured. */
+        const val NO_QUEUE = 404
+
         /** Status of a job that has not run. */
         const val NOT_RUN = 503
         const val FAILURE_DOMAIN = "a"
