Close idle connections of callers while draining

A request arrived on a kept connection 5.2 s after SIGTERM and was cut off 0.4 s later. The listener was closed, but idle connections stayed open until their next answer. Ruled out: the listener (closed 2.6 s after SIGTERM) and the hand-over (no live peer in the failure domain). Change: connections without a request are closed from the moment at which the listener is.

--- a/fleet/src/main/kotlin/io/jackdawring/fleet/RealFleetInstance.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/RealFleetInstance.kt
@@ -191,9 +191,12 @@
         callerServer?.closeAfterAnswers()
         Thread.sleep(minOf(ROTATION_MILLIS, options.stopGraceMillis / 2))
         callerServer?.stopAccepting()
+        callerServer?.closeIdleConnections()
         while ((requestsInProgress > 0 || holdsShards) &&
             loop.nowMillis() - startedAt < options.stopGraceMillis - EXIT_MARGIN_MILLIS
         ) {
+            // A request that arrives on a kept connection now might not be done before the exit.
+            callerServer?.closeIdleConnections()
             Thread.sleep(DRAIN_POLL_MILLIS)
         }
         logger.info {
--- a/server/src/main/kotlin/io/jackdawring/server/http/HttpServer.kt
+++ b/server/src/main/kotlin/io/jackdawring/server/http/HttpServer.kt
@@ -14,6 +14,9 @@
     /** Closes each connection after its next answer, so that its caller connects anew, possibly elsewhere. */
     fun closeAfterAnswers()
 
+    /** Closes the connections on which no request is being received or handled. */
+    fun closeIdleConnections()
+
     /** Closes the listener and all connections. */
     override fun close()
 
--- a/server/src/main/kotlin/io/jackdawring/server/http/HttpServerConnection.kt
+++ b/server/src/main/kotlin/io/jackdawring/server/http/HttpServerConnection.kt
@@ -248,6 +248,15 @@
         context.close()
     }
 
+    /** Closes the connection unless a request is being received, handled or answered. */
+    fun closeIfIdle() =
+        execute {
+            if (unanswered.isEmpty() && receiving == null && writesInProgress == 0) {
+                closing = true
+                context.close()
+            }
+        }
+
     /** Writes the answers that are present up to the first request without one. */
     fun writeAnswers() {
         var wroteAny = false
--- a/server/src/main/kotlin/io/jackdawring/server/http/RealHttpServer.kt
+++ b/server/src/main/kotlin/io/jackdawring/server/http/RealHttpServer.kt
@@ -80,6 +80,9 @@
         closesAfterAnswers = true
     }
 
+    override fun closeIdleConnections() =
+        connections.forEach { channel -> channel.pipeline().get(HttpServerConnection::class.java)?.closeIfIdle() }
+
     override fun stopAccepting() {
         listener.close()
     }
