--- a/standins/src/test/kotlin/io/jackdawring/standins/Fakes.kt
+++ b/standins/src/test/kotlin/io/jackdawring/standins/Fakes.kt
@@ -96,6 +96,8 @@
 
             override fun stopAccepting() = Unit
 
+            override fun closeIdleConnections() = Unit
+
             override fun closeAfterAnswers() = Unit
 
             override fun close() = Unit
