Do not take a cancelled request for an unreachable holder

Cause: a caller that leaves cancels its relay's question to the holder. Ruled out: dropping the result of a cancelled request; the count of open questions depends on it. Change: the client's results say whether the request was cancelled, and the peer client maps these to a reply of their own.

--- a/fleet/src/main/kotlin/io/jackdawring/fleet/HolderAccess.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/HolderAccess.kt
@@ -95,6 +95,10 @@
                 HolderReply.NotTaken
             }
 
+            is PeerReply.Cancelled -> {
+                HolderReply.Lost("taken back")
+            }
+
             is PeerReply.Broken -> {
                 unreachableUntil[holding.holder.instanceId] = loop.nowMillis() + UNREACHABLE_MILLIS
                 HolderReply.Lost(reply.detail)
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/peer/PeerClient.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/peer/PeerClient.kt
@@ -82,8 +82,10 @@
     ): PeerReply<Reply> =
         when (result) {
             is HttpResult.Answered -> decodeBody(result.response, type)
-            is HttpResult.NotSent -> PeerReply.NotSent(result.detail)
-            is HttpResult.Broken -> PeerReply.Broken(result.detail)
+            is HttpResult.NotSent ->
+                if (result.cancelled) PeerReply.Cancelled else PeerReply.NotSent(result.detail)
+            is HttpResult.Broken ->
+                if (result.cancelled) PeerReply.Cancelled else PeerReply.Broken(result.detail)
         }
 
     private fun <Reply> decodeBody(
@@ -126,6 +128,9 @@
         val detail: String,
     ) : PeerReply<Nothing>
 
+    /** The message was taken back by its sender, which tells nothing of the peer. */
+    data object Cancelled : PeerReply<Nothing>
+
     /** The message was sent and not answered usably. */
     class Broken(
         val detail: String,
--- a/server/src/main/kotlin/io/jackdawring/server/http/HttpClient.kt
+++ b/server/src/main/kotlin/io/jackdawring/server/http/HttpClient.kt
@@ -26,13 +26,19 @@
         val response: HttpResponseMessage,
     ) : HttpResult
 
-    /** The connection could not be used; no byte of the request was written to it. */
+    /** No byte of the request was written; [cancelled] if that is due to [HttpCall.cancel] and not to the server. */
     data class NotSent(
         val detail: String,
+        val cancelled: Boolean = false,
     ) : HttpResult
 
-    /** The request was written at least in part, and no whole response arrived. */
+    /**
+     * The request was written at least in part, and no whole response arrived.
+     *
+     * It is [cancelled] if that is due to [HttpCall.cancel] and not to the server.
+     */
     data class Broken(
         val detail: String,
+        val cancelled: Boolean = false,
     ) : HttpResult
 }
--- a/server/src/main/kotlin/io/jackdawring/server/http/HttpClientConnection.kt
+++ b/server/src/main/kotlin/io/jackdawring/server/http/HttpClientConnection.kt
@@ -120,11 +120,15 @@
     }
 
     /** Ends the request in progress and closes the connection. */
-    fun fail(detail: String) {
+    fun fail(
+        detail: String,
+        cancelled: Boolean = false,
+    ) {
         closing = true
         val failed = detachCall()
         channel.close()
-        failed?.complete(if (writeObserver.bytesWritten) HttpResult.Broken(detail) else HttpResult.NotSent(detail))
+        val written = writeObserver.bytesWritten
+        failed?.complete(if (written) HttpResult.Broken(detail, cancelled) else HttpResult.NotSent(detail, cancelled))
     }
 
     private fun detachCall(): PendingHttpCall? {
--- a/server/src/main/kotlin/io/jackdawring/server/http/HttpConnectionPool.kt
+++ b/server/src/main/kotlin/io/jackdawring/server/http/HttpConnectionPool.kt
@@ -141,14 +141,15 @@
     fun abort(
         call: PendingHttpCall,
         reason: String,
+        cancelled: Boolean = false,
     ) {
         if (call.completed) return
         val connection = call.connection
         if (connection == null) {
             waiting.remove(call)
-            call.complete(HttpResult.NotSent("$reason before a connection to $address was available"))
+            call.complete(HttpResult.NotSent("$reason before a connection to $address was available", cancelled))
         } else {
-            connection.fail("$reason while waiting for $address")
+            connection.fail("$reason while waiting for $address", cancelled)
         }
     }
 
--- a/server/src/main/kotlin/io/jackdawring/server/http/PendingHttpCall.kt
+++ b/server/src/main/kotlin/io/jackdawring/server/http/PendingHttpCall.kt
@@ -18,7 +18,7 @@
     override fun cancel() {
         val pool = pool ?: return
         try {
-            pool.execute { pool.abort(this, "cancelled") }
+            pool.execute { pool.abort(this, "cancelled", cancelled = true) }
         } catch (_: RejectedExecutionException) {
             // The event loops have stopped and closed the connection.
         }
--- a/server/src/test/kotlin/io/jackdawring/server/http/RealHttpClientTest.kt
+++ b/server/src/test/kotlin/io/jackdawring/server/http/RealHttpClientTest.kt
@@ -84,7 +84,7 @@
             transport.client().send(server.address, HttpRequestMessage("GET", "/"), 20_000) { result.complete(it) }
         assertTrue(arrived.await(20, TimeUnit.SECONDS))
         call.cancel()
-        assertIs<HttpResult.Broken>(result.get(20, TimeUnit.SECONDS))
+        assertTrue(assertIs<HttpResult.Broken>(result.get(20, TimeUnit.SECONDS)).cancelled)
         assertTrue(disconnected.await(20, TimeUnit.SECONDS))
     }
 
