Be ready only after the holder has answered, and repeat a claim whose answer was lost

Cause: an instance that starts reported itself ready while the holder that the store names had not answered it yet. If that holder is gone, the first jobs are refused until the suspicion time is over. A second fault, seen in reading: a claim that took effect although its answer was lost left a shard that the store ascribes to this instance and that it never claimed again. A third one, seen in reading: a holder that takes a shard again used its old copy of the targets until the new list had arrived, and might have started tasks on a draining target. Ruled out: a longer patience of relays; it would hold jobs that cannot be served. Change: readiness needs a sign of life of the holder, which is asked for as soon as the store names it; an instance claims any shard that the store ascribes to it and that it does not hold; no targets are known until the list is loaded.

--- a/core/src/main/kotlin/io/jackdawring/core/fleet/ShardElection.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/fleet/ShardElection.kt
@@ -12,7 +12,9 @@
     private val self: FleetMember,
 ) {
     private class Contact(
+        /** Time of the last sign of life, or of the first question about the member. */
         var heardAtMillis: Long,
+        var wasHeard: Boolean = false,
         var refusalsInRow: Int = 0,
         var denialsInRow: Int = 0,
     ) {
@@ -29,9 +31,7 @@
         holds: Boolean,
         nowMillis: Long,
     ) {
-        val contact = contacts.getOrPut(instanceId) { Contact(nowMillis) }
-        contact.heardAtMillis = nowMillis
-        contact.refusalsInRow = 0
+        val contact = onSign(instanceId, nowMillis)
         contact.denialsInRow = if (holds) 0 else contact.denialsInRow + 1
     }
 
@@ -40,9 +40,18 @@
         instanceId: InstanceId,
         nowMillis: Long,
     ) {
+        onSign(instanceId, nowMillis)
+    }
+
+    private fun onSign(
+        instanceId: InstanceId,
+        nowMillis: Long,
+    ): Contact {
         val contact = contacts.getOrPut(instanceId) { Contact(nowMillis) }
         contact.heardAtMillis = nowMillis
+        contact.wasHeard = true
         contact.refusalsInRow = 0
+        return contact
     }
 
     /** Notes that [instanceId] has refused a connection. */
@@ -66,20 +75,28 @@
             nowMillis - contact.heardAtMillis >= SUSPICION_MILLIS
     }
 
-    /** Whether this instance should try to take [shardId] now. */
+    /** Whether the holder in [holding] has answered this instance and is not suspected. */
+    fun isConfirmed(
+        holding: ShardHolding,
+        nowMillis: Long,
+    ): Boolean = !isSuspected(holding, nowMillis) && contacts[holding.holder.instanceId]?.wasHeard == true
+
+    /** Whether this instance, which does not hold [shardId], should try to take it now. */
     fun shouldClaim(
         shardId: ShardId,
         holding: ShardHolding?,
         members: Collection<FleetMember>,
         nowMillis: Long,
     ): Boolean {
-        if (holding != null && !isSuspected(holding, nowMillis)) {
+        // The store names this instance after a restart, or after a claim whose answer was lost.
+        val isOwn = holding?.holder?.instanceId == self.instanceId
+        if (holding != null && !isOwn && !isSuspected(holding, nowMillis)) {
             vacantSince.remove(shardId)
             return false
         }
         val since = vacantSince.getOrPut(shardId) { nowMillis }
-        // A holder that has started anew takes its shard back at once; nobody else suspects it as early.
-        val rank = if (holding?.holder?.instanceId == self.instanceId) 0 else rank(holding?.holder, members)
+        // Nobody else suspects this instance as early as it knows that it does not hold the shard.
+        val rank = if (isOwn) 0 else rank(holding?.holder, members)
         val delay = rank * RANK_DELAY_MILLIS
         if (nowMillis - since < delay || nowMillis < (nextAttempt[shardId] ?: Long.MIN_VALUE)) return false
         nextAttempt[shardId] = nowMillis + ATTEMPT_INTERVAL_MILLIS
--- a/core/src/test/kotlin/io/jackdawring/core/fleet/ShardElectionTest.kt
+++ b/core/src/test/kotlin/io/jackdawring/core/fleet/ShardElectionTest.kt
@@ -67,6 +67,9 @@
             Row("the own earlier incarnation is replaced at once, whatever the rank", true) {
                 ShardElection(self).shouldClaim(shard, holdBy(member("e2", incarnation = "0")), members, 0)
             },
+            Row("an own claim whose answer was lost is repeated", true) {
+                ShardElection(self).shouldClaim(shard, holdBy(self), members, 0)
+            },
             Row("a failed claim is not repeated at once", false) {
                 val election = ShardElection(self)
                 election.shouldClaim(shard, null, listOf(self), 0)
@@ -80,6 +83,21 @@
             DynamicTest.dynamicTest(row.name) { assertEquals(row.expected, row.claims(this)) }
         }
 
+    /** Guards against an instance that calls itself ready while its holder is gone. */
+    @TestFactory
+    fun `a holder is confirmed once it has answered and while it is not suspected`() =
+        listOf<Triple<String, Boolean, ShardElection.() -> Unit>>(
+            Triple("never heard", false) { isSuspected(holdBy(members[0]), 0) },
+            Triple("answered", true) { onHeard(InstanceId("e1"), true, 0) },
+            Triple("asked this instance", true) { onAsked(InstanceId("e1"), 0) },
+            Triple("answered long ago", false) { onHeard(InstanceId("e1"), true, -1_000) },
+            Triple("another member answered", false) { onHeard(InstanceId("e3"), true, 0) },
+        ).map { (name, expected, before) ->
+            DynamicTest.dynamicTest(name) {
+                assertEquals(expected, ShardElection(self).apply(before).isConfirmed(holdBy(members[0]), 0))
+            }
+        }
+
     @TestFactory
     fun `successors are live members of the failure domain, the strongest first`() =
         listOf(
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/HeldShards.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/HeldShards.kt
@@ -64,11 +64,8 @@
     fun onDirectoryChanged() {
         for (host in hosts.values.toList()) {
             val current = directory.holdings[host.holding.shardId] ?: continue
-            if (current.revision >
-                host.holding.revision
-            ) {
-                letGo(host, "the store names ${current.holder.instanceId.value}")
-            }
+            if (current.revision <= host.holding.revision) continue
+            letGo(host, "the store names ${current.holder.instanceId.value}")
         }
     }
 
@@ -141,11 +138,8 @@
         host: ShardHost,
         reason: String,
     ) {
-        logger.info {
-            "let go of shard ${FleetKeys.shard(
-                host.holding.shardId,
-            )} with fence ${host.holding.revision}: $reason"
-        }
+        val name = FleetKeys.shard(host.holding.shardId)
+        logger.info { "let go of shard $name with fence ${host.holding.revision}: $reason" }
         metrics.shardLetGo()
         hosts.remove(host.holding.shardId)
         host.release()
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/PeerWatch.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/PeerWatch.kt
@@ -13,6 +13,7 @@
     private val directory: FleetDirectory,
     private val news: FleetNews,
     private val loop: ControlLoop,
+    private val onAnswered: () -> Unit,
 ) {
     private val lastAsked = HashMap<InstanceId, Long>()
 
@@ -25,8 +26,8 @@
 
     /** Pings the holders that this instance depends on and drops the jobs of silent relays. */
     fun round(holdersAsked: Collection<FleetMember>) {
+        pingHolders(holdersAsked)
         val now = loop.nowMillis()
-        peersToPing(holdersAsked, now).filter { it.instanceId != self.instanceId }.forEach(::ping)
         val silent = lastAsked.filterValues { now - it >= RELAY_SILENCE_MILLIS }.keys.toList()
         silent.forEach {
             lastAsked.remove(it)
@@ -34,6 +35,10 @@
         }
     }
 
+    /** Pings the holders of the own failure domain and [holdersAsked]. */
+    fun pingHolders(holdersAsked: Collection<FleetMember>) =
+        peersToPing(holdersAsked, loop.nowMillis()).filter { it.instanceId != self.instanceId }.forEach(::ping)
+
     /**
      * The holders of the own failure domain and those that work on jobs of this relay.
      *
@@ -61,13 +66,14 @@
                             .filter { it.holder.instanceId == holder.instanceId }
                             .map { it.shardId }
                     shards.election.onHeard(holder.instanceId, reply.message.shards.containsAll(ascribed), now)
+                    onAnswered()
                 }
 
                 is PeerReply.NotSent -> {
                     shards.election.onRefused(holder.instanceId, now)
                 }
 
-                is PeerReply.Denied, is PeerReply.Broken -> {
+                is PeerReply.Denied, is PeerReply.Cancelled, is PeerReply.Broken -> {
                     Unit
                 }
             }
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/RealFleetInstance.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/RealFleetInstance.kt
@@ -15,6 +15,7 @@
 import io.jackdawring.server.http.HttpServer
 import io.jackdawring.server.http.HttpServerOptions
 import kotlinx.collections.immutable.ImmutableCollection
+import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.toImmutableList
 import java.util.UUID
 
@@ -64,7 +65,7 @@
             ::followTargets,
         )
     private val news = FleetNews(fleetMirror, configurationMirror)
-    private val peerWatch = PeerWatch(self, peers, shards, directory, news, loop)
+    private val peerWatch = PeerWatch(self, peers, shards, directory, news, loop, ::openCallerServer)
     private val holders = HolderAccess(self, shards, directory, peers, loop)
     private val relay = JobRelay(loop, holders, metrics)
     private val registration = MemberRegistration(self, components.store, loop, fleetMirror::learn)
@@ -131,6 +132,8 @@
         directory.update(fleetMirror)
         shards.onDirectoryChanged()
         shards.maintain()
+        // Until callers are served, the holder is asked for a sign of life without waiting for the next round.
+        if (callerServer == null) peerWatch.pingHolders(holders.holdersAsked)
         openCallerServer()
     }
 
@@ -140,8 +143,9 @@
         shards.onTargetsChanged()
     }
 
+    /** No targets until the list has arrived; an earlier copy may have targets that are draining by now. */
     private fun targetsOf(id: ShardId): ImmutableCollection<ShardTarget> =
-        targetsByDomain[id.failureDomain.value].orEmpty().toImmutableList()
+        if (targetMirror.isLoaded) targetsByDomain[id.failureDomain.value].orEmpty().toImmutableList() else persistentListOf()
 
     private fun onConfigurationChanged() {
         val item = configurationMirror[components.storeCodec.configurationKey] ?: return
@@ -177,7 +181,7 @@
         if (draining || callerApi.configuration == null) return false
         return directory.shardsOf(self.failureDomain).all { id ->
             shards.host(id) != null ||
-                directory.holdings[id]?.let { !shards.election.isSuspected(it, loop.nowMillis()) } == true
+                directory.holdings[id]?.let { shards.election.isConfirmed(it, loop.nowMillis()) } == true
         }
     }
 
