Do not contradict a peer whose newer list shows that a target has returned

Cause: an entry instance whose list still shows a target as leaving got the fact RECOVERED of a peer with a newer list. It answered with a fact LEAVING of a higher sequence in the peer's list version. That fact outlives the own list's next version, so that every entry instance kept the target out of use for ten minutes. Ruled out: the test's time limit; the state would have stayed for 600 s. Change: a fact RECOVERED from a newer list than the own one ends the leaving state.

--- a/core/src/main/kotlin/io/jackdawring/core/target/RealTargetPool.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/target/RealTargetPool.kt
@@ -302,7 +302,8 @@
             leaving == null -> health.recoveredAtPeer(target)
             fact.state == TargetFactState.RECOVERED &&
                 fact.listVersion > leaving.listVersion &&
-                !target.listedAsLeaving -> replace(target, target.instance, nowMillis)
+                (!target.listedAsLeaving || fact.listVersion > listVersion) ->
+                replace(target, target.instance, nowMillis)
             // The peer did not know that the target is leaving; tell it with a higher sequence.
             else -> publish(target, TargetFactState.LEAVING)
         }
