--- a/core/src/main/kotlin/io/jackdawring/core/shard/HeldJob.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/HeldJob.kt
@@ -1,11 +1,15 @@
 package io.jackdawring.core.shard
 
+import java.util.BitSet
+
 /** A job at the holder; times are steady milliseconds. */
 internal class HeldJob(
     val spec: JobSpec,
     val sequence: Long,
     val arrivedAtMillis: Long,
     val deadlineMillis: Long,
+    /** Whether the job is stored and runs on without anyone waiting for it. */
+    val isKept: Boolean = false,
 ) {
     val waiters = LinkedHashSet<WaiterId>()
     val steps: List<List<HeldTask>> =
@@ -19,11 +23,24 @@
     var started = false
     var withoutWaitersSinceMillis: Long? = null
 
+    /** State in which a kept job has ended; null while it goes on. */
+    var endState: JobState? = null
+
+    /** Counts the changes of the progress of a kept job. */
+    var progressVersion = 0L
+
+    /** Last [progressVersion] that is stored. */
+    var savedVersion = 0L
+
+    val isSaving: Boolean get() = progressVersion > savedVersion
+
     val objectiveAtMillis: Long = arrivedAtMillis + spec.objectiveMillis
     val isComplete: Boolean get() = openTasks.all { it == 0 }
 
     fun tasks(): Sequence<HeldTask> = steps.asSequence().flatten()
 
+    fun find(key: TaskKey): HeldTask? = steps.getOrNull(key.step)?.getOrNull(key.index)
+
     fun markDone(task: HeldTask) {
         if (task.done) return
         task.done = true
@@ -37,4 +54,31 @@
             .onEach { released[it] = true }
             .flatMap { steps[it] }
             .filter { !it.done && it.run == null }
+
+    fun progress(): JobProgress =
+        JobProgress(
+            endState ?: JobState.RUNNING,
+            steps.map { tasks -> doneBits(tasks).toLongArray().toList() },
+            tasks().filter { it.failures > 0 }.associate { progressKey(it) to it.failedAttempts.toList() },
+        )
+
+    /** Applies what earlier holders have stored; attempts are numbered from above [attemptBase]. */
+    fun restore(
+        progress: JobProgress,
+        attemptBase: Int,
+    ) {
+        steps.zip(progress.done).forEach { (tasks, words) ->
+            val bits = BitSet.valueOf(words.toLongArray())
+            tasks.filter { bits[it.key.index] }.forEach(::markDone)
+        }
+        for (task in tasks()) {
+            task.failedAttempts += progress.failures[progressKey(task)].orEmpty()
+            task.lastAttempt = attemptBase
+        }
+        started = progress.state == JobState.RUNNING || tasks().any { it.done || it.failures > 0 }
+    }
+
+    private fun doneBits(tasks: List<HeldTask>) = BitSet().apply { tasks.forEach { if (it.done) set(it.key.index) } }
+
+    private fun progressKey(task: HeldTask) = "${task.key.step}.${task.key.index}"
 }
--- a/core/src/main/kotlin/io/jackdawring/core/shard/HeldRun.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/HeldRun.kt
@@ -5,10 +5,25 @@
     val key: TaskKey,
     val attempt: Int,
     val target: HeldTarget,
-    var owner: HeldTask?,
+    owner: HeldTask?,
     val sentAtMillis: Long,
-    val expectedMillis: Long,
+    expectedMillis: Long,
+    /** Whether an earlier holder started the run, so that its duration is not known. */
+    val isAdopted: Boolean = false,
 ) {
+    var owner = owner
+        private set
+
+    /** Expected duration from [sentAtMillis]; 0 while it is not known what runs. */
+    var expectedMillis = expectedMillis
+        private set
+
+    /** Gives the run to the task that it belongs to. */
+    fun claim(task: HeldTask) {
+        owner = task
+        expectedMillis = task.spec.estimateMillis
+    }
+
     var state = State.STARTING
 
     /** Time from which a list of the target without this run proves that it is over. */
@@ -18,9 +33,6 @@
     var stopReason: String? = null
     var stopSentAtMillis = Long.MIN_VALUE
 
-    /** Time at which the lease of the order is over for certain, even if it is carried out late. */
-    var leaseOverAtMillis = Long.MAX_VALUE
-
     val demand: Resources get() = owner?.spec?.demand ?: Resources()
 
     /** What is known of a run. */
--- a/core/src/main/kotlin/io/jackdawring/core/shard/HeldTarget.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/HeldTarget.kt
@@ -16,9 +16,21 @@
     var unlistedSinceMillis: Long? = null
 
     /** Highest end that was processed in the incarnation [bornMillis]. */
-    var acknowledgedEnd = 0L
+    var processedEnd = 0L
+
+    /** Processed ends whose effect is not stored yet, in the order of their sequences. */
+    val openEnds = ArrayDeque<OpenEnd>()
+
+    /** Highest end that the target may forget. */
+    val acknowledgedEnd: Long get() = openEnds.firstOrNull()?.let { it.sequence - 1 } ?: processedEnd
     var bornMillis: Long? = null
 
+    /** Highest end that the target was told to forget in a look that it answered. */
+    var forgottenEnd = 0L
+
+    /** Time of the last answer to a look. */
+    var answeredAtMillis = Long.MIN_VALUE / 2
+
     /** Lower bound of the target's clock minus the steady clock; null before the first answer. */
     var clockOffsetMillis: Long? = null
     var lookSequence = 0L
--- /dev/null
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/KeptJob.kt
@@ -0,0 +1,8 @@
+package io.jackdawring.core.shard
+
+/** A job that is stored and runs until it ends or is cancelled; it was accepted [ageMillis] ago. */
+data class KeptJob(
+    val spec: JobSpec,
+    val progress: JobProgress = JobProgress(),
+    val ageMillis: Long = 0,
+)
--- a/core/src/main/kotlin/io/jackdawring/core/shard/RecentMap.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/RecentMap.kt
@@ -26,10 +26,8 @@
         nowMillis: Long,
     ): Value? = entries[key]?.takeIf { nowMillis - it.putAtMillis < retentionMillis }?.value
 
-    fun take(
-        key: Key,
-        nowMillis: Long,
-    ): Value? = find(key, nowMillis).also { entries.remove(key) }
+    /** Removes the value of [key], whatever its age. */
+    fun remove(key: Key): Value? = entries.remove(key)?.value
 
     fun forgetOld(nowMillis: Long) {
         val iterator = entries.values.iterator()
--- a/core/src/main/kotlin/io/jackdawring/core/shard/Resources.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/Resources.kt
@@ -15,6 +15,14 @@
     operator fun minus(other: Resources) =
         Resources(cpuMillis - other.cpuMillis, memoryMb - other.memoryMb, accelerators - other.accelerators)
 
+    /** The larger amount of each resource. */
+    fun atLeast(other: Resources) =
+        Resources(
+            maxOf(cpuMillis, other.cpuMillis),
+            maxOf(memoryMb, other.memoryMb),
+            maxOf(accelerators, other.accelerators),
+        )
+
     /** Whether this demand fits into [free]. */
     fun fitsInto(free: Resources): Boolean =
         cpuMillis <= free.cpuMillis && memoryMb <= free.memoryMb && accelerators <= free.accelerators
--- a/core/src/main/kotlin/io/jackdawring/core/shard/RunListener.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/RunListener.kt
@@ -23,9 +23,13 @@
     /** The target says that the order can never be carried out. */
     fun onInvalid(run: HeldRun)
 
-    /** A run of an earlier holder ended before a job claimed it. */
-    fun onUnclaimedEnd(
+    /**
+     * A run ended that is not known, for example one of an earlier holder or one that was believed to be over.
+     *
+     * Returns the version of its job's progress that must be stored before the target may forget the end, or null.
+     */
+    fun onUnknownEnd(
         end: EndedRun,
         nowMillis: Long,
-    )
+    ): Long?
 }
--- a/core/src/main/kotlin/io/jackdawring/core/shard/ShardDecision.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/ShardDecision.kt
@@ -22,6 +22,14 @@
         val objectiveMillis: Long,
     ) : ShardDecision
 
+    /** A kept job was added or has ended. */
+    data class KeptJobChanged(
+        val jobId: JobId,
+        val queue: String,
+        val state: JobState,
+        val reason: String,
+    ) : ShardDecision
+
     /** A run was given up and its task waits again. */
     data class RunRepeated(
         val task: TaskKey,
--- a/core/src/main/kotlin/io/jackdawring/core/shard/ShardDispatcher.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/ShardDispatcher.kt
@@ -52,6 +52,45 @@
         nowMillis: Long,
     )
 
+    /** Adds a job that was stored just now and has not run. */
+    fun keep(
+        job: KeptJob,
+        nowMillis: Long,
+    )
+
+    /**
+     * Adds stored jobs that earlier holders may have started; no target forgets an end before the first call.
+     *
+     * Their attempts are numbered from above [attemptBase], which must grow with each holder.
+     */
+    fun recover(
+        jobs: ImmutableCollection<KeptJob>,
+        attemptBase: Int,
+        nowMillis: Long,
+    )
+
+    /** Notes that [version] of the progress of a kept job is stored. */
+    fun onSaved(
+        jobId: JobId,
+        version: Long,
+        nowMillis: Long,
+    )
+
+    /** Cancels a kept job unless it has ended; [ShardOutlet.ended] follows once that is stored. */
+    fun cancel(
+        jobId: JobId,
+        nowMillis: Long,
+    )
+
+    /** State of a kept job, or null if it is not known. */
+    fun keptState(jobId: JobId): JobState?
+
+    /** Number of tasks that wait for a target. */
+    val waitingTasks: Int
+
+    /** Forgets a kept job that has ended. */
+    fun forget(jobId: JobId)
+
     fun onStart(
         targetId: TargetId,
         order: StartOrder,
--- a/core/src/main/kotlin/io/jackdawring/core/shard/ShardOutlet.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/ShardOutlet.kt
@@ -23,6 +23,18 @@
         outcome: JobOutcome,
     )
 
+    /** Stores the progress of a kept job, which [snapshot] gives; [ShardDispatcher.onSaved] confirms its version. */
+    fun save(
+        jobId: JobId,
+        snapshot: () -> JobSnapshot,
+    )
+
+    /** A kept job has ended in [state], and that is stored. */
+    fun ended(
+        jobId: JobId,
+        state: JobState,
+    )
+
     /** A target has rejected the fence of this holder. */
     fun fenced(target: ShardTarget)
 
--- a/core/src/main/kotlin/io/jackdawring/core/shard/TargetControl.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/TargetControl.kt
@@ -9,64 +9,41 @@
     private val outlet: ShardOutlet,
     private val listener: RunListener,
 ) {
-    private val byId = LinkedHashMap<TargetId, HeldTarget>()
+    private val roster = TargetRoster(::report)
     private val looks = TargetLooks(options, outlet)
+    private val stops = StopOrders(outlet)
+    private val index = RunIndex()
 
-    val targets: Collection<HeldTarget> get() = byId.values
+    val targets: Collection<HeldTarget> get() = roster.targets
 
     /** Time of the first list of targets; null before. */
-    var listedAtMillis: Long? = null
-        private set
+    val listedAtMillis: Long? get() = roster.listedAtMillis
 
-    /** Whether the targets of the holder before are known; the list alone may lack some that still run. */
-    private var inherited = false
+    /** Whether the stored jobs of earlier holders are known; ends of others need not be kept by the targets then. */
+    var recovered = false
+        private set
 
     /** Whether nothing that an earlier holder started can run unseen. */
     fun allSeen(nowMillis: Long): Boolean {
-        val since = listedAtMillis ?: return false
-        return (inherited && byId.values.all { it.seen }) || nowMillis - since >= looks.longestLeaseMillis
+        val since = roster.listedAtMillis ?: return false
+        return (roster.inherited && targets.all { it.seen }) || nowMillis - since >= looks.longestLeaseMillis
     }
 
     fun updateTargets(
         listed: ImmutableCollection<ShardTarget>,
         nowMillis: Long,
     ) {
-        if (listedAtMillis == null && listed.isNotEmpty()) listedAtMillis = nowMillis
-        val seen = HashSet<TargetId>()
-        for (facts in listed) {
-            seen.add(facts.id)
-            val target = byId.getOrPut(facts.id) { HeldTarget(facts) }
-            if (target.facts.draining !=
-                facts.draining
-            ) {
-                report(target, if (facts.draining) "draining" else "ready", "listed so")
-            }
-            if (target.facts.address != facts.address) forgetIncarnation(target, "its address has changed", nowMillis)
-            target.facts = facts
-            target.unlistedSinceMillis = null
-            looks.look(target, nowMillis)
-        }
-        for (target in byId.values) {
-            if (target.id in seen || target.unlistedSinceMillis != null) continue
-            target.unlistedSinceMillis = nowMillis
-            report(target, "unlisted", "no longer in the store")
-        }
+        roster.update(listed, nowMillis) { forgetIncarnation(it, "its address has changed", nowMillis) }
+        targets.forEach { looks.look(it, nowMillis) }
     }
 
     /** Adds the targets that the holder before knew. */
     fun inherit(
-        targets: ImmutableCollection<ShardTarget>,
+        known: ImmutableCollection<ShardTarget>,
         nowMillis: Long,
     ) {
-        inherited = true
-        if (listedAtMillis == null) listedAtMillis = nowMillis
-        for (facts in targets) {
-            if (facts.id in byId) continue
-            val target = HeldTarget(facts)
-            target.unlistedSinceMillis = nowMillis
-            byId[facts.id] = target
-            looks.look(target, nowMillis)
-        }
+        roster.inherit(known, nowMillis)
+        targets.forEach { looks.look(it, nowMillis) }
     }
 
     fun start(
@@ -78,9 +55,9 @@
         val offset = target.clockOffsetMillis ?: return
         task.lastAttempt++
         val run = HeldRun(task.key, task.lastAttempt, target, task, nowMillis, expectedMillis)
-        run.leaseOverAtMillis = looks.extendLease(target, nowMillis)
+        looks.extendLease(target, nowMillis)
         task.run = run
-        target.add(run)
+        add(run)
         val leaseUntil = nowMillis + offset + options.leaseMillis
         outlet.start(target.facts, StartOrder(task.key, run.attempt, task.job.spec.payload, leaseUntil))
     }
@@ -90,12 +67,7 @@
         run: HeldRun,
         reason: String,
         nowMillis: Long,
-    ) {
-        if (run.stopReason != null) return
-        run.stopReason = reason
-        run.state = HeldRun.State.STOPPING
-        sendStop(run, nowMillis)
-    }
+    ) = stops.stop(run, reason, nowMillis)
 
     fun onStart(
         id: TargetId,
@@ -103,7 +75,7 @@
         result: StartResult,
         nowMillis: Long,
     ) {
-        val target = byId[id] ?: return
+        val target = roster[id] ?: return
         val run = target.runs[order.task]?.takeIf { it.attempt == order.attempt } ?: return
         when (result) {
             is StartResult.Accepted -> onAccepted(run, nowMillis)
@@ -152,7 +124,7 @@
             }
 
             StartResult.Reason.INVALID -> {
-                target.remove(run)
+                remove(run)
                 listener.onInvalid(run)
                 return
             }
@@ -185,7 +157,7 @@
         result: StopResult,
         nowMillis: Long,
     ) {
-        val target = byId[id] ?: return
+        val target = roster[id] ?: return
         val run = target.runs[task]?.takeIf { it.attempt == attempt } ?: return
         when (result) {
             is StopResult.Accepted -> {
@@ -210,12 +182,12 @@
         result: LookResult,
         nowMillis: Long,
     ) {
-        val target = byId[id] ?: return
+        val target = roster[id] ?: return
         // Answers of looks that were replaced may be older than what is known.
         if (order.sequence != target.lookSequence) return
         target.lookOpen = false
         when (result) {
-            is LookResult.Seen -> onSeen(target, result, nowMillis)
+            is LookResult.Seen -> onSeen(target, order, result, nowMillis)
             is LookResult.Fenced -> outlet.fenced(target.facts)
             is LookResult.OtherIncarnation -> forgetIncarnation(target, "another incarnation answers", nowMillis)
             is LookResult.Unknown -> looks.silence(target, result.detail, nowMillis)
@@ -225,13 +197,17 @@
 
     private fun onSeen(
         target: HeldTarget,
+        order: LookOrder,
         seen: LookResult.Seen,
         nowMillis: Long,
     ) {
         if (target.bornMillis != null && target.bornMillis != seen.bornMillis) {
-            forgetIncarnation(target, "it has started anew", nowMillis)
+            // Which runs are over follows from the lists; an order of just now may have reached the new incarnation.
+            resetIncarnation(target, "it has started anew")
         }
         target.bornMillis = seen.bornMillis
+        target.forgottenEnd = maxOf(target.forgottenEnd, order.acknowledgedEnd)
+        target.answeredAtMillis = nowMillis
         target.seen = true
         target.clockOffsetMillis = seen.clockMillis - nowMillis
         if (target.contact != HeldTarget.Contact.HELD) {
@@ -248,20 +224,43 @@
         end: EndedRun,
         nowMillis: Long,
     ) {
-        if (end.sequence <= target.acknowledgedEnd) return
-        target.acknowledgedEnd = end.sequence
+        if (end.sequence <= target.processedEnd) return
+        target.processedEnd = end.sequence
         val run = target.runs[end.task]?.takeIf { it.attempt == end.attempt }
-        if (run?.owner == null) {
-            run?.let(target::remove)
-            listener.onUnclaimedEnd(end, nowMillis)
+        val owner = run?.owner
+        if (owner == null) {
+            run?.let(::remove)
+            val version = listener.onUnknownEnd(end, nowMillis) ?: if (recovered) return else 0
+            target.openEnds.addLast(OpenEnd(end.sequence, end.task.jobId, version))
             return
         }
-        target.remove(run)
+        remove(run)
         when (end.ending) {
             EndedRun.Ending.DONE -> listener.onDone(run, nowMillis)
             EndedRun.Ending.FAILED -> listener.onFailed(run, nowMillis)
             else -> listener.onLost(run, run.stopReason ?: "ended as ${end.ending.name}", nowMillis)
         }
+        val job = owner.job
+        if (job.isSaving) target.openEnds.addLast(OpenEnd(end.sequence, job.spec.id, job.progressVersion))
+    }
+
+    /** Lets targets forget the ends of jobs that have nothing to store, as [isUnsaved] tells. */
+    fun onRecovered(isUnsaved: (JobId) -> Boolean) {
+        recovered = true
+        targets.forEach { target -> target.openEnds.removeAll { !isUnsaved(it.jobId) } }
+    }
+
+    /** Lets targets forget the ends of [jobId] that are stored with [version] of its progress. */
+    fun onSaved(
+        jobId: JobId,
+        version: Long,
+        nowMillis: Long,
+    ) {
+        for (target in targets) {
+            if (target.openEnds.isEmpty()) continue
+            target.openEnds.removeAll { it.jobId == jobId && it.version <= version }
+            looks.look(target, nowMillis)
+        }
     }
 
     private fun applyRunning(
@@ -283,6 +282,9 @@
         nowMillis: Long,
     ) {
         if (run.state == HeldRun.State.UNCERTAIN) onAccepted(run, nowMillis)
+        // A stop that a target has confirmed has no effect on an order that reaches it later.
+        val outlivedStop = run.state == HeldRun.State.STOPPING && run.target.lookSentAtMillis > run.listedFromMillis
+        if (outlivedStop) stops.send(run, nowMillis)
     }
 
     private fun onAbsent(
@@ -292,7 +294,7 @@
         val provesEnd = run.target.lookSentAtMillis > run.listedFromMillis
         when (run.state) {
             HeldRun.State.STARTING -> Unit
-            HeldRun.State.UNCERTAIN -> sendStop(run, nowMillis)
+            HeldRun.State.UNCERTAIN -> stops.send(run, nowMillis)
             HeldRun.State.RUNNING -> if (provesEnd) lose(run, "no longer listed", nowMillis)
             HeldRun.State.STOPPING -> if (provesEnd) lose(run, run.stopReason ?: "not started", nowMillis)
         }
@@ -303,28 +305,28 @@
         entry: RunningRun,
         nowMillis: Long,
     ) {
-        val run = HeldRun(entry.task, entry.attempt, target, null, nowMillis, 0)
+        val run = HeldRun(entry.task, entry.attempt, target, null, nowMillis, expectedMillis = 0, isAdopted = true)
         run.state = HeldRun.State.RUNNING
         run.listedFromMillis = nowMillis
-        target.add(run)
+        add(run)
     }
 
     /** Whether a run of [key] is, or may be, on a target. */
-    fun isPresent(key: TaskKey): Boolean = byId.values.any { key in it.runs }
+    fun isPresent(key: TaskKey): Boolean = index.find(key) != null
 
     /** Gives an unclaimed run of [task] to it, and returns whether there was one. */
     fun claim(task: HeldTask): Boolean {
-        val run = byId.values.firstNotNullOfOrNull { it.runs[task.key] } ?: return false
+        val run = index.find(task.key) ?: return false
         if (run.owner != null || run.stopReason != null) return false
-        run.owner = task
+        run.claim(task)
         task.run = run
-        task.lastAttempt = run.attempt
+        task.lastAttempt = maxOf(task.lastAttempt, run.attempt)
         run.target.recount()
         return true
     }
 
     fun tick(nowMillis: Long) {
-        for (target in byId.values.toList()) {
+        for (target in targets.toList()) {
             if (target.contact != HeldTarget.Contact.HELD && nowMillis >= target.leaseOverAtMillis) {
                 target.runs.values
                     .toList()
@@ -334,8 +336,8 @@
                 .toList()
                 .forEach { checkRun(it, nowMillis) }
             looks.look(target, nowMillis)
-            if (!target.isListed(nowMillis) && target.runs.isEmpty()) byId.remove(target.id)
         }
+        roster.forgetGone(nowMillis)
     }
 
     private fun checkRun(
@@ -344,24 +346,32 @@
     ) {
         val unclaimed = run.owner == null && nowMillis - run.sentAtMillis >= options.adoptMillis
         if (unclaimed) stop(run, "no job claims it", nowMillis)
-        val unconfirmed = run.state == HeldRun.State.STOPPING && run.listedFromMillis == Long.MAX_VALUE
-        if (unconfirmed && nowMillis - run.stopSentAtMillis >= STOP_RETRY_MILLIS) sendStop(run, nowMillis)
+        stops.sendAgain(run, nowMillis)
     }
 
     private fun forgetIncarnation(
         target: HeldTarget,
         reason: String,
         nowMillis: Long,
+    ) {
+        resetIncarnation(target, reason)
+        target.runs.values
+            .toList()
+            .forEach { lose(it, reason, nowMillis) }
+    }
+
+    private fun resetIncarnation(
+        target: HeldTarget,
+        reason: String,
     ) {
         report(target, "new", reason)
         target.contact = HeldTarget.Contact.NEW
         target.bornMillis = null
         target.clockOffsetMillis = null
-        target.acknowledgedEnd = 0
+        target.processedEnd = 0
+        target.forgottenEnd = 0
+        target.openEnds.clear()
         target.record.reset()
-        target.runs.values
-            .toList()
-            .forEach { lose(it, reason, nowMillis) }
     }
 
     fun fault(
@@ -373,22 +383,23 @@
         if (target.record.onFault(nowMillis, faultsAllowed)) report(target, "suspended", reason)
     }
 
-    private fun lose(
-        run: HeldRun,
-        reason: String,
-        nowMillis: Long,
-    ) {
+    private fun add(run: HeldRun) {
+        run.target.add(run)
+        index.add(run)
+    }
+
+    private fun remove(run: HeldRun) {
         run.target.remove(run)
-        if (run.owner != null) listener.onLost(run, run.stopReason ?: reason, nowMillis)
+        index.remove(run)
     }
 
-    private fun sendStop(
+    private fun lose(
         run: HeldRun,
+        reason: String,
         nowMillis: Long,
     ) {
-        if (nowMillis - run.stopSentAtMillis < STOP_RETRY_MILLIS && run.stopSentAtMillis != Long.MIN_VALUE) return
-        run.stopSentAtMillis = nowMillis
-        outlet.stop(run.target.facts, run.key, run.attempt)
+        remove(run)
+        if (run.owner != null) listener.onLost(run, run.stopReason ?: reason, nowMillis)
     }
 
     private fun report(
@@ -398,9 +409,6 @@
     ) = outlet.report(ShardDecision.TargetChanged(target.id, state, reason))
 
     private companion object {
-        /** Interval of stop orders without an answer; above the usual round trip by far. */
-        const val STOP_RETRY_MILLIS = 200L
-
         /** Added to an attempt that its target knows already, after a job was sent again to another holder. */
         const val OLD_ATTEMPT_STEP = 3
     }
--- a/core/src/main/kotlin/io/jackdawring/core/shard/TargetLooks.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/TargetLooks.kt
@@ -15,6 +15,12 @@
         nowMillis: Long,
     ) {
         if (target.lookOpen || nowMillis < target.nextLookMillis) return
+        val sinceAnswerMillis = nowMillis - target.answeredAtMillis
+        // Later, another incarnation may answer, whose ends have the same sequences and are not known.
+        val acknowledged = if (sinceAnswerMillis <= SHORTEST_RESTART_MILLIS) target.acknowledgedEnd else 0
+        // The target would answer at once with the ends that it cannot forget yet.
+        val hasNews = acknowledged > target.forgottenEnd
+        if (target.openEnds.isNotEmpty() && !hasNews && sinceAnswerMillis < SAVE_WAIT_MILLIS) return
         val held = target.contact == HeldTarget.Contact.HELD
         val leaseUntil = target.clockOffsetMillis?.takeIf { held }?.let { nowMillis + it + options.leaseMillis }
         if (leaseUntil != null) extendLease(target, nowMillis)
@@ -23,7 +29,7 @@
         target.lookSentAtMillis = nowMillis
         target.nextLookMillis = nowMillis + if (held) 0 else SILENT_LOOK_INTERVAL_MILLIS
         val wait = if (held) options.lookWaitMillis else 0
-        outlet.look(target.facts, LookOrder(target.lookSequence, leaseUntil, target.acknowledgedEnd, wait))
+        outlet.look(target.facts, LookOrder(target.lookSequence, leaseUntil, acknowledged, wait))
     }
 
     /** Replaces the open look, whose answer may be long in coming or too old. */
@@ -50,14 +56,12 @@
         }
     }
 
-    /** Notes that an order of now asks for a lease, and returns the time at which it is over for certain. */
+    /** Notes that an order of now asks for a lease. */
     fun extendLease(
         target: HeldTarget,
         nowMillis: Long,
-    ): Long {
-        val over = nowMillis + longestLeaseMillis
-        target.leaseOverAtMillis = maxOf(target.leaseOverAtMillis, over)
-        return over
+    ) {
+        target.leaseOverAtMillis = maxOf(target.leaseOverAtMillis, nowMillis + longestLeaseMillis)
     }
 
     private companion object {
@@ -69,5 +73,11 @@
 
         /** Interval of looks at a silent target; short against the lease. */
         const val SILENT_LOOK_INTERVAL_MILLIS = 200L
+
+        /** Pause between looks while ends are being stored; well below the lease. */
+        const val SAVE_WAIT_MILLIS = 100L
+
+        /** A target that crashes does not answer as a new incarnation within this time. */
+        const val SHORTEST_RESTART_MILLIS = 40L
     }
 }
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/CallerApi.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/CallerApi.kt
@@ -1,7 +1,7 @@
 package io.jackdawring.fleet
 
-import io.jackdawring.core.routing.QueueRoute
 import io.jackdawring.core.routing.RoutingConfiguration
+import io.jackdawring.fleet.kept.KeptJobRequests
 import io.jackdawring.fleet.relay.JobRelay
 import io.jackdawring.server.http.HttpExchange
 
@@ -10,7 +10,7 @@
     private val codec: CallerCodec,
     private val relay: JobRelay,
     private val loop: ControlLoop,
-    private val pendingJobs: (QueueRoute) -> Int,
+    private val kept: KeptJobRequests,
 ) {
     /** The configuration in force; null until the first one is known. */
     @Volatile
@@ -24,19 +24,11 @@
         }
         when (val request = codec.decode(exchange.request, current)) {
             is CallerRequest.Submit -> loop.execute { submit(exchange, request) }
-            is CallerRequest.Count ->
-                loop.execute {
-                    answer(
-                        exchange,
-                        CallerAnswer.Pending(pendingJobs(request.queue)),
-                    )
-                }
             is CallerRequest.SubmitStored ->
-                answer(
-                    exchange,
-                    CallerAnswer.NotRun("stored jobs are not supported yet", STORED_RETRY_MILLIS),
-                )
-            is CallerRequest.State, is CallerRequest.Cancel -> answer(exchange, CallerAnswer.UnknownJob)
+                loop.execute { kept.submit(request.job, request.waitMillis) { answer(exchange, it) } }
+            is CallerRequest.State -> loop.execute { kept.ask(request.id, cancel = false) { answer(exchange, it) } }
+            is CallerRequest.Cancel -> loop.execute { kept.ask(request.id, cancel = true) { answer(exchange, it) } }
+            is CallerRequest.Count -> loop.execute { kept.countPending(request.queue.name) { answer(exchange, it) } }
             is CallerRequest.UnknownQueue -> answer(exchange, CallerAnswer.UnknownQueue)
             is CallerRequest.Invalid -> answer(exchange, CallerAnswer.Invalid(request.detail))
         }
@@ -58,6 +50,5 @@
     private companion object {
         /** About the time in which a new instance reads the configuration. */
         const val NO_CONFIGURATION_RETRY_MILLIS = 1_000L
-        const val STORED_RETRY_MILLIS = 10_000L
     }
 }
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/CallerRequest.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/CallerRequest.kt
@@ -4,6 +4,9 @@
 import io.jackdawring.core.routing.RoutingConfiguration
 import io.jackdawring.core.shard.JobId
 import io.jackdawring.core.shard.JobSpec
+import io.jackdawring.core.shard.JobState
+import io.jackdawring.server.http.HttpRequestMessage
+import io.jackdawring.server.http.HttpResponseMessage
 
 /** A request of a caller, decoded with the configuration in force. */
 sealed interface CallerRequest {
@@ -16,6 +19,7 @@
     /** Submits a job that has to be stored before it is accepted. */
     class SubmitStored(
         val job: JobSpec,
+        val waitMillis: Long,
     ) : CallerRequest
 
     /** Asks for the state of a job. */
@@ -62,6 +66,20 @@
         val reason: String,
     ) : CallerAnswer
 
+    /** The job is stored and will run. */
+    data object Stored : CallerAnswer
+
+    /** State of a kept job. */
+    class State(
+        val state: JobState,
+    ) : CallerAnswer
+
+    /** The request could not be carried out now; nothing is said of the job. */
+    class TryLater(
+        val reason: String,
+        val retryAfterMillis: Long,
+    ) : CallerAnswer
+
     /** Number of waiting jobs of a queue. */
     class Pending(
         val jobs: Int,
@@ -82,9 +100,9 @@
 /** Translates between callers and the product. */
 interface CallerCodec {
     fun decode(
-        request: io.jackdawring.server.http.HttpRequestMessage,
+        request: HttpRequestMessage,
         configuration: RoutingConfiguration,
     ): CallerRequest
 
-    fun encode(answer: CallerAnswer): io.jackdawring.server.http.HttpResponseMessage
+    fun encode(answer: CallerAnswer): HttpResponseMessage
 }
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/FleetOptions.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/FleetOptions.kt
@@ -22,6 +22,8 @@
     val shard: ShardOptions,
     /** Time from the request to stop until the process is killed. */
     val stopGraceMillis: Long,
+    /** Time for which the state of a kept job can be asked for after its end. */
+    val keptRetentionMillis: Long,
 ) {
     /** Builds [FleetOptions]. */
     class Builder {
@@ -34,6 +36,7 @@
         var weight: Double = 1.0
         var shard: ShardOptions = shardOptions()
         var stopGraceMillis: Long = 6_000
+        var keptRetentionMillis: Long = 150_000
 
         fun build() =
             FleetOptions(
@@ -46,6 +49,7 @@
                 weight,
                 shard,
                 stopGraceMillis,
+                keptRetentionMillis,
             )
     }
 }
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/HeldShards.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/HeldShards.kt
@@ -8,6 +8,7 @@
 import io.jackdawring.core.fleet.ShardId
 import io.jackdawring.core.shard.ShardDispatcher
 import io.jackdawring.core.shard.ShardTarget
+import io.jackdawring.fleet.kept.KeptJobStore
 import io.jackdawring.fleet.metrics.FleetMetrics
 import io.jackdawring.fleet.peer.HandOverMessage
 import io.jackdawring.fleet.peer.PeerClient
@@ -37,11 +38,14 @@
     private val targetClient: TargetClient,
     private val peers: PeerClient,
     private val metrics: FleetMetrics,
+    private val unixMillis: () -> Long,
     private val targetsOf: (ShardId) -> ImmutableCollection<ShardTarget>,
     private val onHeldChanged: () -> Unit,
 ) {
     private val hosts = HashMap<ShardId, ShardHost>()
     private val claiming = HashSet<ShardId>()
+    private val handingOver = HashSet<ShardId>()
+    private val abandoned = AbandonedShards(self)
     private var leaving = false
     val election = ShardElection(self)
 
@@ -49,15 +53,24 @@
 
     fun host(id: ShardId): ShardHost? = hosts[id]
 
-    /** Claims shards whose holder is missing or suspected. */
+    /** Claims shards whose holder is missing or suspected, and gives those of other failure domains back. */
     fun maintain() {
         if (leaving || !mirror.isLoaded) return
         val now = loop.nowMillis()
-        for (id in directory.shardsOf(self.failureDomain)) {
+        for (id in directory.shardsOf(self.failureDomain) + abandoned.find(directory, now)) {
             val holding = directory.holdings[id]
             if (id in hosts || id in claiming) continue
             if (election.shouldClaim(id, holding, directory.members.values, now)) claim(id, holding?.revision ?: 0)
         }
+        hosts.values.toList().forEach(::giveBack)
+    }
+
+    /** Hands a shard of another failure domain over once that has live entry instances again. */
+    private fun giveBack(host: ShardHost) {
+        val domain = host.holding.shardId.failureDomain
+        if (domain == self.failureDomain || host.holding.shardId in handingOver) return
+        val members = directory.members.values.filter { it.failureDomain == domain }
+        if (members.isNotEmpty()) handOver(host, members.sortedByDescending { it.weight }, isRepeated = false)
     }
 
     /** Lets go of shards that the store ascribes to another holder. */
@@ -113,25 +126,28 @@
         val name = FleetKeys.shard(holding.shardId)
         metrics.shardTaken()
         logger.info { "took shard $name with fence ${holding.revision}" }
-        val host =
-            ShardHost(
-                holding,
-                options.shard,
-                ShardDispatcher.Factory.Default,
-                targetClient,
-                loop,
-                DecisionLog(name, metrics),
-            ) {
-                hosts[holding.shardId]
-                    ?.takeIf {
-                        it.holding.revision == holding.revision
-                    }?.let { letGo(it, "a target rejects its fence") }
-            }
+        val host = createHost(holding)
         hosts[holding.shardId] = host
         onHeldChanged()
         mirror.learn(item)
         host.updateTargets(targetsOf(holding.shardId))
-        host.run()
+        host.start()
+    }
+
+    private fun createHost(holding: ShardHolding): ShardHost =
+        ShardHost(
+            holding,
+            options.shard,
+            ShardDispatcher.Factory.Default,
+            targetClient,
+            loop,
+            DecisionLog(FleetKeys.shard(holding.shardId), metrics),
+            onFenced = { letGoFenced(holding) },
+        ) { listener -> KeptJobStore(holding, store, loop, unixMillis, options.keptRetentionMillis, listener) }
+
+    private fun letGoFenced(holding: ShardHolding) {
+        val host = hosts[holding.shardId] ?: return
+        if (host.holding.revision == holding.revision) letGo(host, "its fence is rejected")
     }
 
     private fun letGo(
@@ -142,6 +158,7 @@
         logger.info { "let go of shard $name with fence ${host.holding.revision}: $reason" }
         metrics.shardLetGo()
         hosts.remove(host.holding.shardId)
+        handingOver.remove(host.holding.shardId)
         host.release()
         onHeldChanged()
     }
@@ -149,31 +166,32 @@
     /** Asks peers to take the shards; those that nobody takes are held on. */
     fun handOverAll() {
         leaving = true
-        hosts.values.toList().forEach { handOver(it, election.successors(directory.members.values, loop.nowMillis())) }
+        hosts.values.toList().forEach { handOver(it, successors(), isRepeated = true) }
     }
 
+    private fun successors() = election.successors(directory.members.values, loop.nowMillis())
+
     private fun handOver(
         host: ShardHost,
         candidates: List<FleetMember>,
+        isRepeated: Boolean,
     ) {
         val id = host.holding.shardId
         if (hosts[id] !== host) return
         val successor = candidates.firstOrNull()
         if (successor == null) {
-            loop.schedule(HAND_OVER_RETRY_MILLIS) {
-                handOver(host, election.successors(directory.members.values, loop.nowMillis()))
-            }
+            handingOver.remove(id)
+            if (isRepeated) loop.schedule(HAND_OVER_RETRY_MILLIS) { handOver(host, successors(), isRepeated = true) }
             return
         }
-        peers.handOver(
-            successor,
-            HandOverMessage(id, host.holding.revision, host.knownTargets().map(TargetMessage::of)),
-        ) { reply ->
+        handingOver.add(id)
+        val message = HandOverMessage(id, host.holding.revision, host.knownTargets().map(TargetMessage::of))
+        peers.handOver(successor, message) { reply ->
             val taken = reply is PeerReply.Answered && reply.message.taken
             when {
                 hosts[id] !== host -> Unit
                 taken -> letGo(host, "handed over to ${successor.instanceId.value}")
-                else -> handOver(host, candidates.drop(1))
+                else -> handOver(host, candidates.drop(1), isRepeated)
             }
         }
     }
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/HolderAccess.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/HolderAccess.kt
@@ -46,7 +46,7 @@
 
     private fun isUsable(holding: ShardHolding): Boolean {
         val instance = holding.holder.instanceId
-        if (instance == self.instanceId) return false
+        if (instance == self.instanceId) return shards.host(holding.shardId) != null
         val now = loop.nowMillis()
         if (holding.shardId.failureDomain == self.failureDomain) return !shards.election.isSuspected(holding, now)
         return (unreachableUntil[instance] ?: Long.MIN_VALUE) <= now
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/RealFleetInstance.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/RealFleetInstance.kt
@@ -3,8 +3,9 @@
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.jackdawring.core.fleet.FleetMember
 import io.jackdawring.core.fleet.ShardId
-import io.jackdawring.core.routing.QueueRoute
 import io.jackdawring.core.shard.ShardTarget
+import io.jackdawring.fleet.kept.KeptJobRequests
+import io.jackdawring.fleet.kept.RealKeptHolders
 import io.jackdawring.fleet.metrics.FleetMetrics
 import io.jackdawring.fleet.peer.PeerApi
 import io.jackdawring.fleet.peer.PeerClient
@@ -15,7 +16,6 @@
 import io.jackdawring.server.http.HttpServer
 import io.jackdawring.server.http.HttpServerOptions
 import kotlinx.collections.immutable.ImmutableCollection
-import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.toImmutableList
 import java.util.UUID
 
@@ -45,7 +45,7 @@
             components.store,
             loop,
             TARGET_GATHER_MILLIS,
-            ::onTargetsChanged,
+            onChange = ::onTargetsChanged,
         )
     private val configurationMirror =
         StoreMirror(components.storeCodec.configurationKey, components.store, loop, onChange = ::onConfigurationChanged)
@@ -61,6 +61,7 @@
             components.targets,
             peers,
             metrics,
+            System::currentTimeMillis,
             ::targetsOf,
             ::followTargets,
         )
@@ -68,8 +69,10 @@
     private val peerWatch = PeerWatch(self, peers, shards, directory, news, loop, ::openCallerServer)
     private val holders = HolderAccess(self, shards, directory, peers, loop)
     private val relay = JobRelay(loop, holders, metrics)
+    private val keptHolders = RealKeptHolders(directory.shardsOf(self.failureDomain), shards, directory, holders, peers)
+    private val keptRequests = KeptJobRequests(loop, keptHolders, components.store)
     private val registration = MemberRegistration(self, components.store, loop, fleetMirror::learn)
-    private val callerApi = CallerApi(components.callerCodec, relay, loop, ::pendingJobs)
+    private val callerApi = CallerApi(components.callerCodec, relay, loop, keptRequests)
     private val peerApi = PeerApi(self.incarnation, shards, loop, news::after, peerWatch::onAsked)
 
     @Volatile
@@ -145,7 +148,11 @@
 
     /** No targets until the list has arrived; an earlier copy may have targets that are draining by now. */
     private fun targetsOf(id: ShardId): ImmutableCollection<ShardTarget> =
-        if (targetMirror.isLoaded) targetsByDomain[id.failureDomain.value].orEmpty().toImmutableList() else persistentListOf()
+        targetsByDomain[id.failureDomain.value]
+            .orEmpty()
+            .takeIf { targetMirror.isLoaded }
+            .orEmpty()
+            .toImmutableList()
 
     private fun onConfigurationChanged() {
         val item = configurationMirror[components.storeCodec.configurationKey] ?: return
@@ -158,9 +165,6 @@
         logger.info { "configuration version ${decoded.version} is in force, store revision ${item.revision}" }
     }
 
-    private fun pendingJobs(queue: QueueRoute): Int =
-        directory.shardsOf(self.failureDomain).sumOf { shards.host(it)?.pendingJobs(queue.name) ?: 0 }
-
     private fun onReadyRequest(exchange: HttpExchange) {
         exchange.respond(HttpResponseMessage(if (isReady()) STATUS_OK else STATUS_UNAVAILABLE))
     }
--- /dev/null
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/kept/HostedKeptJobs.kt
@@ -0,0 +1,99 @@
+package io.jackdawring.fleet.kept
+
+import io.jackdawring.core.fleet.ShardHolding
+import io.jackdawring.core.shard.JobId
+import io.jackdawring.core.shard.JobSnapshot
+import io.jackdawring.core.shard.JobSpec
+import io.jackdawring.core.shard.JobState
+import io.jackdawring.core.shard.KeptJob
+import io.jackdawring.core.shard.ShardDispatcher
+import io.jackdawring.fleet.ControlLoop
+import io.jackdawring.fleet.store.StoreItem
+import kotlinx.collections.immutable.toImmutableList
+
+/** Leads kept jobs between the dispatcher of a held shard and the store; belongs to the control thread. */
+internal class HostedKeptJobs(
+    private val holding: ShardHolding,
+    private val dispatcher: ShardDispatcher,
+    private val loop: ControlLoop,
+    private val onFenced: () -> Unit,
+    createStore: (KeptJobStore.Listener) -> KeptJobStore,
+) : KeptJobStore.Listener {
+    private val store = createStore(this)
+    private val cancels = HashMap<JobId, MutableList<(JobState?) -> Unit>>()
+
+    /** Above the attempts of all earlier holders, because fences grow. */
+    private val attemptBase = (holding.revision % MAX_ATTEMPT_BASE).toInt()
+
+    fun start() = store.start()
+
+    fun release() {
+        store.release()
+        cancels.values.flatten().forEach { it(null) }
+        cancels.clear()
+    }
+
+    fun keep(
+        job: JobSpec,
+        waitMillis: Long,
+        onOutcome: (KeepOutcome) -> Unit,
+    ) {
+        val tasks = job.steps.sumOf { it.count }
+        if (dispatcher.keptState(job.id) != null) {
+            onOutcome(KeepOutcome.Kept)
+        } else if (dispatcher.waitingTasks + tasks > MAX_WAITING_TASKS) {
+            onOutcome(KeepOutcome.Refused("${dispatcher.waitingTasks} tasks wait already", FULL_RETRY_AFTER_MILLIS))
+        } else {
+            store.accept(job, waitMillis, onOutcome)
+        }
+    }
+
+    fun cancel(
+        id: JobId,
+        onState: (JobState?) -> Unit,
+    ) {
+        val state = dispatcher.keptState(id)
+        if (state == null || state.isEnded) {
+            onState(state)
+        } else {
+            cancels.getOrPut(id) { ArrayList(1) }.add(onState)
+            dispatcher.cancel(id, loop.nowMillis())
+        }
+    }
+
+    fun save(
+        id: JobId,
+        snapshot: () -> JobSnapshot,
+    ) = store.save(id, snapshot)
+
+    /** The end of a job is stored. */
+    fun ended(
+        id: JobId,
+        state: JobState,
+    ) {
+        cancels.remove(id)?.forEach { it(state) }
+    }
+
+    override fun onFound(jobs: List<KeptJob>) =
+        dispatcher.recover(jobs.toImmutableList(), attemptBase, loop.nowMillis())
+
+    override fun onAccepted(job: KeptJob) = dispatcher.keep(job, loop.nowMillis())
+
+    override fun onSaved(
+        id: JobId,
+        version: Long,
+    ) = dispatcher.onSaved(id, version, loop.nowMillis())
+
+    override fun onForgotten(id: JobId) = dispatcher.forget(id)
+
+    override fun onFenced(item: StoreItem) = onFenced()
+
+    private companion object {
+        /** Bounds the memory of a backlog to some 10 MB. */
+        const val MAX_WAITING_TASKS = 20_000
+
+        /** About the time in which a full backlog has shrunk noticeably. */
+        const val FULL_RETRY_AFTER_MILLIS = 5_000L
+        const val MAX_ATTEMPT_BASE = 1_000_000_000L
+    }
+}
--- /dev/null
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/kept/KeptHolders.kt
@@ -0,0 +1,53 @@
+package io.jackdawring.fleet.kept
+
+import io.jackdawring.core.fleet.ShardHolding
+import io.jackdawring.core.fleet.ShardId
+import io.jackdawring.core.shard.JobId
+import io.jackdawring.core.shard.JobSpec
+import io.jackdawring.core.shard.JobState
+
+/** Reaches the holders of kept jobs, in this process or over the network. */
+internal interface KeptHolders {
+    val ownShards: List<ShardId>
+
+    /** Holders that may take a job, the first to ask first. */
+    fun candidates(job: JobSpec): List<ShardHolding>
+
+    fun holding(shardId: ShardId): ShardHolding?
+
+    /** All shards with the holders that the store names. */
+    val holdings: Collection<ShardHolding>
+
+    /** Asks to keep [job]; [onOutcome] gets null if the request did not reach the holder or is not its to decide. */
+    fun keep(
+        holding: ShardHolding,
+        job: JobSpec,
+        waitMillis: Long,
+        onOutcome: (KeepOutcome?) -> Unit,
+    )
+
+    /** Asks for the state of a job, and cancels it first if [cancel] is set. */
+    fun ask(
+        holding: ShardHolding,
+        jobId: JobId,
+        cancel: Boolean,
+        onAnswer: (StateAnswer) -> Unit,
+    )
+
+    /** Asks how many jobs of [queue] have not begun; [onCount] gets null if there is no answer. */
+    fun countPending(
+        holding: ShardHolding,
+        queue: String,
+        onCount: (Int?) -> Unit,
+    )
+
+    /** Answer of a holder. */
+    sealed interface StateAnswer {
+        /** State of the job, or null if the holder does not know it. */
+        data class Known(
+            val state: JobState?,
+        ) : StateAnswer
+
+        data object Unreachable : StateAnswer
+    }
+}
--- /dev/null
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/kept/KeptSubmission.kt
@@ -0,0 +1,97 @@
+package io.jackdawring.fleet.kept
+
+import io.jackdawring.core.fleet.ShardHolding
+import io.jackdawring.core.fleet.ShardId
+import io.jackdawring.core.shard.JobSpec
+import io.jackdawring.fleet.CallerAnswer
+import io.jackdawring.fleet.ControlLoop
+
+/**
+ * One request of a caller to keep a job, until it is answered.
+ *
+ * Holders are asked in turn; the key of the job in the store lets only one of them store it. After an answer that leaves
+ * open whether the job is stored, it is never refused: it is stored at last, or the caller learns that this is unknown.
+ */
+internal class KeptSubmission(
+    private val job: JobSpec,
+    waitMillis: Long,
+    private val loop: ControlLoop,
+    private val holders: KeptHolders,
+    private val onAnswer: (CallerAnswer) -> Unit,
+) {
+    private val startedAtMillis = loop.nowMillis()
+    private val deadlineMillis = startedAtMillis + waitMillis
+    private val refusals = LinkedHashMap<ShardId, KeepOutcome.Refused>()
+    private var isUnsure = false
+
+    /** Requests without a usable answer; each lets the next holder be asked. */
+    private var unanswered = 0
+
+    fun start() = ask()
+
+    private fun ask() {
+        val now = loop.nowMillis()
+        val remaining = deadlineMillis - now - ANSWER_MARGIN_MILLIS
+        val candidates = holders.candidates(job).filterNot { it.shardId in refusals }
+        val refusal = refusals.values.firstOrNull()
+        when {
+            remaining <= 0 -> onAnswer(openAnswer("no answer of a holder"))
+            candidates.isNotEmpty() && refusals.size < MAX_HOLDERS ->
+                keep(candidates[unanswered % candidates.size], remaining)
+            refusal != null && !isUnsure -> onAnswer(CallerAnswer.NotRun(refusal.reason, refusal.retryAfterMillis))
+            !isUnsure && now - startedAtMillis >= PATIENCE_MILLIS ->
+                onAnswer(openAnswer("no entry instance holds the targets"))
+            else -> askLater()
+        }
+    }
+
+    private fun askLater() = loop.schedule(RETRY_MILLIS, ::ask)
+
+    private fun keep(
+        holding: ShardHolding,
+        remainingMillis: Long,
+    ) = holders.keep(holding, job, minOf(remainingMillis, MAX_WAIT_MILLIS)) { outcome ->
+        when (outcome) {
+            is KeepOutcome.Kept -> {
+                onAnswer(CallerAnswer.Stored)
+            }
+
+            is KeepOutcome.Refused -> {
+                refusals[holding.shardId] = outcome
+                // A holder that refuses may have stored the job after an earlier request all the same.
+                if (isUnsure) askLater() else ask()
+            }
+
+            is KeepOutcome.Unsure -> {
+                isUnsure = true
+                unanswered++
+                refusals.clear()
+                askLater()
+            }
+
+            null -> {
+                unanswered++
+                askLater()
+            }
+        }
+    }
+
+    private fun openAnswer(reason: String): CallerAnswer =
+        if (isUnsure) CallerAnswer.GivenUp(reason) else CallerAnswer.NotRun(reason, NO_HOLDER_RETRY_MILLIS)
+
+    private companion object {
+        /** Time for the answer to reach the caller before it gives up. */
+        const val ANSWER_MARGIN_MILLIS = 30L
+
+        /** Bounds the messages of a job that no failure domain can store. */
+        const val MAX_HOLDERS = 3
+
+        /** Longest wait for one holder, so that a silent one leaves time for another. */
+        const val MAX_WAIT_MILLIS = 600L
+
+        /** Time to wait for a holder; a take-over needs about as long. */
+        const val PATIENCE_MILLIS = 700L
+        const val RETRY_MILLIS = 30L
+        const val NO_HOLDER_RETRY_MILLIS = 1_000L
+    }
+}
--- /dev/null
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/kept/RealKeptHolders.kt
@@ -0,0 +1,96 @@
+package io.jackdawring.fleet.kept
+
+import io.jackdawring.core.fleet.ShardHolding
+import io.jackdawring.core.fleet.ShardId
+import io.jackdawring.core.shard.JobId
+import io.jackdawring.core.shard.JobSpec
+import io.jackdawring.fleet.FleetDirectory
+import io.jackdawring.fleet.HeldShards
+import io.jackdawring.fleet.HolderAccess
+import io.jackdawring.fleet.peer.PeerClient
+import io.jackdawring.fleet.peer.PeerReply
+
+internal class RealKeptHolders(
+    override val ownShards: List<ShardId>,
+    private val shards: HeldShards,
+    private val directory: FleetDirectory,
+    private val access: HolderAccess,
+    private val peers: PeerClient,
+) : KeptHolders {
+    override val holdings: Collection<ShardHolding> get() = directory.holdings.values
+
+    override fun holding(shardId: ShardId): ShardHolding? = shards.host(shardId)?.holding ?: directory.holdings[shardId]
+
+    override fun candidates(job: JobSpec): List<ShardHolding> =
+        listOfNotNull(access.findHolder(job)) + access.findOtherHolders(job)
+
+    override fun keep(
+        holding: ShardHolding,
+        job: JobSpec,
+        waitMillis: Long,
+        onOutcome: (KeepOutcome?) -> Unit,
+    ) {
+        val host = shards.host(holding.shardId)
+        if (host != null) {
+            host.keep(job, waitMillis, onOutcome)
+            return
+        }
+        val message = KeepMessage(holding.shardId, job, waitMillis)
+        peers.keep(holding.holder, message, waitMillis + ANSWER_SLACK_MILLIS) { reply ->
+            onOutcome(
+                when (reply) {
+                    is PeerReply.Answered -> reply.message.outcome
+                    is PeerReply.Denied, is PeerReply.NotSent, is PeerReply.Cancelled -> null
+                    is PeerReply.Broken -> KeepOutcome.Unsure(reply.detail)
+                },
+            )
+        }
+    }
+
+    override fun ask(
+        holding: ShardHolding,
+        jobId: JobId,
+        cancel: Boolean,
+        onAnswer: (KeptHolders.StateAnswer) -> Unit,
+    ) {
+        val host = shards.host(holding.shardId)
+        if (host != null) {
+            if (cancel) {
+                host.cancel(jobId) { onAnswer(KeptHolders.StateAnswer.Known(it)) }
+            } else {
+                onAnswer(KeptHolders.StateAnswer.Known(host.keptState(jobId)))
+            }
+            return
+        }
+        peers.askState(holding.holder, KeptStateMessage(holding.shardId, jobId, cancel)) { reply ->
+            val answered = reply as? PeerReply.Answered
+            onAnswer(
+                answered?.let {
+                    KeptHolders.StateAnswer.Known(
+                        it.message.state,
+                    )
+                } ?: KeptHolders.StateAnswer.Unreachable,
+            )
+        }
+    }
+
+    override fun countPending(
+        holding: ShardHolding,
+        queue: String,
+        onCount: (Int?) -> Unit,
+    ) {
+        val host = shards.host(holding.shardId)
+        if (host != null) {
+            onCount(host.pendingJobs(queue))
+            return
+        }
+        peers.countPending(holding.holder, PendingMessage(holding.shardId, queue)) { reply ->
+            onCount((reply as? PeerReply.Answered)?.message?.jobs)
+        }
+    }
+
+    private companion object {
+        /** The holder answers within the given time; this covers the way back. */
+        const val ANSWER_SLACK_MILLIS = 50L
+    }
+}
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/metrics/FleetMetrics.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/metrics/FleetMetrics.kt
@@ -1,6 +1,7 @@
 package io.jackdawring.fleet.metrics
 
 import io.jackdawring.core.shard.JobOutcome
+import io.jackdawring.core.shard.JobState
 import io.jackdawring.fleet.CallerAnswer
 import io.jackdawring.fleet.shard.label
 import io.jackdawring.server.http.HttpResponseMessage
@@ -32,6 +33,8 @@
             .register(registry)
     private val shardAnswers =
         registry.counter("jackdawring_shard_answers", "Jobs answered by held shards, by outcome.", "outcome")
+    private val keptJobs =
+        registry.counter("jackdawring_kept_jobs", "Changes of kept jobs at held shards, by new state.", "state")
     private val repeats = registry.counter("jackdawring_repeated_runs", "Runs that were over without a result.")
     private val targetChanges =
         registry.counter("jackdawring_target_changes", "Changes of belief about targets, by new state.", "state")
@@ -64,6 +67,8 @@
 
     fun shardAnswered(outcome: JobOutcome) = shardAnswers.labelValues(outcome.label).inc()
 
+    fun keptJobChanged(state: JobState) = keptJobs.labelValues(state.name.lowercase()).inc()
+
     fun runRepeated() = repeats.inc()
 
     fun targetChanged(state: String) = targetChanges.labelValues(state).inc()
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/peer/PeerApi.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/peer/PeerApi.kt
@@ -1,8 +1,17 @@
 package io.jackdawring.fleet.peer
 
 import io.jackdawring.core.InstanceId
+import io.jackdawring.core.fleet.ShardId
+import io.jackdawring.core.shard.JobState
 import io.jackdawring.fleet.ControlLoop
 import io.jackdawring.fleet.HeldShards
+import io.jackdawring.fleet.kept.KeepMessage
+import io.jackdawring.fleet.kept.KeepReply
+import io.jackdawring.fleet.kept.KeptStateMessage
+import io.jackdawring.fleet.kept.KeptStateReply
+import io.jackdawring.fleet.kept.PendingMessage
+import io.jackdawring.fleet.kept.PendingReply
+import io.jackdawring.fleet.shard.ShardHost
 import io.jackdawring.server.http.HttpExchange
 import io.jackdawring.server.http.HttpResponseMessage
 import kotlinx.collections.immutable.persistentMapOf
@@ -23,6 +32,9 @@
                 PeerPaths.JOB -> onJob(exchange, decode(exchange, JobMessage.serializer()))
                 PeerPaths.PING -> onPing(exchange, decode(exchange, PingMessage.serializer()))
                 PeerPaths.HAND_OVER -> onHandOver(exchange, decode(exchange, HandOverMessage.serializer()))
+                PeerPaths.KEEP -> onKeep(exchange, decode(exchange, KeepMessage.serializer()))
+                PeerPaths.KEPT_STATE -> onKeptState(exchange, decode(exchange, KeptStateMessage.serializer()))
+                PeerPaths.PENDING -> onPending(exchange, decode(exchange, PendingMessage.serializer()))
                 else -> exchange.respond(HttpResponseMessage(STATUS_NOT_FOUND))
             }
         } catch (e: SerializationException) {
@@ -39,11 +51,7 @@
         exchange: HttpExchange,
         message: JobMessage,
     ) {
-        val host = shards.host(message.shardId)
-        if (host == null) {
-            exchange.respond(HttpResponseMessage(STATUS_NOT_HOLDER))
-            return
-        }
+        val host = hostOrDeny(exchange, message.shardId) ?: return
         onAsked(InstanceId(message.relay))
         val waiter =
             host.submit(message.relay, message.request) { outcome ->
@@ -52,6 +60,42 @@
         exchange.onDisconnected { loop.execute { host.withdraw(waiter) } }
     }
 
+    private fun hostOrDeny(
+        exchange: HttpExchange,
+        shardId: ShardId,
+    ): ShardHost? {
+        val host = shards.host(shardId)
+        if (host == null) exchange.respond(HttpResponseMessage(STATUS_NOT_HOLDER))
+        return host
+    }
+
+    private fun onKeep(
+        exchange: HttpExchange,
+        message: KeepMessage,
+    ) {
+        val host = hostOrDeny(exchange, message.shardId) ?: return
+        host.keep(message.job, message.waitMillis) { outcome ->
+            exchange.respond(json(KeepReply.serializer(), KeepReply(outcome)))
+        }
+    }
+
+    private fun onKeptState(
+        exchange: HttpExchange,
+        message: KeptStateMessage,
+    ) {
+        val host = hostOrDeny(exchange, message.shardId) ?: return
+        val respond = { state: JobState? -> exchange.respond(json(KeptStateReply.serializer(), KeptStateReply(state))) }
+        if (message.cancel) host.cancel(message.jobId, respond) else respond(host.keptState(message.jobId))
+    }
+
+    private fun onPending(
+        exchange: HttpExchange,
+        message: PendingMessage,
+    ) {
+        val host = hostOrDeny(exchange, message.shardId) ?: return
+        exchange.respond(json(PendingReply.serializer(), PendingReply(host.pendingJobs(message.queue))))
+    }
+
     private fun onPing(
         exchange: HttpExchange,
         message: PingMessage,
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/peer/PeerClient.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/peer/PeerClient.kt
@@ -1,6 +1,12 @@
 package io.jackdawring.fleet.peer
 
 import io.jackdawring.core.fleet.FleetMember
+import io.jackdawring.fleet.kept.KeepMessage
+import io.jackdawring.fleet.kept.KeepReply
+import io.jackdawring.fleet.kept.KeptStateMessage
+import io.jackdawring.fleet.kept.KeptStateReply
+import io.jackdawring.fleet.kept.PendingMessage
+import io.jackdawring.fleet.kept.PendingReply
 import io.jackdawring.server.http.HttpCall
 import io.jackdawring.server.http.HttpClient
 import io.jackdawring.server.http.HttpRequestMessage
@@ -62,6 +68,53 @@
             onReply,
         )
 
+    /** Asks [member] to store a job; its answer takes up to [timeoutMillis]. */
+    fun keep(
+        member: FleetMember,
+        message: KeepMessage,
+        timeoutMillis: Long,
+        onReply: (PeerReply<KeepReply>) -> Unit,
+    ): HttpCall =
+        send(
+            member,
+            PeerPaths.KEEP,
+            KeepMessage.serializer(),
+            message,
+            KeepReply.serializer(),
+            timeoutMillis,
+            onReply,
+        )
+
+    fun askState(
+        member: FleetMember,
+        message: KeptStateMessage,
+        onReply: (PeerReply<KeptStateReply>) -> Unit,
+    ): HttpCall =
+        send(
+            member,
+            PeerPaths.KEPT_STATE,
+            KeptStateMessage.serializer(),
+            message,
+            KeptStateReply.serializer(),
+            STATE_TIMEOUT_MILLIS,
+            onReply,
+        )
+
+    fun countPending(
+        member: FleetMember,
+        message: PendingMessage,
+        onReply: (PeerReply<PendingReply>) -> Unit,
+    ): HttpCall =
+        send(
+            member,
+            PeerPaths.PENDING,
+            PendingMessage.serializer(),
+            message,
+            PendingReply.serializer(),
+            PING_TIMEOUT_MILLIS,
+            onReply,
+        )
+
     private fun <Request, Reply> send(
         member: FleetMember,
         path: String,
@@ -108,6 +161,9 @@
 
         /** Several commits to a healthy store. */
         const val HAND_OVER_TIMEOUT_MILLIS = 500L
+
+        /** A cancellation is answered once it is stored. */
+        const val STATE_TIMEOUT_MILLIS = 800L
         val JSON_HEADERS = persistentMapOf("content-type" to "application/json")
     }
 }
@@ -144,4 +200,7 @@
     const val JOB = "/peer/job"
     const val PING = "/peer/ping"
     const val HAND_OVER = "/peer/hand-over"
+    const val KEEP = "/peer/keep"
+    const val KEPT_STATE = "/peer/kept-state"
+    const val PENDING = "/peer/pending"
 }
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/shard/DecisionLog.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/shard/DecisionLog.kt
@@ -16,6 +16,7 @@
         when (decision) {
             is ShardDecision.JobAdmitted -> onAdmitted(decision)
             is ShardDecision.JobAnswered -> onAnswered(decision)
+            is ShardDecision.KeptJobChanged -> onKeptJobChanged(decision)
             is ShardDecision.RunRepeated -> onRepeated(decision)
             is ShardDecision.TargetChanged -> onTargetChanged(decision)
         }
@@ -45,6 +46,16 @@
         )
     }
 
+    private fun onKeptJobChanged(decision: ShardDecision.KeptJobChanged) {
+        metrics.keptJobChanged(decision.state)
+        log(
+            "kept job ${decision.state.name.lowercase()}",
+            "job" to decision.jobId.value,
+            "queue" to decision.queue,
+            "reason" to decision.reason,
+        )
+    }
+
     private fun onRepeated(decision: ShardDecision.RunRepeated) {
         metrics.runRepeated()
         log(
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/shard/ShardHost.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/shard/ShardHost.kt
@@ -1,8 +1,12 @@
 package io.jackdawring.fleet.shard
 
 import io.jackdawring.core.fleet.ShardHolding
+import io.jackdawring.core.shard.JobId
 import io.jackdawring.core.shard.JobOutcome
 import io.jackdawring.core.shard.JobRequest
+import io.jackdawring.core.shard.JobSnapshot
+import io.jackdawring.core.shard.JobSpec
+import io.jackdawring.core.shard.JobState
 import io.jackdawring.core.shard.LookOrder
 import io.jackdawring.core.shard.ShardDecision
 import io.jackdawring.core.shard.ShardDispatcher
@@ -14,6 +18,9 @@
 import io.jackdawring.core.shard.WaiterId
 import io.jackdawring.fleet.ControlLoop
 import io.jackdawring.fleet.TargetClient
+import io.jackdawring.fleet.kept.HostedKeptJobs
+import io.jackdawring.fleet.kept.KeepOutcome
+import io.jackdawring.fleet.kept.KeptJobStore
 import kotlinx.collections.immutable.ImmutableCollection
 
 /** Runs the dispatcher of a shard that this process holds; belongs to the control thread. */
@@ -25,6 +32,7 @@
     private val loop: ControlLoop,
     private val log: DecisionLog,
     private val onFenced: () -> Unit,
+    createKeptStore: (KeptJobStore.Listener) -> KeptJobStore,
 ) : ShardOutlet {
     private class Waiter(
         val relay: String,
@@ -32,12 +40,18 @@
     )
 
     private val dispatcher = factory.create(options, this)
+    private val keptJobs = HostedKeptJobs(holding, dispatcher, loop, onFenced, createKeptStore)
     private val waiters = HashMap<WaiterId, Waiter>()
     private var nextWaiter = 0L
     private var released = false
 
-    /** Starts the periodic work. */
-    fun run() {
+    /** Starts to work. */
+    fun start() {
+        keptJobs.start()
+        run()
+    }
+
+    private fun run() {
         if (released) return
         dispatcher.tick(loop.nowMillis())
         loop.schedule(TICK_MILLIS, ::run)
@@ -76,8 +90,24 @@
 
     fun pendingJobs(queue: String): Int = dispatcher.pendingJobs(queue)
 
+    /** Stores a job and runs it until it ends; [onOutcome] is called once. */
+    fun keep(
+        job: JobSpec,
+        waitMillis: Long,
+        onOutcome: (KeepOutcome) -> Unit,
+    ) = keptJobs.keep(job, waitMillis, onOutcome)
+
+    fun keptState(id: JobId): JobState? = dispatcher.keptState(id)
+
+    /** Cancels a kept job; [onState] gets its state once that is stored, or null if there is no such job here. */
+    fun cancel(
+        id: JobId,
+        onState: (JobState?) -> Unit,
+    ) = keptJobs.cancel(id, onState)
+
     fun release() {
         released = true
+        keptJobs.release()
         dispatcher.release(loop.nowMillis())
     }
 
@@ -99,6 +129,16 @@
         order: LookOrder,
     ) = targets.look(target, order, holding.revision) { dispatcher.onLook(target.id, order, it, loop.nowMillis()) }
 
+    override fun save(
+        jobId: JobId,
+        snapshot: () -> JobSnapshot,
+    ) = keptJobs.save(jobId, snapshot)
+
+    override fun ended(
+        jobId: JobId,
+        state: JobState,
+    ) = keptJobs.ended(jobId, state)
+
     override fun answer(
         waiter: WaiterId,
         outcome: JobOutcome,
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/store/KeyValueStore.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/store/KeyValueStore.kt
@@ -130,9 +130,10 @@
     /** The lease of a write has ended. */
     data object LeaseEnded : CommitResult
 
-    /** The store did not answer usably; the change may take effect now or later. */
+    /** The store did not answer usably; if it [mayHaveApplied] the change, that may also happen later. */
     class Unavailable(
         val detail: String,
+        val mayHaveApplied: Boolean = true,
     ) : CommitResult
 }
 
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/store/StoreMirror.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/store/StoreMirror.kt
@@ -15,6 +15,7 @@
     private val store: KeyValueStore,
     private val loop: ControlLoop,
     private val gatherMillis: Long = 0,
+    private val waitMillis: Long = WATCH_WAIT_MILLIS,
     private val onChange: () -> Unit,
 ) {
     private val copy = HashMap<String, StoreItem>()
@@ -50,6 +51,13 @@
         generation++
     }
 
+    /** Reads all items again without waiting for the next change. */
+    fun reload() {
+        if (!running) return
+        generation++
+        list()
+    }
+
     private fun isCurrent(startedIn: Int) = running && startedIn == generation
 
     /** Applies [item] that was learned from a write or a peer, unless a newer one is known. */
@@ -90,7 +98,7 @@
 
     private fun watch() {
         val startedIn = generation
-        store.watch(prefix, revision, WATCH_WAIT_MILLIS) { result ->
+        store.watch(prefix, revision, waitMillis) { result ->
             if (!isCurrent(startedIn)) return@watch
             when (result) {
                 is WatchResult.Changed -> {
--- a/fleet/src/test/kotlin/io/jackdawring/fleet/HolderAccessTest.kt
+++ b/fleet/src/test/kotlin/io/jackdawring/fleet/HolderAccessTest.kt
@@ -64,6 +64,7 @@
                 NoTargets,
                 peers,
                 FleetMetrics(),
+                { 0 },
                 { persistentListOf() },
             ) {}
         val access = HolderAccess(SELF, shards, directory, peers, loop)
--- /dev/null
+++ b/fleet/src/test/kotlin/io/jackdawring/fleet/kept/KeptJobStoreTest.kt
@@ -0,0 +1,234 @@
+package io.jackdawring.fleet.kept
+
+import io.jackdawring.core.FailureDomainId
+import io.jackdawring.core.InstanceId
+import io.jackdawring.core.fleet.FleetMember
+import io.jackdawring.core.fleet.ShardHolding
+import io.jackdawring.core.fleet.ShardId
+import io.jackdawring.core.shard.JobId
+import io.jackdawring.core.shard.JobProgress
+import io.jackdawring.core.shard.JobSnapshot
+import io.jackdawring.core.shard.JobSpec
+import io.jackdawring.core.shard.JobState
+import io.jackdawring.core.shard.KeptJob
+import io.jackdawring.core.shard.Resources
+import io.jackdawring.core.shard.StepSpec
+import io.jackdawring.fleet.FakeControlLoop
+import io.jackdawring.fleet.FleetKeys
+import io.jackdawring.fleet.store.FakeTransactionalStore
+import io.jackdawring.fleet.store.FakeTransactionalStore.Mode
+import io.jackdawring.fleet.store.StoreItem
+import org.junit.jupiter.api.DynamicTest
+import org.junit.jupiter.api.TestFactory
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+import kotlin.test.assertNull
+import kotlin.test.assertTrue
+
+/** Guards against accepted jobs that are not stored, untrue refusals, and progress that an older write undoes. */
+class KeptJobStoreTest {
+    private class Holder(
+        scene: Scene,
+        domain: String,
+    ) : KeptJobStore.Listener {
+        val found = ArrayList<KeptJob>()
+        val accepted = ArrayList<KeptJob>()
+        val saved = ArrayList<Pair<String, Long>>()
+        val forgotten = ArrayList<JobId>()
+        var fenced = false
+        private val shardId = ShardId(FailureDomainId(domain), 0)
+        val holding = ShardHolding(shardId, MEMBER, scene.store.put(FleetKeys.shard(shardId)))
+        val jobs =
+            KeptJobStore(holding, scene.store, scene.loop, { scene.unixMillis + scene.loop.nowMillis() }, 10_000, this)
+                .also { it.start() }
+
+        override fun onFound(jobs: List<KeptJob>) {
+            found += jobs
+        }
+
+        override fun onAccepted(job: KeptJob) {
+            accepted += job
+        }
+
+        override fun onSaved(
+            id: JobId,
+            version: Long,
+        ) {
+            saved += id.value to version
+        }
+
+        override fun onForgotten(id: JobId) {
+            forgotten += id
+        }
+
+        override fun onFenced(item: StoreItem) {
+            fenced = true
+            jobs.release()
+        }
+
+        fun accept(
+            id: String,
+            waitMillis: Long = 1_500,
+        ): List<KeepOutcome> {
+            val outcomes = ArrayList<KeepOutcome>()
+            jobs.accept(spec(id), waitMillis) { outcomes.add(it) }
+            return outcomes
+        }
+
+        fun save(
+            id: String,
+            version: Long,
+            state: JobState = JobState.RUNNING,
+        ) = jobs.save(JobId(id)) { JobSnapshot(JobProgress(state, listOf(listOf(version))), version) }
+    }
+
+    private class Scene {
+        val loop = FakeControlLoop()
+        val store = FakeTransactionalStore(loop)
+        var unixMillis = 1_000_000L
+
+        fun holder(domain: String = "a") = Holder(this, domain).also { pass(20) }
+
+        fun pass(millis: Long) = loop.clock.advance(millis)
+
+        fun record(id: String): KeptJobRecord? =
+            store.items[KeptKeys.record(ShardId(FailureDomainId("a"), 0), JobId(id))]?.let(KeptJobRecord::decode)
+    }
+
+    private class Row(
+        val name: String,
+        val test: Scene.() -> Unit,
+    )
+
+    private val rows =
+        listOf(
+            Row("a job is accepted once it is stored") {
+                val holder = holder()
+                val outcomes = holder.accept("j")
+                assertEquals(emptyList(), outcomes.toList())
+                pass(10)
+                assertEquals(listOf<KeepOutcome>(KeepOutcome.Kept), outcomes)
+                assertEquals(spec("j"), record("j")?.spec)
+            },
+            Row("a job that arrives again, also at another shard, is stored once") {
+                val first = holder("a")
+                first.accept("j")
+                pass(10)
+                val second = holder("b")
+                val outcomes = second.accept("j")
+                pass(200)
+                assertEquals(listOf<KeepOutcome>(KeepOutcome.Kept), outcomes)
+                assertEquals(0, second.accepted.size)
+                assertEquals(1, store.items.keys.count { "records" in it })
+            },
+            Row("requests for a job that is being stored share its outcome") {
+                val holder = holder()
+                val outcomes = holder.accept("j") to holder.accept("j")
+                pass(10)
+                assertEquals(1, outcomes.first.size)
+                assertEquals(1, outcomes.second.size)
+                assertEquals(1, holder.accepted.size)
+            },
+            Row("a store that does nothing leads to a refusal soon") {
+                val holder = holder()
+                store.mode = Mode.REFUSES
+                val outcomes = holder.accept("j")
+                pass(500)
+                assertIs<KeepOutcome.Refused>(outcomes.single())
+                store.mode = Mode.HEALTHY
+                pass(5_000)
+                assertNull(record("j"))
+            },
+            Row("a lost answer is resolved by the next write") {
+                val holder = holder()
+                store.mode = Mode.ANSWERS_LOST
+                val outcomes = holder.accept("j")
+                pass(100)
+                store.mode = Mode.HEALTHY
+                pass(500)
+                assertEquals(listOf<KeepOutcome>(KeepOutcome.Kept), outcomes)
+                assertEquals(listOf("j"), holder.found.map { it.spec.id.value })
+            },
+            Row("a write that may take effect late is never called a refusal, and its job is found") {
+                val holder = holder()
+                store.mode = Mode.LATE
+                val outcomes = holder.accept("j", waitMillis = 1_000)
+                pass(2_000)
+                assertIs<KeepOutcome.Unsure>(outcomes.single())
+                pass(2_500)
+                assertEquals(spec("j"), record("j")?.spec)
+                store.mode = Mode.HEALTHY
+                assertEquals(emptyList(), holder.accept("j"))
+                pass(500)
+                assertEquals(listOf("j"), holder.found.map { it.spec.id.value })
+            },
+            Row("progress that is written late does not undo newer progress") {
+                val holder = holder()
+                holder.accept("j")
+                pass(50)
+                store.mode = Mode.LATE
+                holder.save("j", 1)
+                pass(100)
+                store.mode = Mode.HEALTHY
+                holder.save("j", 2)
+                pass(1_000)
+                assertEquals(listOf(listOf(2L)), record("j")?.progress?.done)
+                pass(5_000)
+                assertEquals(listOf(listOf(2L)), record("j")?.progress?.done)
+                assertEquals("j" to 2L, holder.saved.last())
+            },
+            Row("progress after a lost answer is written all the same") {
+                val holder = holder()
+                holder.accept("j")
+                pass(50)
+                store.mode = Mode.ANSWERS_LOST
+                holder.save("j", 1)
+                pass(100)
+                store.mode = Mode.HEALTHY
+                holder.save("j", 2)
+                pass(1_000)
+                assertEquals(listOf(listOf(2L)), record("j")?.progress?.done)
+            },
+            Row("a holder that has lost its shard writes nothing") {
+                val old = holder()
+                old.accept("j")
+                pass(50)
+                val new = holder()
+                old.save("j", 7)
+                pass(500)
+                assertTrue(old.fenced)
+                assertEquals(emptyList(), record("j")?.progress?.done)
+                assertEquals(listOf("j"), new.found.map { it.spec.id.value })
+            },
+            Row("many jobs are written in few writes of a bounded size") {
+                val holder = holder()
+                val outcomes = List(100) { holder.accept("j$it") }
+                pass(1_000)
+                assertTrue(outcomes.all { it.single() == KeepOutcome.Kept })
+                assertTrue(store.writeSizes.all { it <= 32 }, "sizes ${store.writeSizes}")
+                assertTrue(store.writeSizes.size <= 12, "writes ${store.writeSizes.size}")
+            },
+            Row("a job that ended long ago is forgotten, others are not") {
+                val holder = holder()
+                holder.accept("old")
+                holder.accept("open")
+                pass(50)
+                holder.save("old", 1, JobState.COMPLETED)
+                pass(9_000)
+                assertEquals(JobState.COMPLETED, record("old")?.progress?.state)
+                pass(3_000)
+                assertEquals(listOf(JobId("old")), holder.forgotten.toList())
+                assertEquals(listOf(KeptKeys.place(JobId("open"))), store.items.keys.filter { "places" in it })
+            },
+        )
+
+    @TestFactory
+    fun `stored jobs of a shard`() = rows.map { row -> DynamicTest.dynamicTest(row.name) { row.test(Scene()) } }
+
+    private companion object {
+        val MEMBER = FleetMember(InstanceId("e1"), "1", FailureDomainId("a"), "10.0.0.1:1", 1.0)
+
+        fun spec(id: String) =
+            JobSpec(JobId(id), "q", "s", 0, 3, 1.6, 60, "", listOf(StepSpec(1, Resources(1_000), 100)))
+    }
+}
--- /dev/null
+++ b/fleet/src/test/kotlin/io/jackdawring/fleet/store/FakeTransactionalStore.kt
@@ -0,0 +1,99 @@
+package io.jackdawring.fleet.store
+
+import io.jackdawring.fleet.FakeControlLoop
+import kotlinx.collections.immutable.toImmutableList
+
+/** A store on virtual time with conditions and the faults of a platform's store. */
+internal class FakeTransactionalStore(
+    private val loop: FakeControlLoop,
+) : KeyValueStore {
+    enum class Mode {
+        HEALTHY,
+
+        /** Does nothing and says so. */
+        REFUSES,
+
+        /** Does what is asked and does not answer. */
+        ANSWERS_LOST,
+
+        /** Does not answer, and does what is asked seconds later. */
+        LATE,
+    }
+
+    var mode = Mode.HEALTHY
+    val items = LinkedHashMap<String, StoreItem>()
+
+    /** Number of entries of each write that arrived. */
+    val writeSizes = ArrayList<Int>()
+    private var revision = 0L
+
+    fun put(
+        key: String,
+        value: ByteArray = ByteArray(0),
+    ): Long {
+        items[key] = StoreItem(key, value, ++revision)
+        return revision
+    }
+
+    override fun list(
+        prefix: String,
+        onResult: (ListResult) -> Unit,
+    ) = loop.schedule(LATENCY_MILLIS) {
+        val found = items.values.filter { it.key.startsWith(prefix) }.toImmutableList()
+        onResult(ListResult.Listed(found, revision))
+    }
+
+    /** Never sees a change, as if its connection were silent. */
+    override fun watch(
+        prefix: String,
+        afterRevision: Long,
+        waitMillis: Long,
+        onResult: (WatchResult) -> Unit,
+    ) = Unit
+
+    override fun commit(
+        change: StoreChange,
+        onResult: (CommitResult) -> Unit,
+    ) {
+        writeSizes.add(change.conditions.size + change.writes.size + change.removals.size)
+        when (mode) {
+            Mode.HEALTHY -> loop.schedule(LATENCY_MILLIS) { onResult(apply(change)) }
+            Mode.REFUSES ->
+                loop.schedule(LATENCY_MILLIS) { onResult(CommitResult.Unavailable("503", mayHaveApplied = false)) }
+            Mode.ANSWERS_LOST -> {
+                loop.schedule(LATENCY_MILLIS) { apply(change) }
+                loop.schedule(TIMEOUT_MILLIS) { onResult(CommitResult.Unavailable("timed out")) }
+            }
+            Mode.LATE -> {
+                loop.schedule(LATE_MILLIS) { apply(change) }
+                loop.schedule(TIMEOUT_MILLIS) { onResult(CommitResult.Unavailable("timed out")) }
+            }
+        }
+    }
+
+    private fun apply(change: StoreChange): CommitResult {
+        if (change.conditions.any { (items[it.key]?.revision ?: 0) != it.revision }) {
+            return CommitResult.Conflict(change.conditions.mapNotNull { items[it.key] }.toImmutableList())
+        }
+        revision++
+        change.writes.forEach { items[it.key] = StoreItem(it.key, it.value, revision, it.leaseId) }
+        change.removals.forEach(items::remove)
+        return CommitResult.Committed(revision)
+    }
+
+    override fun grantLease(
+        lifetimeMillis: Long,
+        onResult: (LeaseResult) -> Unit,
+    ) = error("not used")
+
+    override fun renewLease(
+        leaseId: Long,
+        onResult: (LeaseResult) -> Unit,
+    ) = error("not used")
+
+    companion object {
+        const val LATENCY_MILLIS = 4L
+        const val TIMEOUT_MILLIS = 200L
+        const val LATE_MILLIS = 3_000L
+    }
+}
--- a/standins/src/main/kotlin/io/jackdawring/standins/platform/StandInSite.kt
+++ b/standins/src/main/kotlin/io/jackdawring/standins/platform/StandInSite.kt
@@ -63,39 +63,71 @@
     /** Waits until the entry instance reports itself ready. */
     fun awaitReady(addresses: Addresses) {
         repeat(READY_TRIES) {
-            if (send(addresses.ready, HttpRequestMessage("GET", "/v1/ready")) == OK) return
+            if (send(addresses.ready, HttpRequestMessage("GET", "/v1/ready")).status == OK) return
             Thread.sleep(READY_POLL_MILLIS)
         }
         error("${addresses.ready} is not ready")
     }
 
-    /** Submits a job of three tasks under the id [number] and returns the status of its answer, 0 for none. */
+    /**
+     * Submits a job of three tasks under the id [number] and returns the status of its answer, 0 for none.
+     *
+     * A [kept] job is stored and runs after the answer.
+     */
     fun submit(
         addresses: Addresses,
         number: Int,
         prefix: String = "/p/",
-    ): Int =
-        send(
-            addresses.callers,
-            HttpRequestMessage(
-                "POST",
-                "$prefix%016x".format(number),
-                headers = persistentMapOf("host" to HOST, "x-deadline-ms" to "5000"),
-                body =
-                    """{"spec":"t","steps":[{"count":3,"cpu":1000,"estimateMs":30}],"bestEffort":true}"""
-                        .encodeToByteArray(),
-            ),
-        )
+        kept: Boolean = false,
+    ): Int {
+        val body = """{"spec":"t","steps":[{"count":3,"cpu":1000,"estimateMs":30}],"bestEffort":${!kept}}"""
+        return send(addresses.callers, request("POST", prefix, number, body)).status
+    }
+
+    /** The answer to a request for the state of the kept job [number]. */
+    fun state(
+        addresses: Addresses,
+        number: Int,
+    ): Answer = send(addresses.callers, request("GET", "/p/", number))
+
+    /** Cancels the kept job [number]. */
+    fun cancel(
+        addresses: Addresses,
+        number: Int,
+    ): Answer = send(addresses.callers, request("DELETE", "/p/", number))
+
+    /** The answer to a request for the number of jobs that have not begun. */
+    fun pending(addresses: Addresses): Answer =
+        send(addresses.callers, HttpRequestMessage("GET", "/p/", headers = persistentMapOf("host" to HOST)))
+
+    private fun request(
+        method: String,
+        prefix: String,
+        number: Int,
+        body: String = "",
+    ) = HttpRequestMessage(
+        method,
+        "$prefix%016x".format(number),
+        headers = persistentMapOf("host" to HOST, "x-deadline-ms" to "5000"),
+        body = body.encodeToByteArray(),
+    )
+
+    /** An answer of an entry instance; [status] is 0 if there was none. */
+    data class Answer(
+        val status: Int,
+        val body: String,
+    )
 
     private fun send(
         address: String,
         request: HttpRequestMessage,
-    ): Int {
-        val status = CompletableFuture<Int>()
+    ): Answer {
+        val answer = CompletableFuture<Answer>()
         client.send(address, request, TIMEOUT_MILLIS) { result ->
-            status.complete((result as? HttpResult.Answered)?.response?.status ?: 0)
+            val response = (result as? HttpResult.Answered)?.response
+            answer.complete(Answer(response?.status ?: 0, response?.body?.decodeToString().orEmpty()))
         }
-        return status.get(2 * TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
+        return answer.get(2 * TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
     }
 
     override fun close() = transport.close()
@@ -109,6 +141,9 @@
 
         /** Status of a job that has not run. */
         const val NOT_RUN = 503
+
+        /** Status of a kept job that does not exist. */
+        const val GONE = 410
         const val FAILURE_DOMAIN = "a"
         private const val HOST = "h.example"
         private const val TIMEOUT_MILLIS = 10_000L
--- a/testing/src/main/kotlin/io/jackdawring/testing/shard/FakeShardTarget.kt
+++ b/testing/src/main/kotlin/io/jackdawring/testing/shard/FakeShardTarget.kt
@@ -39,6 +39,9 @@
     /** The target's clock minus the virtual time. */
     val clockOffsetMillis = 100_000L
 
+    /** Time until which connections are refused, because the target is starting. */
+    internal var startingUntilMillis = 0L
+
     /** Delay of the next look, as if its connection were slow to open. */
     var firstLookDelayMillis = 0L
 
@@ -52,10 +55,12 @@
 
     internal val runs = LinkedHashMap<TaskKey, Run>()
     private val ends = ArrayList<EndedRun>()
+    private val forgotten = ArrayList<TaskKey>()
     private val stopped = HashMap<TaskKey, Int>()
     private var nextEnd = 1L
     private var leaseUntilMillis = 0L
-    private var bornMillis = 1L
+    internal var bornMillis = 1L
+        private set
 
     enum class Mode {
         HEALTHY,
@@ -109,11 +114,16 @@
         nowMillis: Long,
     ): LookResult.Seen {
         order.leaseUntilMillis?.let(::extendLease)
+        forgotten +=
+            ends.filter { it.sequence <= order.acknowledgedEnd && it.ending == EndedRun.Ending.DONE }.map { it.task }
         ends.removeAll { it.sequence <= order.acknowledgedEnd }
         val running = runs.values.map { RunningRun(it.key, it.attempt) }.toImmutableList()
         return LookResult.Seen(nowMillis + clockOffsetMillis, bornMillis, running, ends.toImmutableList())
     }
 
+    /** Done tasks whose ends were acknowledged since the last call. */
+    internal fun takeForgotten(): List<TaskKey> = forgotten.toList().also { forgotten.clear() }
+
     internal val hasNews: Boolean get() = ends.isNotEmpty()
 
     /** Ends the runs whose time or lease is over. */
--- a/testing/src/main/kotlin/io/jackdawring/testing/shard/FakeShardWorld.kt
+++ b/testing/src/main/kotlin/io/jackdawring/testing/shard/FakeShardWorld.kt
@@ -4,7 +4,10 @@
 import io.jackdawring.core.shard.JobId
 import io.jackdawring.core.shard.JobOutcome
 import io.jackdawring.core.shard.JobRequest
+import io.jackdawring.core.shard.JobSnapshot
 import io.jackdawring.core.shard.JobSpec
+import io.jackdawring.core.shard.JobState
+import io.jackdawring.core.shard.KeptJob
 import io.jackdawring.core.shard.LookOrder
 import io.jackdawring.core.shard.LookResult
 import io.jackdawring.core.shard.Resources
@@ -20,6 +23,7 @@
 import io.jackdawring.core.shard.WaiterId
 import io.jackdawring.core.shard.shardOptions
 import io.jackdawring.testing.VirtualClock
+import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.toImmutableList
 
 /** A holder with its targets on virtual time; checks after every step that no task runs twice at a time. */
@@ -39,24 +43,28 @@
             if (!alive) return
             starts.add(order.task to target.id.value)
             val fake = target(target)
-            schedule(LATENCY_MILLIS) { if (fake.mode != FakeShardTarget.Mode.SILENT) arrive(fake, order) }
-            if (fake.mode.answersNothing) {
-                schedule(
-                    TIMEOUT_MILLIS,
-                ) { reply { it.onStart(target.id, order, StartResult.Unknown("timed out"), nowMillis) } }
+            schedule(LATENCY_MILLIS) {
+                val result = arrive(fake, order)
+                if (result != null && !fake.mode.answersNothing) {
+                    schedule(LATENCY_MILLIS) { reply { it.onStart(target.id, order, result, nowMillis) } }
+                } else {
+                    val unknown = StartResult.Unknown("timed out")
+                    schedule(TIMEOUT_MILLIS) { reply { it.onStart(target.id, order, unknown, nowMillis) } }
+                }
             }
         }
 
+        /** The target's answer, or null if the order did not reach it. */
         private fun arrive(
             fake: FakeShardTarget,
             order: StartOrder,
-        ) {
+        ): StartResult? {
+            if (fake.mode == FakeShardTarget.Mode.SILENT) return null
+            if (nowMillis < fake.startingUntilMillis) return StartResult.NotSent("refused")
             val job = jobs.getValue(order.task.jobId)
             val step = job.steps[order.task.step]
-            val result = fake.start(order, step.demand, works[order.task] ?: step.estimateMillis, nowMillis)
-            if (!fake.mode.answersNothing) {
-                schedule(LATENCY_MILLIS) { reply { it.onStart(fake.facts.id, order, result, nowMillis) } }
-            }
+            check(order.task !in doneForGood) { "${order.task} starts again after its end was acknowledged" }
+            return fake.start(order, step.demand, works[order.task] ?: step.estimateMillis, nowMillis)
         }
 
         override fun stop(
@@ -84,27 +92,70 @@
                     reply { it.onLook(target.id, order, LookResult.Unknown("timed out"), nowMillis) }
                 }
             } else {
+                val life = fake.bornMillis
                 schedule(LATENCY_MILLIS + fake.firstLookDelayMillis) {
                     fake.firstLookDelayMillis = 0
-                    fake.look(order, nowMillis)
-                    awaitEnd(fake, order, nowMillis + order.waitMillis)
+                    awaitEnd(fake, life, order, nowMillis + order.waitMillis)
                 }
             }
         }
 
         private fun awaitEnd(
             fake: FakeShardTarget,
+            life: Long,
             order: LookOrder,
             untilMillis: Long,
         ) {
+            if (fake.bornMillis != life || nowMillis < fake.startingUntilMillis) {
+                reply { it.onLook(fake.facts.id, order, LookResult.Unknown("reset"), nowMillis) }
+                return
+            }
+            val seen = look(fake, order)
             if (!fake.hasNews && nowMillis < untilMillis) {
-                schedule(1) { awaitEnd(fake, order, untilMillis) }
+                schedule(1) { awaitEnd(fake, life, order, untilMillis) }
                 return
             }
-            val seen = fake.look(order, nowMillis)
             schedule(LATENCY_MILLIS) { reply { it.onLook(fake.facts.id, order, seen, nowMillis) } }
         }
 
+        private fun look(
+            fake: FakeShardTarget,
+            order: LookOrder,
+        ): LookResult.Seen {
+            // The target rejects the fence of an earlier holder.
+            val isHolder = this === holder
+            val seen =
+                fake.look(
+                    if (isHolder) order else order.copy(acknowledgedEnd = 0, leaseUntilMillis = null),
+                    nowMillis,
+                )
+            doneForGood += fake.takeForgotten().filter { it.jobId in stored }
+            return seen
+        }
+
+        override fun save(
+            jobId: JobId,
+            snapshot: () -> JobSnapshot,
+        ) {
+            val writer = this
+            schedule(saveMillis) {
+                // The store's fence rejects what an earlier holder writes.
+                if (writer !== holder) return@schedule
+                val saved = snapshot()
+                stored[jobId] = stored.getValue(jobId).copy(progress = saved.progress)
+                schedule(LATENCY_MILLIS) { reply { it.onSaved(jobId, saved.version, nowMillis) } }
+            }
+        }
+
+        override fun ended(
+            jobId: JobId,
+            state: JobState,
+        ) {
+            check(
+                stored.getValue(jobId).progress.state == state,
+            ) { "${jobId.value} is shown as $state and not stored so" }
+        }
+
         override fun answer(
             waiter: WaiterId,
             outcome: JobOutcome,
@@ -141,11 +192,25 @@
     /** Real durations of tasks at speed 1, where they differ from the declared ones. */
     val works = HashMap<TaskKey, Long>()
     private val jobs = HashMap<JobId, JobSpec>()
+
+    /** Tasks of kept jobs whose ends as done were acknowledged. */
+    private val doneForGood = HashSet<TaskKey>()
+
+    /** Kept jobs as the store has them. */
+    val stored = LinkedHashMap<JobId, KeptJob>()
+
+    /** Time until a change is stored. */
+    var saveMillis = 5L
+
+    /** Time until a new holder has read the stored jobs. */
+    var readMillis = 10L
+    private var holders = 0
     private var nextWaiter = 0L
     private var holder = Holder()
 
     init {
         holder.dispatcher.updateTargets(targets.map { it.facts }.toImmutableList(), nowMillis)
+        holder.dispatcher.recover(persistentListOf(), attemptBase = 0, nowMillis)
         tick()
     }
 
@@ -173,8 +238,39 @@
         holder = Holder()
         holder.dispatcher.updateTargets(listed.map { it.facts }.toImmutableList(), nowMillis)
         if (handOver) holder.dispatcher.inherit(known, nowMillis)
+        val reader = holder
+        val attemptBase = ++holders * ATTEMPTS_PER_HOLDER
+        schedule(readMillis) {
+            if (reader === holder) reader.dispatcher.recover(stored.values.toImmutableList(), attemptBase, nowMillis)
+        }
+    }
+
+    /** Restarts [target], which refuses connections while it starts. */
+    fun restart(target: FakeShardTarget) {
+        target.restart()
+        target.startingUntilMillis = nowMillis + RESTART_MILLIS
     }
 
+    /** Stores [job] and gives it to the holder. */
+    fun keep(job: JobSpec) {
+        jobs[job.id] = job
+        stored[job.id] = KeptJob(job)
+        holder.dispatcher.keep(KeptJob(job), nowMillis)
+    }
+
+    /** Cancels [job]; returns whether the holder knows it as open. */
+    fun cancel(job: JobSpec): Boolean {
+        val isOpen = keptState(job)?.isEnded == false
+        holder.dispatcher.cancel(job.id, nowMillis)
+        return isOpen
+    }
+
+    val wasReplaced: Boolean get() = holders > 0
+
+    fun keptState(job: JobSpec): JobState? = holder.dispatcher.keptState(job.id)
+
+    fun pendingJobs(queue: String): Int = holder.dispatcher.pendingJobs(queue)
+
     fun submit(
         job: JobSpec,
         remainingMillis: Long = 2_000,
@@ -212,6 +308,8 @@
         private const val LATENCY_MILLIS = 1L
         private const val TIMEOUT_MILLIS = 200L
         private const val TICK_MILLIS = 20L
+        private const val RESTART_MILLIS = 50L
+        private const val ATTEMPTS_PER_HOLDER = 1_000
 
         /** A job of one step for the targets of [FakeShardTarget]. */
         fun job(
