Answer requests to keep a job in time while the store is silent

Ruled out: shorter time limits of writes; a slow store takes 240 ms an answer. Change: a job that no write can have stored is refused after 300 ms; one in doubt is answered as such before its deadline; while the store does not answer, a write puts one job at most in doubt. A request that comes after an expired one for the same job learns the outcome of the first one's write. Also: a test of the shards that are taken from a failure domain without entry instances.

--- a/fleet/src/main/kotlin/io/jackdawring/fleet/kept/KeptJobStore.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/kept/KeptJobStore.kt
@@ -67,6 +67,7 @@
     private val removed = HashSet<JobId>()
     private var loaded = false
     private var busy = false
+    private var failuresInRow = 0
     private var nextWriteMillis = 0L
     private var released = false
 
@@ -92,15 +93,20 @@
             onOutcome(KeepOutcome.Kept)
             return
         }
-        val now = loop.nowMillis()
-        val pending =
-            accepts.getOrPut(spec.id) {
-                PendingAccept(KeptJobRecord(spec, unixMillis()), now + PATIENCE_MILLIS, now + waitMillis)
-            }
+        val pending = accepts.getOrPut(spec.id) { PendingAccept(KeptJobRecord(spec, unixMillis())) }
         pending.onOutcomes.add(onOutcome)
+        loop.schedule(minOf(PATIENCE_MILLIS, waitMillis)) { if (!pending.mayBeStored) expire(pending) }
+        loop.schedule(waitMillis) { expire(pending) }
         write()
     }
 
+    /** Answers the requests for a job that the store did not confirm in time. */
+    private fun expire(pending: PendingAccept) {
+        if (accepts[pending.id] !== pending) return
+        accepts.remove(pending.id)
+        pending.resolve(unsureOrRefused(pending, "the store is not available"))
+    }
+
     /** Stores the progress of a job, as [snapshot] gives it when the write is sent. */
     fun save(
         id: JobId,
@@ -142,9 +148,11 @@
         }
         val batch = nextBatch() ?: return
         busy = true
+        batch.accepts.forEach { it.isInFlight = true }
         nextWriteMillis = now + WRITE_INTERVAL_MILLIS
         store.commit(batch.change) { result ->
             busy = false
+            batch.accepts.forEach { it.isInFlight = false }
             if (!released) onResult(batch, result)
         }
     }
@@ -164,7 +172,8 @@
             )
         }
         for (pending in accepts.values) {
-            if (!batch.hasRoom) break
+            // While the store does not answer, only one job is put in doubt by each write.
+            if (!batch.hasRoom || (failuresInRow > 0 && batch.accepts.isNotEmpty())) break
             batch.accept(pending)
         }
         for (id in removals) {
@@ -178,6 +187,7 @@
         batch: KeptBatch,
         result: CommitResult,
     ) {
+        if (result !is CommitResult.Unavailable) failuresInRow = 0
         when (result) {
             is CommitResult.Committed -> onCommitted(batch, result.revision)
             is CommitResult.Conflict -> onConflict(batch, result.items.associateBy { it.key })
@@ -200,7 +210,6 @@
             if (save.version > save.entry.savedVersion) save.entry.savedVersion = save.version
         }
         for (pending in batch.accepts) {
-            accepts.remove(pending.id)
             entries[pending.id] = KeptEntry(pending.record, revision)
         }
         for (id in batch.removals) {
@@ -214,8 +223,9 @@
             listener.onSaved(save.id, save.version)
         }
         batch.accepts.forEach {
+            // Also without a caller that still waits, the job is stored and has to run.
             listener.onAccepted(it.record.toKeptJob(unixMillis()))
-            it.resolve(KeepOutcome.Kept)
+            settle(it)
         }
         batch.removals.forEach(listener::onForgotten)
     }
@@ -243,33 +253,33 @@
         pending: PendingAccept,
         item: StoreItem,
     ) {
-        accepts.remove(pending.id)
         val place = KeptJobPlace.decode(item)
         logger.info { "job ${pending.id.value} is already stored in shard ${place?.shardId ?: "unknown"}" }
         if (place?.shardId == holding.shardId) mirror.reload()
+        settle(pending)
+    }
+
+    /** Tells that a job is stored to the requests that wait for it, also to those that came after others had given up. */
+    private fun settle(pending: PendingAccept) {
         pending.resolve(KeepOutcome.Kept)
+        accepts.remove(pending.id)?.resolve(KeepOutcome.Kept)
     }
 
     private fun onUnavailable(
         batch: KeptBatch,
         result: CommitResult.Unavailable,
     ) {
-        val now = loop.nowMillis()
-        nextWriteMillis = now + RETRY_MILLIS
+        nextWriteMillis = loop.nowMillis() + RETRY_MILLIS
         logger.debug { "$shardKey: write of ${batch.size} jobs is not answered: ${result.detail}" }
+        failuresInRow++
         if (result.mayHaveApplied) batch.accepts.forEach { it.isUnsure = true }
-        val expired = accepts.values.filter { now >= if (it.isUnsure) it.deadlineMillis else it.patienceMillis }
-        for (pending in expired) {
-            accepts.remove(pending.id)
-            pending.resolve(unsureOrRefused(pending, "the store is not available"))
-        }
     }
 
     private fun unsureOrRefused(
         pending: PendingAccept,
         reason: String,
     ): KeepOutcome =
-        if (pending.isUnsure) KeepOutcome.Unsure(reason) else KeepOutcome.Refused(reason, STORE_RETRY_AFTER_MILLIS)
+        if (pending.mayBeStored) KeepOutcome.Unsure(reason) else KeepOutcome.Refused(reason, STORE_RETRY_AFTER_MILLIS)
 
     /** Removes the records of jobs whose state nobody may ask for any more. */
     private fun removeOld() {
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/kept/KeptSubmission.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/kept/KeptSubmission.kt
@@ -14,7 +14,7 @@
  */
 internal class KeptSubmission(
     private val job: JobSpec,
-    waitMillis: Long,
+    private val waitMillis: Long,
     private val loop: ControlLoop,
     private val holders: KeptHolders,
     private val onAnswer: (CallerAnswer) -> Unit,
@@ -27,20 +27,27 @@
     /** Requests without a usable answer; each lets the next holder be asked. */
     private var unanswered = 0
 
-    fun start() = ask()
+    private var isInProgress = false
+    private var answered = false
+
+    fun start() {
+        loop.schedule(waitMillis - ANSWER_MARGIN_MILLIS) { answer(openAnswer("no answer of a holder")) }
+        ask()
+    }
 
     private fun ask() {
+        if (answered) return
         val now = loop.nowMillis()
         val remaining = deadlineMillis - now - ANSWER_MARGIN_MILLIS
         val candidates = holders.candidates(job).filterNot { it.shardId in refusals }
         val refusal = refusals.values.firstOrNull()
         when {
-            remaining <= 0 -> onAnswer(openAnswer("no answer of a holder"))
+            remaining <= 0 -> answer(openAnswer("no answer of a holder"))
             candidates.isNotEmpty() && refusals.size < MAX_HOLDERS ->
                 keep(candidates[unanswered % candidates.size], remaining)
-            refusal != null && !isUnsure -> onAnswer(CallerAnswer.NotRun(refusal.reason, refusal.retryAfterMillis))
+            refusal != null && !isUnsure -> answer(CallerAnswer.NotRun(refusal.reason, refusal.retryAfterMillis))
             !isUnsure && now - startedAtMillis >= PATIENCE_MILLIS ->
-                onAnswer(openAnswer("no entry instance holds the targets"))
+                answer(openAnswer("no entry instance holds the targets"))
             else -> askLater()
         }
     }
@@ -50,10 +57,21 @@
     private fun keep(
         holding: ShardHolding,
         remainingMillis: Long,
-    ) = holders.keep(holding, job, minOf(remainingMillis, MAX_WAIT_MILLIS)) { outcome ->
+    ) {
+        isInProgress = true
+        holders.keep(holding, job, minOf(remainingMillis, MAX_WAIT_MILLIS)) { outcome ->
+            isInProgress = false
+            if (!answered) onOutcome(holding, outcome)
+        }
+    }
+
+    private fun onOutcome(
+        holding: ShardHolding,
+        outcome: KeepOutcome?,
+    ) {
         when (outcome) {
             is KeepOutcome.Kept -> {
-                onAnswer(CallerAnswer.Stored)
+                answer(CallerAnswer.Stored)
             }
 
             is KeepOutcome.Refused -> {
@@ -77,7 +95,19 @@
     }
 
     private fun openAnswer(reason: String): CallerAnswer =
-        if (isUnsure) CallerAnswer.GivenUp(reason) else CallerAnswer.NotRun(reason, NO_HOLDER_RETRY_MILLIS)
+        if (isUnsure ||
+            isInProgress
+        ) {
+            CallerAnswer.GivenUp(reason)
+        } else {
+            CallerAnswer.NotRun(reason, NO_HOLDER_RETRY_MILLIS)
+        }
+
+    private fun answer(answer: CallerAnswer) {
+        if (answered) return
+        answered = true
+        onAnswer(answer)
+    }
 
     private companion object {
         /** Time for the answer to reach the caller before it gives up. */
--- /dev/null
+++ b/fleet/src/test/kotlin/io/jackdawring/fleet/AbandonedShardsTest.kt
@@ -0,0 +1,83 @@
+package io.jackdawring.fleet
+
+import io.jackdawring.core.FailureDomainId
+import io.jackdawring.core.InstanceId
+import io.jackdawring.core.fleet.FleetMember
+import io.jackdawring.core.fleet.ShardId
+import io.jackdawring.fleet.store.FakeKeyValueStore
+import io.jackdawring.fleet.store.StoreEvent
+import io.jackdawring.fleet.store.StoreItem
+import io.jackdawring.fleet.store.StoreMirror
+import org.junit.jupiter.api.DynamicTest
+import org.junit.jupiter.api.TestFactory
+import kotlin.test.assertEquals
+
+/** Guards against jobs that wait for a failure domain that is lost, and against shards taken from one that restarts. */
+class AbandonedShardsTest {
+    private class Scene {
+        private val store = FakeKeyValueStore()
+        private val directory = FleetDirectory()
+        private val mirror = StoreMirror(FleetKeys.ROOT, store, FakeControlLoop()) {}
+        private val abandoned = AbandonedShards(SELF)
+
+        init {
+            mirror.start()
+            store.answerList(5, shard(SELF), shard(PEER), member(SELF), member(PEER))
+        }
+
+        private fun shard(holder: FleetMember) =
+            StoreItem(FleetKeys.shard(ShardId(holder.failureDomain, 0)), holder.encode(), 1)
+
+        private fun member(member: FleetMember) =
+            StoreItem(FleetKeys.member(member.instanceId.value), member.encode(), 2)
+
+        fun leaves() = store.answerWatch(6, StoreEvent.Removed(FleetKeys.member("e2"), 6))
+
+        fun returns() = store.answerWatch(7, StoreEvent.Written(StoreItem(FleetKeys.member("e2"), PEER.encode(), 7)))
+
+        fun at(millis: Long): List<String> {
+            directory.update(mirror)
+            return abandoned.find(directory, millis).map { it.failureDomain.value }
+        }
+    }
+
+    private class Row(
+        val name: String,
+        val expected: List<String>,
+        val play: Scene.() -> List<String>,
+    )
+
+    private val rows =
+        listOf(
+            Row("a failure domain with an instance keeps its shard", emptyList()) {
+                at(0)
+                at(10_000)
+            },
+            Row("a failure domain is given time to come back", emptyList()) {
+                leaves()
+                at(0)
+                at(2_000)
+            },
+            Row("the shard of an empty failure domain is found", listOf("b")) {
+                leaves()
+                at(0)
+                at(4_000)
+            },
+            Row("a failure domain that came back in time keeps its shard", emptyList()) {
+                leaves()
+                at(0)
+                returns()
+                at(2_000)
+                at(10_000)
+            },
+        )
+
+    @TestFactory
+    fun `shards without an instance in their failure domain`() =
+        rows.map { row -> DynamicTest.dynamicTest(row.name) { assertEquals(row.expected, row.play(Scene())) } }
+
+    private companion object {
+        val SELF = FleetMember(InstanceId("e1"), "1", FailureDomainId("a"), "10.0.0.1:1", 1.0)
+        val PEER = FleetMember(InstanceId("e2"), "1", FailureDomainId("b"), "10.0.0.2:1", 1.0)
+    }
+}
--- a/fleet/src/test/kotlin/io/jackdawring/fleet/kept/KeptJobStoreTest.kt
+++ b/fleet/src/test/kotlin/io/jackdawring/fleet/kept/KeptJobStoreTest.kt
@@ -139,6 +139,29 @@
                 pass(5_000)
                 assertNull(record("j"))
             },
+            Row("jobs that arrive while the store is silent are refused soon, but for the one that is being written") {
+                val holder = holder()
+                store.mode = Mode.LATE
+                holder.accept("first")
+                pass(250)
+                val later = List(20) { holder.accept("j$it") }
+                pass(700)
+                assertTrue(later.count { it.singleOrNull() is KeepOutcome.Refused } >= 17, "$later")
+                pass(10_000)
+                val refused = later.indices.filter { later[it].single() is KeepOutcome.Refused }
+                assertEquals(emptyList(), refused.filter { record("j$it") != null })
+            },
+            Row("a request after an expired one for the same job is answered by the first one's write") {
+                val holder = holder()
+                store.latencyMillis = 150
+                val first = holder.accept("j", waitMillis = 50)
+                pass(100)
+                assertIs<KeepOutcome.Unsure>(first.single())
+                val second = holder.accept("j")
+                pass(100)
+                assertEquals(listOf<KeepOutcome>(KeepOutcome.Kept), second)
+                assertEquals(1, holder.accepted.size)
+            },
             Row("a lost answer is resolved by the next write") {
                 val holder = holder()
                 store.mode = Mode.ANSWERS_LOST
