--- a/cli/src/main/kotlin/io/jackdawring/cli/Commands.kt
+++ b/cli/src/main/kotlin/io/jackdawring/cli/Commands.kt
@@ -8,6 +8,8 @@
 import io.jackdawring.cli.commands.ConfigShowCommand
 import io.jackdawring.cli.commands.DemoCommand
 import io.jackdawring.cli.commands.HelpCommand
+import io.jackdawring.cli.commands.InstanceBeliefsCommand
+import io.jackdawring.cli.commands.InstanceCheckCommand
 import io.jackdawring.cli.commands.InstanceCommand
 import io.jackdawring.cli.commands.LoadCommand
 import io.jackdawring.cli.commands.PlatformDemoCommand
@@ -25,6 +27,8 @@
     listOf(
         ServeCommand(),
         InstanceCommand(),
+        InstanceCheckCommand(),
+        InstanceBeliefsCommand(),
         ConfigCheckCommand(),
         ConfigPublishCommand(),
         ConfigShowCommand(),
--- a/cli/src/main/kotlin/io/jackdawring/cli/commands/InstanceCommand.kt
+++ b/cli/src/main/kotlin/io/jackdawring/cli/commands/InstanceCommand.kt
@@ -40,7 +40,7 @@
                 ?: throw UsageException(
                     "neither --settings nor ${PlatformInstance.SETTINGS_VARIABLE} names a settings file",
                 )
-        val text = read(path)
+        val text = readSettingsFile(path)
         val instance =
             when (val started = PlatformInstance.start(text)) {
                 is Either.Left -> throw StartException("settings file $path: ${started.value}")
@@ -53,11 +53,12 @@
             ExitCode.OK
         }
     }
-
-    private fun read(path: String): String =
-        try {
-            Files.readString(Path.of(path))
-        } catch (e: IOException) {
-            throw StartException("cannot read settings file $path: ${e.message}")
-        }
 }
+
+/** The text of the settings file at [path]; fails with [StartException] if it cannot be read. */
+internal fun readSettingsFile(path: String): String =
+    try {
+        Files.readString(Path.of(path))
+    } catch (e: IOException) {
+        throw StartException("cannot read settings file $path: ${e.message}")
+    }
--- a/core/src/main/kotlin/io/jackdawring/core/routing/RoutingConfiguration.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/routing/RoutingConfiguration.kt
@@ -5,7 +5,7 @@
 /** One version of the operators' configuration. */
 class RoutingConfiguration(
     val version: Long,
-    queues: ImmutableList<QueueRoute>,
+    val queues: ImmutableList<QueueRoute>,
 ) {
     private val queuesByHost =
         queues.groupBy { it.host }.mapValues { (_, list) ->
--- a/core/src/main/kotlin/io/jackdawring/core/shard/HeldTarget.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/HeldTarget.kt
@@ -66,6 +66,19 @@
         used = runs.values.fold(Resources()) { sum, run -> sum + run.demand }
     }
 
+    fun describe(nowMillis: Long) =
+        TargetBelief(
+            id,
+            contact.name.lowercase(),
+            if (seen) nowMillis - answeredAtMillis else null,
+            unlistedSinceMillis == null,
+            facts.draining,
+            record.isSuspended(nowMillis),
+            runs.size,
+            free,
+            record.speed,
+        )
+
     /** State of the connection to a target. */
     enum class Contact {
         /** Not yet listed by this holder. */
--- a/core/src/main/kotlin/io/jackdawring/core/shard/RealShardDispatcher.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/RealShardDispatcher.kt
@@ -32,6 +32,9 @@
         place(nowMillis)
     }
 
+    override fun beliefs(nowMillis: Long): ImmutableList<TargetBelief> =
+        control.targets.map { it.describe(nowMillis) }.toImmutableList()
+
     override fun knownTargets(): ImmutableList<ShardTarget> = control.targets.map { it.facts }.toImmutableList()
 
     override fun inherit(
--- a/core/src/main/kotlin/io/jackdawring/core/shard/ShardDispatcher.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/ShardDispatcher.kt
@@ -85,6 +85,9 @@
     /** State of a kept job, or null if it is not known. */
     fun keptState(jobId: JobId): JobState?
 
+    /** What is believed of each target, for operators. */
+    fun beliefs(nowMillis: Long): ImmutableList<TargetBelief>
+
     /** Number of tasks that wait for a target. */
     val waitingTasks: Int
 
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/RealFleetInstance.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/RealFleetInstance.kt
@@ -9,6 +9,7 @@
 import io.jackdawring.fleet.metrics.FleetMetrics
 import io.jackdawring.fleet.peer.PeerApi
 import io.jackdawring.fleet.peer.PeerClient
+import io.jackdawring.fleet.peer.peerJson
 import io.jackdawring.fleet.relay.JobRelay
 import io.jackdawring.fleet.store.StoreMirror
 import io.jackdawring.server.http.HttpExchange
@@ -89,6 +90,7 @@
     private val metricsServer = options.metricsAddress?.let { controlServers.start(it, ::onMetricsRequest) }
     private val readyServer = controlServers.start(options.readyAddress, ::onReadyRequest)
     private val startedAtMillis = loop.nowMillis()
+    private var configuredAtMillis = 0L
 
     /** Opened when jobs can be served, so that callers do not reach an instance that could only refuse them. */
     @Volatile
@@ -161,6 +163,7 @@
         // The store may answer with older reads than the ones before.
         if (current != null && decoded.version <= current.version) return
         callerApi.configuration = decoded
+        configuredAtMillis = loop.nowMillis()
         openCallerServer()
         logger.info { "configuration version ${decoded.version} is in force, store revision ${item.revision}" }
     }
@@ -171,16 +174,45 @@
 
     private fun onMetricsRequest(exchange: HttpExchange) {
         exchange.respond(
-            if (exchange.request.path ==
-                METRICS_PATH
-            ) {
-                metrics.expose()
-            } else {
-                HttpResponseMessage(STATUS_NOT_FOUND)
+            when (exchange.request.path) {
+                METRICS_PATH -> metrics.expose()
+                BELIEFS_PATH -> HttpResponseMessage(STATUS_OK, body = describeBeliefs().encodeToByteArray())
+                else -> HttpResponseMessage(STATUS_NOT_FOUND)
             },
         )
     }
 
+    private fun describeBeliefs(): String {
+        val now = loop.nowMillis()
+        val beliefs =
+            FleetBeliefs(
+                self.instanceId,
+                self.failureDomain.value,
+                self.incarnation,
+                now - startedAtMillis,
+                isReady(),
+                draining,
+                callerApi.configuration?.let {
+                    FleetBeliefs.Configuration(
+                        it.version,
+                        now - configuredAtMillis,
+                        it.queues.map { queue ->
+                            queue.name
+                        },
+                    )
+                },
+                directory.members.values.map {
+                    FleetBeliefs.Member(it.instanceId, it.failureDomain.value, it.address)
+                },
+                directory.holdings.values.map {
+                    val suspected = shards.host(it.shardId) == null && shards.election.isSuspected(it, now)
+                    FleetBeliefs.Shard(FleetKeys.shard(it.shardId), it.holder.instanceId, it.revision, suspected)
+                },
+                shards.held.mapNotNull { shards.host(it)?.describe() },
+            )
+        return peerJson.encodeToString(FleetBeliefs.serializer(), beliefs)
+    }
+
     private fun isReady(): Boolean {
         if (draining || callerApi.configuration == null) return false
         return directory.shardsOf(self.failureDomain).all { id ->
@@ -226,6 +258,7 @@
         const val STATUS_UNAVAILABLE = 503
         const val STATUS_NOT_FOUND = 404
         const val METRICS_PATH = "/metrics"
+        const val BELIEFS_PATH = "/beliefs"
         const val MAX_PEER_CONNECTIONS = 4_000
 
         /** A leaving target must not get starts after 2 s; several watches fit into that. */
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/shard/ShardHost.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/shard/ShardHost.kt
@@ -17,6 +17,8 @@
 import io.jackdawring.core.shard.TaskKey
 import io.jackdawring.core.shard.WaiterId
 import io.jackdawring.fleet.ControlLoop
+import io.jackdawring.fleet.FleetBeliefs
+import io.jackdawring.fleet.FleetKeys
 import io.jackdawring.fleet.TargetClient
 import io.jackdawring.fleet.kept.HostedKeptJobs
 import io.jackdawring.fleet.kept.KeepOutcome
@@ -88,6 +90,14 @@
             .toList()
             .forEach { dispatcher.dismiss(it, loop.nowMillis()) }
 
+    fun describe() =
+        FleetBeliefs.HeldShard(
+            FleetKeys.shard(holding.shardId),
+            holding.revision,
+            dispatcher.waitingTasks,
+            dispatcher.beliefs(loop.nowMillis()),
+        )
+
     fun pendingJobs(queue: String): Int = dispatcher.pendingJobs(queue)
 
     /** Stores a job and runs it until it ends; [onOutcome] is called once. */
--- a/standins/src/main/kotlin/io/jackdawring/standins/platform/StandInSite.kt
+++ b/standins/src/main/kotlin/io/jackdawring/standins/platform/StandInSite.kt
@@ -17,6 +17,7 @@
         val callers: String,
         val ready: String,
         val peers: String,
+        val metrics: String,
     )
 
     private val transport = HttpTransport(threads = 1, name = "standins")
@@ -40,7 +41,7 @@
             """"timeoutMs":1500,"sloLatencyMs":500,"priority":0,"maxAttempts":4,"stretch":1.6}]}""",
     )
 
-    fun newAddresses() = Addresses(freeAddress(), freeAddress(), freeAddress())
+    fun newAddresses() = Addresses(freeAddress(), freeAddress(), freeAddress(), freeAddress())
 
     private fun freeAddress() = ServerSocket(0).use { "127.0.0.1:${it.localPort}" }
 
@@ -52,6 +53,7 @@
         """
         nodeName = "$name"
         zone = "$FAILURE_DOMAIN"
+        portRange = [${addresses.metrics.substringAfter(':')}]
         [listen]
         front = "${addresses.callers}"
         ready = "${addresses.ready}"
