Answer questions about kept jobs in time while the store is slow

Cause: a cancellation waits until it is stored; at a holder in the same process nothing bounded that wait. Change: after 1.2 s the caller is told to try later, and nothing is said of the job. Before: the new row of KeptSubmissionTest waits for ever. After: it passes.

--- a/fleet/src/main/kotlin/io/jackdawring/fleet/kept/KeptJobRequests.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/kept/KeptJobRequests.kt
@@ -29,7 +29,15 @@
         id: JobId,
         cancel: Boolean,
         onAnswer: (CallerAnswer) -> Unit,
-    ) = askShards(holders.ownShards, id, cancel, onAnswer) { askStore(id, cancel, onAnswer) }
+    ) {
+        var answered = false
+        val answerOnce = { answer: CallerAnswer ->
+            if (!answered) onAnswer(answer)
+            answered = true
+        }
+        loop.schedule(ANSWER_LIMIT_MILLIS) { answerOnce(tryLater("the job's holder or the store is slow")) }
+        askShards(holders.ownShards, id, cancel, answerOnce) { askStore(id, cancel, answerOnce) }
+    }
 
     /** Asks the holders of [shardIds] in turn, then goes on with [onUnknown]. */
     private fun askShards(
@@ -121,6 +129,9 @@
     private fun tryLater(reason: String) = CallerAnswer.TryLater(reason, RETRY_AFTER_MILLIS)
 
     private companion object {
+        /** Below the time for which callers usually wait; a cancellation is stored in tens of milliseconds. */
+        const val ANSWER_LIMIT_MILLIS = 1_200L
+
         /** About the time that a take-over needs. */
         const val RETRY_AFTER_MILLIS = 1_000L
     }
--- a/fleet/src/test/kotlin/io/jackdawring/fleet/kept/KeptSubmissionTest.kt
+++ b/fleet/src/test/kotlin/io/jackdawring/fleet/kept/KeptSubmissionTest.kt
@@ -30,6 +30,9 @@
         val states = HashMap<String, KeptHolders.StateAnswer>()
         val counts = HashMap<String, Int?>()
 
+        /** Failure domains whose holders never answer questions about a job. */
+        val silent = HashSet<String>()
+
         override val ownShards = listOf(ShardId(FailureDomainId("a"), 0))
         override val holdings get() = candidates
 
@@ -54,7 +57,11 @@
             onAnswer: (KeptHolders.StateAnswer) -> Unit,
         ) {
             asked.add(holding.shardId.failureDomain.value)
-            onAnswer(states[holding.shardId.failureDomain.value] ?: KeptHolders.StateAnswer.Known(null))
+            if (holding.shardId.failureDomain.value !in
+                silent
+            ) {
+                onAnswer(states[holding.shardId.failureDomain.value] ?: KeptHolders.StateAnswer.Known(null))
+            }
         }
 
         override fun countPending(
@@ -167,6 +174,13 @@
                 ask(cancel = true)
                 assertIs<CallerAnswer.TryLater>(answer)
             },
+            Row("a cancellation whose storing takes long is not confirmed, and the caller is told in time") {
+                holders.silent += "a"
+                ask(cancel = true)
+                assertNull(answer)
+                pass(1_500)
+                assertIs<CallerAnswer.TryLater>(answer)
+            },
             Row("waiting jobs of all failure domains are counted, the last count standing in for a lost one") {
                 holders.counts += mapOf("a" to 1, "b" to 2, "c" to 3)
                 count()
