Do not count waiting jobs while a new holder reads its own

The log has the question at 33.110 s, 150 ms after front-trent-kitchen-1 took its shard and 170 ms before it had read 2094 stored jobs; it counted none. Ruled out: a holder that is cut off; all answered. Change: a holder that has not read its jobs says so; a count of the last 2 s stands in for it, else the caller is told to try later. The last known count stands in for a holder that does not answer. Before: two new rows of KeptSubmissionTest fail. After: they pass.

--- a/fleet/src/main/kotlin/io/jackdawring/fleet/kept/HostedKeptJobs.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/kept/HostedKeptJobs.kt
@@ -25,6 +25,10 @@
     /** Above the attempts of all earlier holders, because fences grow. */
     private val attemptBase = (holding.revision % MAX_ATTEMPT_BASE).toInt()
 
+    /** Whether the jobs of earlier holders are known. */
+    var isLoaded = false
+        private set
+
     fun start() = store.start()
 
     fun release() {
@@ -74,8 +78,10 @@
         cancels.remove(id)?.forEach { it(state) }
     }
 
-    override fun onFound(jobs: List<KeptJob>) =
+    override fun onFound(jobs: List<KeptJob>) {
+        isLoaded = true
         dispatcher.recover(jobs.toImmutableList(), attemptBase, loop.nowMillis())
+    }
 
     override fun onAccepted(job: KeptJob) = dispatcher.keep(job, loop.nowMillis())
 
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/kept/KeptHolders.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/kept/KeptHolders.kt
@@ -34,13 +34,23 @@
         onAnswer: (StateAnswer) -> Unit,
     )
 
-    /** Asks how many jobs of [queue] have not begun; [onCount] gets null if there is no answer. */
+    /** Asks how many jobs of [queue] have not begun. */
     fun countPending(
         holding: ShardHolding,
         queue: String,
-        onCount: (Int?) -> Unit,
+        onAnswer: (CountAnswer) -> Unit,
     )
 
+    /** Answer of a holder to a question for a count. */
+    sealed interface CountAnswer {
+        /** Number of jobs, or null while the holder does not know those of earlier holders. */
+        data class Known(
+            val jobs: Int?,
+        ) : CountAnswer
+
+        data object Unreachable : CountAnswer
+    }
+
     /** Answer of a holder. */
     sealed interface StateAnswer {
         /** State of the job, or null if the holder does not know it. */
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/kept/KeptJobRequests.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/kept/KeptJobRequests.kt
@@ -14,8 +14,13 @@
     private val holders: KeptHolders,
     private val store: KeyValueStore,
 ) {
+    private class Count(
+        val jobs: Int,
+        val atMillis: Long,
+    )
+
     /** Last known counts of jobs that have not begun. */
-    private val pending = HashMap<Pair<ShardId, String>, Int>()
+    private val counts = HashMap<Pair<ShardId, String>, Count>()
 
     /** Stores [job] for a caller that waits [waitMillis]. */
     fun submit(
@@ -116,22 +121,47 @@
     ) {
         val all = holders.holdings.toList()
         var open = all.size
+        var isIncomplete = false
         if (open == 0) onAnswer(CallerAnswer.Pending(0))
         for (holding in all) {
-            holders.countPending(holding, queue) { count ->
-                val key = holding.shardId to queue
-                if (count != null) pending[key] = count
-                if (--open == 0) onAnswer(CallerAnswer.Pending(all.sumOf { pending[it.shardId to queue] ?: 0 }))
+            holders.countPending(holding, queue) { answer ->
+                if (!note(holding.shardId to queue, answer)) isIncomplete = true
+                if (--open == 0) {
+                    val sum = all.sumOf { counts[it.shardId to queue]?.jobs ?: 0 }
+                    onAnswer(
+                        if (isIncomplete) {
+                            tryLater(
+                                "a holder does not know its jobs yet",
+                            )
+                        } else {
+                            CallerAnswer.Pending(sum)
+                        },
+                    )
+                }
             }
         }
     }
 
+    /** Keeps a count, and returns whether there is one to use; of a holder that is cut off, the last one is. */
+    private fun note(
+        key: Pair<ShardId, String>,
+        answer: KeptHolders.CountAnswer,
+    ): Boolean {
+        val jobs = (answer as? KeptHolders.CountAnswer.Known)?.jobs
+        if (jobs != null) counts[key] = Count(jobs, loop.nowMillis())
+        val isRecent = counts[key]?.let { loop.nowMillis() - it.atMillis <= COUNT_AGE_MILLIS } == true
+        return isRecent || answer is KeptHolders.CountAnswer.Unreachable
+    }
+
     private fun tryLater(reason: String) = CallerAnswer.TryLater(reason, RETRY_AFTER_MILLIS)
 
     private companion object {
         /** Below the time for which callers usually wait; a cancellation is stored in tens of milliseconds. */
         const val ANSWER_LIMIT_MILLIS = 1_200L
 
+        /** Age up to which a count may be given, as the platform's pages say. */
+        const val COUNT_AGE_MILLIS = 2_000L
+
         /** About the time that a take-over needs. */
         const val RETRY_AFTER_MILLIS = 1_000L
     }
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/kept/KeptMessages.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/kept/KeptMessages.kt
@@ -40,7 +40,8 @@
     val queue: String,
 )
 
+/** Number of jobs that have not begun; null while the holder does not know those of earlier holders. */
 @Serializable
 internal data class PendingReply(
-    val jobs: Int,
+    val jobs: Int?,
 )
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/kept/RealKeptHolders.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/kept/RealKeptHolders.kt
@@ -77,15 +77,18 @@
     override fun countPending(
         holding: ShardHolding,
         queue: String,
-        onCount: (Int?) -> Unit,
+        onAnswer: (KeptHolders.CountAnswer) -> Unit,
     ) {
         val host = shards.host(holding.shardId)
         if (host != null) {
-            onCount(host.pendingJobs(queue))
+            onAnswer(KeptHolders.CountAnswer.Known(host.pendingJobs(queue)))
             return
         }
         peers.countPending(holding.holder, PendingMessage(holding.shardId, queue)) { reply ->
-            onCount((reply as? PeerReply.Answered)?.message?.jobs)
+            val answered = reply as? PeerReply.Answered
+            onAnswer(
+                answered?.let { KeptHolders.CountAnswer.Known(it.message.jobs) } ?: KeptHolders.CountAnswer.Unreachable,
+            )
         }
     }
 
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/shard/ShardHost.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/shard/ShardHost.kt
@@ -98,7 +98,8 @@
             dispatcher.beliefs(loop.nowMillis()),
         )
 
-    fun pendingJobs(queue: String): Int = dispatcher.pendingJobs(queue)
+    /** Number of jobs that have not begun, or null while those of earlier holders are not known. */
+    fun pendingJobs(queue: String): Int? = if (keptJobs.isLoaded) dispatcher.pendingJobs(queue) else null
 
     /** Stores a job and runs it until it ends; [onOutcome] is called once. */
     fun keep(
--- a/fleet/src/test/kotlin/io/jackdawring/fleet/kept/KeptSubmissionTest.kt
+++ b/fleet/src/test/kotlin/io/jackdawring/fleet/kept/KeptSubmissionTest.kt
@@ -28,7 +28,7 @@
 
         /** Answers of the holders by failure domain. */
         val states = HashMap<String, KeptHolders.StateAnswer>()
-        val counts = HashMap<String, Int?>()
+        val counts = HashMap<String, KeptHolders.CountAnswer>()
 
         /** Failure domains whose holders never answer questions about a job. */
         val silent = HashSet<String>()
@@ -67,8 +67,8 @@
         override fun countPending(
             holding: ShardHolding,
             queue: String,
-            onCount: (Int?) -> Unit,
-        ) = onCount(counts[holding.shardId.failureDomain.value])
+            onAnswer: (KeptHolders.CountAnswer) -> Unit,
+        ) = onAnswer(counts[holding.shardId.failureDomain.value] ?: KeptHolders.CountAnswer.Unreachable)
     }
 
     private class Scene {
@@ -89,6 +89,11 @@
             pass(50)
         }
 
+        fun knowCounts() {
+            holders.counts +=
+                listOf("a" to 1, "b" to 2, "c" to 3).map { it.first to KeptHolders.CountAnswer.Known(it.second) }
+        }
+
         fun count() = requests.countPending("q") { answer = it }
 
         /** Stores [JOB] in the shard of failure domain "b". */
@@ -181,13 +186,28 @@
                 pass(1_500)
                 assertIs<CallerAnswer.TryLater>(answer)
             },
-            Row("waiting jobs of all failure domains are counted, the last count standing in for a lost one") {
-                holders.counts += mapOf("a" to 1, "b" to 2, "c" to 3)
+            Row("waiting jobs of all failure domains are counted, the last count standing in for that of a cut one") {
+                knowCounts()
                 count()
-                holders.counts["b"] = null
+                holders.counts["b"] = KeptHolders.CountAnswer.Unreachable
+                pass(3_000)
                 count()
                 assertEquals(6, (answer as CallerAnswer.Pending).jobs)
             },
+            Row("a recent count stands in for that of a new holder") {
+                knowCounts()
+                count()
+                holders.counts["b"] = KeptHolders.CountAnswer.Known(null)
+                pass(1_000)
+                count()
+                assertEquals(6, (answer as CallerAnswer.Pending).jobs)
+            },
+            Row("waiting jobs are not counted without those of a holder that does not know its own yet") {
+                knowCounts()
+                holders.counts["b"] = KeptHolders.CountAnswer.Known(null)
+                count()
+                assertIs<CallerAnswer.TryLater>(answer)
+            },
             Row("a silent holder does not hold the caller past its deadline, and the job may be stored") {
                 submit()
                 pass(WAIT_MILLIS - 50)
