Send a job to be kept to the failure domain with the shortest backlog

A job stayed in the failure domain that its caller asked, whose targets had work for many seconds, while others were idle. Ruled out: a lost job; all of them waited at two of four shards. Moving stored jobs between shards: not needed for this case, and it takes two holders. Change: a holder with a backlog of more than 100 ms, or without targets, refuses the job at first; the relay asks the others, and if all have a backlog, the one with the shortest. One that declared nothing of its tasks' length is not seen.

--- a/core/src/main/kotlin/io/jackdawring/core/shard/RealShardDispatcher.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/RealShardDispatcher.kt
@@ -164,6 +164,19 @@
 
     override fun forget(jobId: JobId) = kept.forget(jobId)
 
+    override fun backlogMillis(
+        service: String,
+        nowMillis: Long,
+    ): Long? {
+        val usable = control.targets.filter { it.facts.service == service && TargetChoice.isUsable(it, nowMillis) }
+        val cpuMillis =
+            usable.sumOf {
+                it.facts.capacity.cpuMillis
+                    .toLong()
+            }
+        return if (cpuMillis > 0) waiting.work(service) / cpuMillis else null
+    }
+
     override fun pendingJobs(queue: String): Int =
         (lifecycle.awaitedJobs + kept.openJobs).count { it.spec.queue == queue && !it.started }
 
--- a/core/src/main/kotlin/io/jackdawring/core/shard/ShardDispatcher.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/ShardDispatcher.kt
@@ -88,6 +88,12 @@
     /** What is believed of each target, for operators. */
     fun beliefs(nowMillis: Long): ImmutableList<TargetBelief>
 
+    /** Time that the targets of [service] need for the tasks that wait for them, or null if there is no target. */
+    fun backlogMillis(
+        service: String,
+        nowMillis: Long,
+    ): Long?
+
     /** Number of tasks that wait for a target. */
     val waitingTasks: Int
 
--- a/core/src/main/kotlin/io/jackdawring/core/shard/WaitingTasks.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/WaitingTasks.kt
@@ -26,12 +26,16 @@
         )
     private val byKey = HashMap<TaskKey, Entry>()
 
+    /** Declared work of the waiting tasks by service, in thousandths of a core times milliseconds. */
+    private val workByService = HashMap<String, Long>()
+
     val size: Int get() = entries.size
     val isEmpty: Boolean get() = entries.isEmpty()
 
     fun add(task: HeldTask) {
         if (task.waiting) return
         task.waiting = true
+        workByService.merge(task.job.spec.service, work(task), Long::plus)
         val entry = Entry(task, latestStart(task))
         byKey[task.key] = entry
         entries.add(entry)
@@ -40,9 +44,14 @@
     fun remove(task: HeldTask) {
         if (!task.waiting) return
         task.waiting = false
+        workByService.merge(task.job.spec.service, -work(task), Long::plus)
         byKey.remove(task.key)?.let(entries::remove)
     }
 
+    fun work(service: String): Long = workByService[service] ?: 0
+
+    private fun work(task: HeldTask): Long = task.spec.estimateMillis * task.spec.demand.cpuMillis
+
     /** The waiting tasks in order; a copy, so that tasks may be removed meanwhile. */
     fun inOrder(): List<HeldTask> = entries.map { it.task }
 
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/kept/HostedKeptJobs.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/kept/HostedKeptJobs.kt
@@ -3,7 +3,6 @@
 import io.jackdawring.core.fleet.ShardHolding
 import io.jackdawring.core.shard.JobId
 import io.jackdawring.core.shard.JobSnapshot
-import io.jackdawring.core.shard.JobSpec
 import io.jackdawring.core.shard.JobState
 import io.jackdawring.core.shard.KeptJob
 import io.jackdawring.core.shard.ShardDispatcher
@@ -38,20 +37,28 @@
     }
 
     fun keep(
-        job: JobSpec,
-        waitMillis: Long,
+        message: KeepMessage,
         onOutcome: (KeepOutcome) -> Unit,
     ) {
-        val tasks = job.steps.sumOf { it.count }
-        if (dispatcher.keptState(job.id) != null) {
-            onOutcome(KeepOutcome.Kept)
-        } else if (dispatcher.waitingTasks + tasks > MAX_WAITING_TASKS) {
-            onOutcome(KeepOutcome.Refused("${dispatcher.waitingTasks} tasks wait already", FULL_RETRY_AFTER_MILLIS))
-        } else {
-            store.accept(job, waitMillis, onOutcome)
+        val job = message.job
+        val refusal = if (dispatcher.keptState(job.id) == null) refusal(message) else null
+        when {
+            dispatcher.keptState(job.id) != null -> onOutcome(KeepOutcome.Kept)
+            refusal != null -> onOutcome(refusal)
+            else -> store.accept(job, message.waitMillis, onOutcome)
         }
     }
 
+    private fun refusal(message: KeepMessage): KeepOutcome.Refused? {
+        val waiting = dispatcher.waitingTasks
+        if (waiting + message.job.steps.sumOf { it.count } > MAX_WAITING_TASKS) {
+            return KeepOutcome.Refused("$waiting tasks wait already", FULL_RETRY_AFTER_MILLIS)
+        }
+        val backlogMillis = dispatcher.backlogMillis(message.job.service, loop.nowMillis()) ?: Long.MAX_VALUE
+        if (message.despiteBacklog || backlogMillis <= MAX_BACKLOG_MILLIS) return null
+        return KeepOutcome.Refused("a backlog of $backlogMillis ms", FULL_RETRY_AFTER_MILLIS, backlogMillis)
+    }
+
     fun cancel(
         id: JobId,
         onState: (JobState?) -> Unit,
@@ -98,6 +105,9 @@
         /** Bounds the memory of a backlog to some 10 MB. */
         const val MAX_WAITING_TASKS = 20_000
 
+        /** Above it, a job goes to another failure domain with a shorter backlog; a hop costs a few milliseconds. */
+        const val MAX_BACKLOG_MILLIS = 100L
+
         /** About the time in which a full backlog has shrunk noticeably. */
         const val FULL_RETRY_AFTER_MILLIS = 5_000L
         const val MAX_ATTEMPT_BASE = 1_000_000_000L
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/kept/KeepOutcome.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/kept/KeepOutcome.kt
@@ -11,12 +11,17 @@
     @SerialName("kept")
     data object Kept : KeepOutcome
 
-    /** The job is not stored and will not be; the caller may come back after [retryAfterMillis]. */
+    /**
+     * The job is not stored and will not be; the caller may come back after [retryAfterMillis].
+     *
+     * If the reason is a backlog, which another shard may not have, [backlogMillis] is its length.
+     */
     @Serializable
     @SerialName("refused")
     data class Refused(
         val reason: String,
         val retryAfterMillis: Long,
+        val backlogMillis: Long? = null,
     ) : KeepOutcome
 
     /** The job may be stored now or later. */
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/kept/KeptHolders.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/kept/KeptHolders.kt
@@ -18,11 +18,10 @@
     /** All shards with the holders that the store names. */
     val holdings: Collection<ShardHolding>
 
-    /** Asks to keep [job]; [onOutcome] gets null if the request did not reach the holder or is not its to decide. */
+    /** Asks to keep a job; [onOutcome] gets null if the request did not reach the holder or is not its to decide. */
     fun keep(
         holding: ShardHolding,
-        job: JobSpec,
-        waitMillis: Long,
+        message: KeepMessage,
         onOutcome: (KeepOutcome?) -> Unit,
     )
 
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/kept/KeptMessages.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/kept/KeptMessages.kt
@@ -6,12 +6,17 @@
 import io.jackdawring.core.shard.JobState
 import kotlinx.serialization.Serializable
 
-/** Asks the holder of [shardId] to store [job] and to run it; its answer takes at most [waitMillis]. */
+/**
+ * Asks the holder of [shardId] to store [job] and to run it; its answer takes at most [waitMillis].
+ *
+ * A holder with a backlog refuses it unless [despiteBacklog] is set.
+ */
 @Serializable
 internal data class KeepMessage(
     val shardId: ShardId,
     val job: JobSpec,
     val waitMillis: Long,
+    val despiteBacklog: Boolean,
 )
 
 @Serializable
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/kept/KeptSubmission.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/kept/KeptSubmission.kt
@@ -39,12 +39,17 @@
         if (answered) return
         val now = loop.nowMillis()
         val remaining = deadlineMillis - now - ANSWER_MARGIN_MILLIS
-        val candidates = holders.candidates(job).filterNot { it.shardId in refusals }
+        val candidates = holders.candidates(job)
+        val open = candidates.filterNot { it.shardId in refusals }
+        val leastBacklog =
+            candidates
+                .filter { refusals[it.shardId]?.backlogMillis != null }
+                .minByOrNull { refusals[it.shardId]?.backlogMillis ?: Long.MAX_VALUE }
         val refusal = refusals.values.firstOrNull()
         when {
             remaining <= 0 -> answer(openAnswer("no answer of a holder"))
-            candidates.isNotEmpty() && refusals.size < MAX_HOLDERS ->
-                keep(candidates[unanswered % candidates.size], remaining)
+            open.isNotEmpty() && refusals.size < MAX_HOLDERS -> keep(open[unanswered % open.size], remaining, false)
+            leastBacklog != null -> keep(leastBacklog, remaining, despiteBacklog = true)
             refusal != null && !isUnsure -> answer(CallerAnswer.NotRun(refusal.reason, refusal.retryAfterMillis))
             !isUnsure && now - startedAtMillis >= PATIENCE_MILLIS ->
                 answer(openAnswer("no entry instance holds the targets"))
@@ -57,9 +62,11 @@
     private fun keep(
         holding: ShardHolding,
         remainingMillis: Long,
+        despiteBacklog: Boolean,
     ) {
         isInProgress = true
-        holders.keep(holding, job, minOf(remainingMillis, MAX_WAIT_MILLIS)) { outcome ->
+        val wait = minOf(remainingMillis, MAX_WAIT_MILLIS)
+        holders.keep(holding, KeepMessage(holding.shardId, job, wait, despiteBacklog)) { outcome ->
             isInProgress = false
             if (!answered) onOutcome(holding, outcome)
         }
@@ -89,6 +96,7 @@
 
             null -> {
                 unanswered++
+                refusals.remove(holding.shardId)
                 askLater()
             }
         }
@@ -114,7 +122,7 @@
         const val ANSWER_MARGIN_MILLIS = 30L
 
         /** Bounds the messages of a job that no failure domain can store. */
-        const val MAX_HOLDERS = 3
+        const val MAX_HOLDERS = 4
 
         /** Longest wait for one holder, so that a silent one leaves time for another. */
         const val MAX_WAIT_MILLIS = 600L
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/kept/RealKeptHolders.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/kept/RealKeptHolders.kt
@@ -26,17 +26,15 @@
 
     override fun keep(
         holding: ShardHolding,
-        job: JobSpec,
-        waitMillis: Long,
+        message: KeepMessage,
         onOutcome: (KeepOutcome?) -> Unit,
     ) {
         val host = shards.host(holding.shardId)
         if (host != null) {
-            host.keep(job, waitMillis, onOutcome)
+            host.keep(message, onOutcome)
             return
         }
-        val message = KeepMessage(holding.shardId, job, waitMillis)
-        peers.keep(holding.holder, message, waitMillis + ANSWER_SLACK_MILLIS) { reply ->
+        peers.keep(holding.holder, message, message.waitMillis + ANSWER_SLACK_MILLIS) { reply ->
             onOutcome(
                 when (reply) {
                     is PeerReply.Answered -> reply.message.outcome
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/peer/PeerApi.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/peer/PeerApi.kt
@@ -74,7 +74,7 @@
         message: KeepMessage,
     ) {
         val host = hostOrDeny(exchange, message.shardId) ?: return
-        host.keep(message.job, message.waitMillis) { outcome ->
+        host.keep(message) { outcome ->
             exchange.respond(json(KeepReply.serializer(), KeepReply(outcome)))
         }
     }
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/shard/ShardHost.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/shard/ShardHost.kt
@@ -5,7 +5,6 @@
 import io.jackdawring.core.shard.JobOutcome
 import io.jackdawring.core.shard.JobRequest
 import io.jackdawring.core.shard.JobSnapshot
-import io.jackdawring.core.shard.JobSpec
 import io.jackdawring.core.shard.JobState
 import io.jackdawring.core.shard.LookOrder
 import io.jackdawring.core.shard.ShardDecision
@@ -21,6 +20,7 @@
 import io.jackdawring.fleet.FleetKeys
 import io.jackdawring.fleet.TargetClient
 import io.jackdawring.fleet.kept.HostedKeptJobs
+import io.jackdawring.fleet.kept.KeepMessage
 import io.jackdawring.fleet.kept.KeepOutcome
 import io.jackdawring.fleet.kept.KeptJobStore
 import kotlinx.collections.immutable.ImmutableCollection
@@ -103,10 +103,9 @@
 
     /** Stores a job and runs it until it ends; [onOutcome] is called once. */
     fun keep(
-        job: JobSpec,
-        waitMillis: Long,
+        message: KeepMessage,
         onOutcome: (KeepOutcome) -> Unit,
-    ) = keptJobs.keep(job, waitMillis, onOutcome)
+    ) = keptJobs.keep(message, onOutcome)
 
     fun keptState(id: JobId): JobState? = dispatcher.keptState(id)
 
--- a/fleet/src/test/kotlin/io/jackdawring/fleet/kept/KeptSubmissionTest.kt
+++ b/fleet/src/test/kotlin/io/jackdawring/fleet/kept/KeptSubmissionTest.kt
@@ -42,11 +42,10 @@
 
         override fun keep(
             holding: ShardHolding,
-            job: JobSpec,
-            waitMillis: Long,
+            message: KeepMessage,
             onOutcome: (KeepOutcome?) -> Unit,
         ) {
-            asked.add(holding.shardId.failureDomain.value)
+            asked.add(holding.shardId.failureDomain.value + if (message.despiteBacklog) "!" else "")
             this.onOutcome = onOutcome
         }
 
@@ -123,6 +122,20 @@
                 assertEquals(listOf("a", "b", "c"), holders.asked.toList())
                 assertIs<CallerAnswer.NotRun>(answer)
             },
+            Row("a job that meets backlogs everywhere goes to the shortest one") {
+                submit()
+                listOf(900L, 300L, 500L).forEach { outcome(REFUSED.copy(backlogMillis = it)) }
+                outcome(KeepOutcome.Kept)
+                assertEquals(listOf("a", "b", "c", "b!"), holders.asked.toList())
+                assertEquals(CallerAnswer.Stored, answer)
+            },
+            Row("a job that meets a backlog in its own failure domain goes to one without") {
+                submit()
+                outcome(REFUSED.copy(backlogMillis = 900))
+                outcome(KeepOutcome.Kept)
+                assertEquals(listOf("a", "b"), holders.asked.toList())
+                assertEquals(CallerAnswer.Stored, answer)
+            },
             Row("a holder that is gone is passed over") {
                 submit()
                 outcome(null)
--- a/testing/src/main/kotlin/io/jackdawring/testing/shard/FakeShardWorld.kt
+++ b/testing/src/main/kotlin/io/jackdawring/testing/shard/FakeShardWorld.kt
@@ -269,6 +269,8 @@
 
     fun keptState(job: JobSpec): JobState? = holder.dispatcher.keptState(job.id)
 
+    fun backlogMillis(): Long? = holder.dispatcher.backlogMillis("orders", nowMillis)
+
     fun pendingJobs(queue: String): Int = holder.dispatcher.pendingJobs(queue)
 
     fun submit(
