--- a/fleet/src/test/kotlin/io/jackdawring/fleet/store/FakeTransactionalStore.kt
+++ b/fleet/src/test/kotlin/io/jackdawring/fleet/store/FakeTransactionalStore.kt
@@ -6,7 +6,7 @@
 /** A store on virtual time with conditions and the faults of a platform's store. */
 internal class FakeTransactionalStore(
     private val loop: FakeControlLoop,
-) : KeyValueStore {
+) : KeyValueStore by FakeKeyValueStore() {
     enum class Mode {
         HEALTHY,
 
@@ -82,16 +82,6 @@
         return CommitResult.Committed(revision)
     }
 
-    override fun grantLease(
-        lifetimeMillis: Long,
-        onResult: (LeaseResult) -> Unit,
-    ) = error("not used")
-
-    override fun renewLease(
-        leaseId: Long,
-        onResult: (LeaseResult) -> Unit,
-    ) = error("not used")
-
     companion object {
         const val TIMEOUT_MILLIS = 200L
         const val LATE_MILLIS = 3_000L
