Serve late kept jobs after those that can be in time

Cause: waiting tasks went by their latest start, so in a backlog each job started when it was already too late, and nearly all missed their objective.

Change: kept jobs have a prospect (in time, late, overdue), lowered when one of their waiting tasks would start too late; in-time jobs go first. The latest start counts the steps that follow, and the allowance for durations that the choice of a target already had.

Tried and dropped: the same order for jobs that a caller waits for, alone and with a refusal of jobs that waited past three times their objective.

--- a/core/src/main/kotlin/io/jackdawring/core/shard/DurationEstimator.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/DurationEstimator.kt
@@ -37,10 +37,13 @@
         target.record.onDone(expected, observedMillis)
     }
 
-    private companion object {
+    companion object {
+        /** Allowance for durations above the estimate. */
+        const val SAFETY = 1.15
+
         /** Weight of the newest run; low, because it also absorbs the error of the target's speed. */
-        const val FACTOR_WEIGHT = 0.02
-        const val MIN_RATIO = 0.1
-        const val MAX_RATIO = 10.0
+        private const val FACTOR_WEIGHT = 0.02
+        private const val MIN_RATIO = 0.1
+        private const val MAX_RATIO = 10.0
     }
 }
--- a/core/src/main/kotlin/io/jackdawring/core/shard/HeldJob.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/HeldJob.kt
@@ -22,6 +22,7 @@
     /** Whether an order to start one of the tasks was ever sent. */
     var started = false
     var withoutWaitersSinceMillis: Long? = null
+    var prospect = Prospect.IN_TIME
 
     /** State in which a kept job has ended; null while it goes on. */
     var endState: JobState? = null
--- a/core/src/main/kotlin/io/jackdawring/core/shard/JobLifecycle.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/JobLifecycle.kt
@@ -104,8 +104,11 @@
 
     private fun isHeld(job: HeldJob): Boolean = if (job.isKept) kept.isOpen(job) else jobs[job.spec.id] === job
 
-    private fun latestStartMillis(task: HeldTask): Long =
-        task.job.objectiveAtMillis - durations.atUnitSpeedMillis(task.job.spec.queue, task.spec.estimateMillis).toLong()
+    private fun latestStartMillis(task: HeldTask): Long {
+        val chainMillis = task.job.spec.chainFromMillis(task.key.step)
+        val expectedMillis = durations.atUnitSpeedMillis(task.job.spec.queue, chainMillis)
+        return task.job.objectiveAtMillis - (expectedMillis * DurationEstimator.SAFETY).toLong()
+    }
 
     override fun onDone(
         run: HeldRun,
--- a/core/src/main/kotlin/io/jackdawring/core/shard/JobSpec.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/JobSpec.kt
@@ -20,15 +20,22 @@
     val payload: String,
     val steps: List<StepSpec>,
 ) {
-    /** Declared duration of the longest chain of steps that wait for each other. */
-    val chainMillis: Long by lazy {
-        val ends = LongArray(steps.size)
-        steps.forEachIndexed { index, step ->
-            ends[index] = step.estimateMillis + (step.after.maxOfOrNull { ends[it] } ?: 0)
+    /** Declared durations of the longest chains of steps that begin with each step and wait for each other. */
+    private val chainsMillis: LongArray by lazy {
+        val chains = LongArray(steps.size)
+        for (index in steps.indices.reversed()) {
+            val next = steps.indices.filter { index in steps[it].after }.maxOfOrNull { chains[it] } ?: 0
+            chains[index] = steps[index].estimateMillis + next
         }
-        ends.maxOrNull() ?: 0
+        chains
     }
 
+    /** Declared duration of the longest chain of steps that wait for each other. */
+    val chainMillis: Long get() = chainsMillis.maxOrNull() ?: 0
+
+    /** Declared duration of the longest chain that begins with [step]. */
+    fun chainFromMillis(step: Int): Long = chainsMillis[step]
+
     /** Latency objective by the declared durations. */
     val objectiveMillis: Long get() = aimMillis + (stretch * chainMillis).toLong()
 }
--- a/core/src/main/kotlin/io/jackdawring/core/shard/RealShardDispatcher.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/RealShardDispatcher.kt
@@ -250,6 +250,7 @@
 
     private fun place(nowMillis: Long) {
         lifecycle.decideOnEarlierJobs(nowMillis)
+        waiting.lowerProspects(nowMillis)
         placement.place(nowMillis)
     }
 
--- a/core/src/main/kotlin/io/jackdawring/core/shard/TargetChoice.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/TargetChoice.kt
@@ -47,7 +47,7 @@
         nowMillis: Long,
     ): Double {
         val duration = durations.onTargetMillis(task, target, farFactor)
-        val inTime = nowMillis + duration * SAFETY <= task.job.objectiveAtMillis
+        val inTime = nowMillis + duration * DurationEstimator.SAFETY <= task.job.objectiveAtMillis
         val left = target.free.cpuMillis - task.spec.demand.cpuMillis
         val fragment =
             (
@@ -62,8 +62,6 @@
     }
 
     companion object {
-        /** Allowance for durations above the estimate. */
-        private const val SAFETY = 1.15
         private const val LATE = 1e6
         private const val AVOID = 1e9
 
--- a/core/src/main/kotlin/io/jackdawring/core/shard/WaitForecast.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/WaitForecast.kt
@@ -35,7 +35,7 @@
         val places = places(sample, targets, nowMillis)
         if (places.isEmpty()) return null
         var completion = nowMillis.toDouble()
-        for (task in inOrder(job, waiting)) {
+        for (task in waiting.before(job) + job.steps.first()) {
             val place = places.poll() ?: break
             val end = place.freeAtMillis + durations.onTargetMillis(task, place.target, farFactor)
             places.add(place(place.target, end, sample))
@@ -44,20 +44,6 @@
         return completion
     }
 
-    private fun inOrder(
-        job: HeldJob,
-        waiting: WaitingTasks,
-    ): List<HeldTask> {
-        val own = job.steps.first()
-        val latest = waiting.latestStartMillis(own.first())
-        val before =
-            waiting.inOrder().filter {
-                it.job.spec.service == job.spec.service &&
-                    waiting.latestStartMillis(it) <= latest
-            }
-        return before + own
-    }
-
     private fun places(
         sample: HeldTask,
         targets: Collection<HeldTarget>,
--- a/testing/src/test/kotlin/io/jackdawring/testing/shard/KeptJobPatternTest.kt
+++ b/testing/src/test/kotlin/io/jackdawring/testing/shard/KeptJobPatternTest.kt
@@ -1,5 +1,6 @@
 package io.jackdawring.testing.shard
 
+import io.jackdawring.core.shard.JobId
 import io.jackdawring.core.shard.JobState
 import io.jackdawring.core.shard.TaskKey
 import io.jackdawring.testing.shard.FakeShardTarget.Mode
@@ -19,8 +20,41 @@
 
     private fun world(count: Int = 2) = FakeShardWorld(List(count) { FakeShardTarget("t$it") }).also { it.runFor(50) }
 
+    /** Hands jobs of [tasks] tasks in every [intervalMillis] for 10 s, and returns the share that ends in time. */
+    private fun shareInTime(
+        world: FakeShardWorld,
+        tasks: Int,
+        intervalMillis: Int,
+    ): Double {
+        val jobs = List(10_000 / intervalMillis) { job("k$it", tasks, estimateMillis = 200) }
+        val endedAfter = HashMap<JobId, Long>()
+        repeat(40_000) { millis ->
+            if (millis % intervalMillis == 0) jobs.getOrNull(millis / intervalMillis)?.let(world::keep)
+            world.runFor(1)
+            jobs
+                .take(millis / intervalMillis + 1)
+                .filter { it.id !in endedAfter && world.keptState(it) == JobState.COMPLETED }
+                .forEach {
+                    endedAfter[it.id] = millis - it.id.value
+                        .drop(1)
+                        .toLong() * intervalMillis
+                }
+        }
+        assertEquals(jobs.size, endedAfter.size, "jobs that have ended")
+        return jobs.count { endedAfter.getValue(it.id) <= it.objectiveMillis } / jobs.size.toDouble()
+    }
+
     private val rows =
         listOf(
+            Row("twice the load that fits: jobs that are late leave the targets to those that can be in time") {
+                // Half of the jobs fit; a fifth of these may be lost to forecasts and to jobs begun too late.
+                val share = shareInTime(world(count = 2), tasks = 4, intervalMillis = 100)
+                assertTrue(share >= 0.4, "$share of the jobs ended in time")
+            },
+            Row("three times the load that fits: jobs that are late leave the targets to those that can be in time") {
+                val share = shareInTime(world(count = 2), tasks = 2, intervalMillis = 33)
+                assertTrue(share >= 0.8 / 3, "$share of the jobs ended in time")
+            },
             Row("a backlog is reported in the time that the targets need for it") {
                 val world = world(count = 1)
                 assertEquals(0, world.backlogMillis())
