Serve checkpoints, copies, lasting tasks and preemption

Change: what a run has saved goes to the next run, and is stored when a run ends without a result. Slow runs of steps that allow it get a copy on idle room. Lasting tasks start again however they end.

Ruled out: preempting runs that a caller waits for, which makes another answer late.

--- a/core/src/main/kotlin/io/jackdawring/core/shard/EarlierRuns.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/EarlierRuns.kt
@@ -8,6 +8,7 @@
     private class Ends(
         val done: Boolean,
         val failedAttempts: Set<Int>,
+        val checkpoint: Checkpoint?,
     )
 
     private val ends = RecentMap<TaskKey, Ends>(retentionMillis)
@@ -20,7 +21,9 @@
         val before = ends.remove(end.task)
         val done = before?.done == true || end.ending == EndedRun.Ending.DONE
         val failed = if (end.ending == EndedRun.Ending.FAILED) setOf(end.attempt) else emptySet()
-        ends.put(end.task, Ends(done, before?.failedAttempts.orEmpty() + failed), nowMillis)
+        val saved = end.checkpoint?.let { Checkpoint(it, end.attempt) }
+        val checkpoint = listOfNotNull(before?.checkpoint, saved).maxByOrNull { it.attempt }
+        ends.put(end.task, Ends(done, before?.failedAttempts.orEmpty() + failed, checkpoint), nowMillis)
     }
 
     /** Adds a job that must not start before it is known what runs of it. */
@@ -41,14 +44,16 @@
         var progressed = false
         for (task in job.tasks()) {
             if (task.done) continue
-            val known = ends.remove(task.key)
+            // A lasting task starts again however a run of it has ended.
+            val known = ends.remove(task.key).takeUnless { task.spec.lasting }
+            val savedAnew = task.saved(known?.checkpoint)
             val failedAnew = task.failedAttempts.addAll(known?.failedAttempts.orEmpty())
             if (known?.done == true) {
                 job.markDone(task)
             } else if (control.claim(task)) {
                 job.started = true
             }
-            if (failedAnew || known?.done == true) progressed = true
+            if (failedAnew || savedAnew || known?.done == true) progressed = true
         }
         if (progressed) job.started = true
         return progressed
--- a/core/src/main/kotlin/io/jackdawring/core/shard/EndedRun.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/EndedRun.kt
@@ -1,11 +1,16 @@
 package io.jackdawring.core.shard
 
-/** A run that a target lists as ended; [sequence] counts the ends of one incarnation from 1. */
+/**
+ * A run that a target lists as ended.
+ *
+ * [sequence] counts the ends of one incarnation from 1; [checkpoint] is what the run has saved last.
+ */
 data class EndedRun(
     val sequence: Long,
     val task: TaskKey,
     val attempt: Int,
     val ending: Ending,
+    val checkpoint: String? = null,
 ) {
     /** How a run ended. */
     enum class Ending {
--- a/core/src/main/kotlin/io/jackdawring/core/shard/HeldJob.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/HeldJob.kt
@@ -42,10 +42,12 @@
 
     fun find(key: TaskKey): HeldTask? = steps.getOrNull(key.step)?.getOrNull(key.index)
 
-    fun markDone(task: HeldTask) {
-        if (task.done) return
+    /** Returns whether the task was not done before. */
+    fun markDone(task: HeldTask): Boolean {
+        if (task.done) return false
         task.done = true
         openTasks[task.key.step]--
+        return true
     }
 
     /** Tasks of the steps whose turn has come since the last call. */
@@ -54,13 +56,18 @@
             .filter { !released[it] && spec.steps[it].after.all { before -> openTasks[before] == 0 } }
             .onEach { released[it] = true }
             .flatMap { steps[it] }
-            .filter { !it.done && it.run == null }
+            .filter { !it.done && it.runs.isEmpty() }
 
     fun progress(): JobProgress =
         JobProgress(
             endState ?: JobState.RUNNING,
             steps.map { tasks -> doneBits(tasks).toLongArray().toList() },
             tasks().filter { it.failures > 0 }.associate { progressKey(it) to it.failedAttempts.toList() },
+            tasks()
+                .filterNot { it.done }
+                .mapNotNull { task ->
+                    task.checkpoint?.let { progressKey(task) to it }
+                }.toMap(),
         )
 
     /** Applies what earlier holders have stored; attempts are numbered from above [attemptBase]. */
@@ -70,10 +77,11 @@
     ) {
         steps.zip(progress.done).forEach { (tasks, words) ->
             val bits = BitSet.valueOf(words.toLongArray())
-            tasks.filter { bits[it.key.index] }.forEach(::markDone)
+            tasks.filter { bits[it.key.index] }.forEach { markDone(it) }
         }
         for (task in tasks()) {
             task.failedAttempts += progress.failures[progressKey(task)].orEmpty()
+            task.saved(progress.checkpoints[progressKey(task)])
             task.lastAttempt = attemptBase
         }
         started = progress.state == JobState.RUNNING || tasks().any { it.done || it.failures > 0 }
--- a/core/src/main/kotlin/io/jackdawring/core/shard/HeldRun.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/HeldRun.kt
@@ -22,6 +22,18 @@
     fun claim(task: HeldTask) {
         owner = task
         expectedMillis = task.spec.estimateMillis
+        task.saved(checkpoint)
+    }
+
+    /** What the run has saved last. */
+    var checkpoint: Checkpoint? = null
+        private set
+
+    /** Notes that the target lists [value] as saved by this run. */
+    fun saved(value: String?) {
+        if (value == null) return
+        checkpoint = Checkpoint(value, attempt)
+        owner?.saved(checkpoint)
     }
 
     var state = State.STARTING
--- a/core/src/main/kotlin/io/jackdawring/core/shard/JobLifecycle.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/JobLifecycle.kt
@@ -115,10 +115,14 @@
         nowMillis: Long,
     ) {
         val task = run.owner ?: return
+        if (task.spec.lasting) {
+            onLost(run, "a run of a lasting task has ended", nowMillis)
+            return
+        }
         if (!run.isAdopted) durations.onDone(task, run.target, nowMillis - run.sentAtMillis)
-        task.run = null
-        task.job.markDone(task)
-        if (!isHeld(task.job)) return
+        task.runs.remove(run)
+        if (!task.job.markDone(task) || !isHeld(task.job)) return
+        stopRuns(task, "a copy is done", nowMillis)
         noteProgress(task.job)
         proceed(task.job, nowMillis)
     }
@@ -128,16 +132,20 @@
         nowMillis: Long,
     ) {
         val task = run.owner ?: return
-        task.run = null
+        if (task.spec.lasting) {
+            onLost(run, "a run of a lasting task has failed", nowMillis)
+            return
+        }
+        task.runs.remove(run)
         task.failedAttempts += run.attempt
         task.avoid = run.target
         control.fault(run.target, "runs fail", FAILURES_ALLOWED, nowMillis)
-        if (!isHeld(task.job)) return
+        if (task.done || !isHeld(task.job)) return
         if (task.failures >= task.job.spec.maxAttempts) {
             failTask(task, nowMillis)
         } else {
             noteProgress(task.job)
-            waiting.add(task)
+            queueAgain(task)
         }
     }
 
@@ -147,15 +155,23 @@
         nowMillis: Long,
     ) {
         val task = run.owner ?: return
-        task.run = null
+        task.runs.remove(run)
         task.avoid = run.target
         outlet.report(ShardDecision.RunRepeated(run.key, run.attempt, run.target.id, reason))
-        if (isHeld(task.job) && !task.done) waiting.add(task)
+        if (task.done || !isHeld(task.job)) return
+        if (run.checkpoint != null) noteProgress(task.job)
+        if (task.spec.lasting) task.delayStart(nowMillis - run.sentAtMillis, nowMillis)
+        queueAgain(task)
+    }
+
+    /** Lets the task start again unless a copy of it still runs. */
+    private fun queueAgain(task: HeldTask) {
+        if (task.runs.isEmpty()) waiting.add(task)
     }
 
     override fun onInvalid(run: HeldRun) {
         val task = run.owner ?: return
-        task.run = null
+        task.runs.remove(run)
         if (isHeld(task.job)) fail(task.job, "the target says that the order is invalid", run.sentAtMillis)
     }
 
@@ -178,11 +194,16 @@
         end: EndedRun,
         nowMillis: Long,
     ) {
+        if (task.spec.lasting) return
         if (end.ending == EndedRun.Ending.DONE) {
             completeLate(task, nowMillis)
-        } else if (end.ending == EndedRun.Ending.FAILED) {
-            task.failedAttempts += end.attempt
-            if (task.failures >= task.job.spec.maxAttempts) failTask(task, nowMillis) else noteProgress(task.job)
+            return
+        }
+        val failed = end.ending == EndedRun.Ending.FAILED && task.failedAttempts.add(end.attempt)
+        val saved = task.saved(end.checkpoint?.let { Checkpoint(it, end.attempt) })
+        when {
+            failed && task.failures >= task.job.spec.maxAttempts -> failTask(task, nowMillis)
+            failed || saved -> noteProgress(task.job)
         }
     }
 
@@ -193,7 +214,7 @@
     ) {
         waiting.remove(task)
         task.job.markDone(task)
-        task.run?.let { control.stop(it, "the task is done", nowMillis) }
+        stopRuns(task, "the task is done", nowMillis)
         noteProgress(task.job)
         proceed(task.job, nowMillis)
     }
@@ -248,10 +269,16 @@
     ) {
         for (task in job.tasks()) {
             waiting.remove(task)
-            task.run?.let { control.stop(it, "its job has ended", nowMillis) }
+            stopRuns(task, "its job has ended", nowMillis)
         }
     }
 
+    private fun stopRuns(
+        task: HeldTask,
+        reason: String,
+        nowMillis: Long,
+    ) = task.runs.forEach { control.stop(it, reason, nowMillis) }
+
     fun forgetOld(nowMillis: Long) {
         outcomes.forgetOld(nowMillis)
         earlier.forgetOld(nowMillis)
--- a/core/src/main/kotlin/io/jackdawring/core/shard/Placement.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/Placement.kt
@@ -6,8 +6,10 @@
     private val control: TargetControl,
     private val durations: DurationEstimator,
     private val choice: TargetChoice,
-    val waiting: WaitingTasks,
+    private val waiting: WaitingTasks,
 ) {
+    private val preemption = Preemption(options, control, durations)
+
     /** What decides whether any target has room for a task. */
     private data class Need(
         val service: String,
@@ -21,12 +23,14 @@
         val unmet = HashSet<Need>()
         var free = largestFree(nowMillis)
         for (task in waiting.inOrder()) {
-            if (!task.spec.demand.fitsInto(free)) continue
-            val need = Need(task.job.spec.service, task.spec.demand, task.spec.requiredLabel)
             // A run of an earlier request for the job may still be stopping.
-            if (need in unmet || control.isPresent(task.key)) continue
-            val target = choice.choose(task, control.targets, nowMillis)
+            if (control.isPresent(task.key) || nowMillis < task.notBeforeMillis) continue
+            val need = Need(task.job.spec.service, task.spec.demand, task.spec.requiredLabel)
+            val isHopeless = !task.spec.demand.fitsInto(free) || need in unmet
+            val target = if (isHopeless) null else choice.choose(task, control.targets, nowMillis)
             if (target == null) {
+                if (!task.spec.lasting) preemption.consider(task, waiting.latestStartMillis(task), nowMillis)
+                if (isHopeless) continue
                 if (task.spec.maxPerTarget == null) unmet.add(need)
                 if (unmet.size >= MAX_UNMET) return
                 continue
--- a/core/src/main/kotlin/io/jackdawring/core/shard/RealShardDispatcher.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/RealShardDispatcher.kt
@@ -14,9 +14,10 @@
     private val waiting = lifecycle.waiting
     private val kept = lifecycle.kept
     private val choice = TargetChoice(lifecycle.durations, options.farFactor)
-    private val forecast = WaitForecast(lifecycle.durations, options.farFactor)
+    private val forecast = WaitForecast(lifecycle.durations, options)
     private val admissions = JobAdmissions(control, choice)
     private val placement = Placement(options, control, lifecycle.durations, choice, waiting)
+    private val copies = SpeculativeCopies(options, control, lifecycle.durations, choice)
     private val hangs = HangWatch(control)
     private var nextJobSequence = 0L
     private var released = false
@@ -221,6 +222,7 @@
         hangs.check(nowMillis)
         lifecycle.forgetOld(nowMillis)
         place(nowMillis)
+        if (waiting.isEmpty) copies.start(nowMillis)
     }
 
     private fun checkJob(
--- a/core/src/main/kotlin/io/jackdawring/core/shard/RunIndex.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/RunIndex.kt
@@ -14,5 +14,5 @@
         if (runs.isEmpty()) byTask.remove(run.key)
     }
 
-    fun find(key: TaskKey): HeldRun? = byTask[key]?.first()
+    fun find(key: TaskKey): List<HeldRun> = byTask[key].orEmpty()
 }
--- a/core/src/main/kotlin/io/jackdawring/core/shard/StartOrder.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/StartOrder.kt
@@ -1,9 +1,14 @@
 package io.jackdawring.core.shard
 
-/** Order to start a run of a task; [leaseUntilMillis] is a time on the target's clock. */
+/**
+ * Order to start a run of a task.
+ *
+ * [leaseUntilMillis] is a time on the target's clock. The run goes on from [checkpoint] if there is one.
+ */
 data class StartOrder(
     val task: TaskKey,
     val attempt: Int,
     val payload: String,
     val leaseUntilMillis: Long,
+    val checkpoint: String? = null,
 )
--- a/core/src/main/kotlin/io/jackdawring/core/shard/TargetChoice.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/TargetChoice.kt
@@ -14,7 +14,7 @@
         var best: HeldTarget? = null
         var bestCost = Double.MAX_VALUE
         for (target in targets) {
-            if (!accepts(target, task, nowMillis)) continue
+            if (!task.spec.demand.fitsInto(target.free) || !canRun(target, task, nowMillis)) continue
             val cost = cost(task, target, nowMillis)
             if (cost < bestCost) {
                 best = target
@@ -24,22 +24,6 @@
         return best
     }
 
-    private fun accepts(
-        target: HeldTarget,
-        task: HeldTask,
-        nowMillis: Long,
-    ): Boolean =
-        isUsable(target, nowMillis) &&
-            matches(target, task) &&
-            task.spec.demand.fitsInto(target.free) &&
-            (!target.record.isOnTrial || target.runs.isEmpty()) &&
-            task.spec.maxPerTarget?.let { limit -> runsOfStep(target, task) < limit } != false
-
-    private fun runsOfStep(
-        target: HeldTarget,
-        task: HeldTask,
-    ) = target.runs.keys.count { it.jobId == task.key.jobId && it.step == task.key.step }
-
     /** Time until the task ends there, with a penalty for targets to avoid and for room that is left unusable. */
     private fun cost(
         task: HeldTask,
@@ -75,6 +59,22 @@
                 !target.hasUnclaimedRuns &&
                 !target.record.isSuspended(nowMillis)
 
+        /** Whether [target] may run [task], apart from its room. */
+        fun canRun(
+            target: HeldTarget,
+            task: HeldTask,
+            nowMillis: Long,
+        ): Boolean =
+            isUsable(target, nowMillis) &&
+                matches(target, task) &&
+                (!target.record.isOnTrial || target.runs.isEmpty()) &&
+                task.spec.maxPerTarget?.let { limit -> runsOfStep(target, task) < limit } != false
+
+        private fun runsOfStep(
+            target: HeldTarget,
+            task: HeldTask,
+        ) = target.runs.keys.count { it.jobId == task.key.jobId && it.step == task.key.step }
+
         fun matches(
             target: HeldTarget,
             task: HeldTask,
--- a/core/src/main/kotlin/io/jackdawring/core/shard/TargetControl.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/TargetControl.kt
@@ -56,10 +56,11 @@
         task.lastAttempt++
         val run = HeldRun(task.key, task.lastAttempt, target, task, nowMillis, expectedMillis)
         looks.extendLease(target, nowMillis)
-        task.run = run
+        task.runs.add(run)
         add(run)
         val leaseUntil = nowMillis + offset + options.leaseMillis
-        outlet.start(target.facts, StartOrder(task.key, run.attempt, task.job.spec.payload, leaseUntil))
+        val order = StartOrder(task.key, run.attempt, task.job.spec.payload, leaseUntil, task.checkpoint?.value)
+        outlet.start(target.facts, order)
     }
 
     /** Stops [run]; its listener method is called when it is over. */
@@ -228,6 +229,7 @@
         target.processedEnd = end.sequence
         val run = target.runs[end.task]?.takeIf { it.attempt == end.attempt }
         val owner = run?.owner
+        run?.saved(end.checkpoint)
         if (owner == null) {
             run?.let(::remove)
             val version = listener.onUnknownEnd(end, nowMillis) ?: if (recovered) return else 0
@@ -270,7 +272,8 @@
     ) {
         val listed = running.associateBy { it.task }
         for (run in target.runs.values.toList()) {
-            if (listed[run.key]?.attempt == run.attempt) onListed(run, nowMillis) else onAbsent(run, nowMillis)
+            val entry = listed[run.key]?.takeIf { it.attempt == run.attempt }
+            if (entry != null) onListed(run, entry, nowMillis) else onAbsent(run, nowMillis)
         }
         for (entry in running) {
             if (entry.task !in target.runs) adopt(target, entry, nowMillis)
@@ -279,8 +282,10 @@
 
     private fun onListed(
         run: HeldRun,
+        entry: RunningRun,
         nowMillis: Long,
     ) {
+        run.saved(entry.checkpoint)
         if (run.state == HeldRun.State.UNCERTAIN) onAccepted(run, nowMillis)
         // A stop that a target has confirmed has no effect on an order that reaches it later.
         val outlivedStop = run.state == HeldRun.State.STOPPING && run.target.lookSentAtMillis > run.listedFromMillis
@@ -308,21 +313,23 @@
         val run = HeldRun(entry.task, entry.attempt, target, null, nowMillis, expectedMillis = 0, isAdopted = true)
         run.state = HeldRun.State.RUNNING
         run.listedFromMillis = nowMillis
+        run.saved(entry.checkpoint)
         add(run)
     }
 
     /** Whether a run of [key] is, or may be, on a target. */
-    fun isPresent(key: TaskKey): Boolean = index.find(key) != null
+    fun isPresent(key: TaskKey): Boolean = index.find(key).isNotEmpty()
 
-    /** Gives an unclaimed run of [task] to it, and returns whether there was one. */
+    /** Gives the unclaimed runs of [task] to it, and returns whether there were any. */
     fun claim(task: HeldTask): Boolean {
-        val run = index.find(task.key) ?: return false
-        if (run.owner != null || run.stopReason != null) return false
-        run.claim(task)
-        task.run = run
-        task.lastAttempt = maxOf(task.lastAttempt, run.attempt)
-        run.target.recount()
-        return true
+        val unclaimed = index.find(task.key).filter { it.owner == null && it.stopReason == null }
+        for (run in unclaimed) {
+            run.claim(task)
+            task.runs.add(run)
+            task.lastAttempt = maxOf(task.lastAttempt, run.attempt)
+            run.target.recount()
+        }
+        return unclaimed.isNotEmpty()
     }
 
     fun tick(nowMillis: Long) {
--- a/core/src/main/kotlin/io/jackdawring/core/shard/WaitForecast.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/WaitForecast.kt
@@ -9,7 +9,7 @@
  */
 internal class WaitForecast(
     private val durations: DurationEstimator,
-    private val farFactor: Double,
+    private val options: ShardOptions,
 ) {
     /** [sampleEndMillis] orders the places: a free one on a fast target comes before a free one on a slow target. */
     private class Place(
@@ -22,7 +22,7 @@
         target: HeldTarget,
         freeAtMillis: Double,
         sample: HeldTask,
-    ) = Place(target, freeAtMillis, freeAtMillis + durations.onTargetMillis(sample, target, farFactor))
+    ) = Place(target, freeAtMillis, freeAtMillis + durations.onTargetMillis(sample, target, options.farFactor))
 
     /** Expected time of the job's last end, or null if no target can run it. */
     fun completionMillis(
@@ -37,7 +37,7 @@
         var completion = nowMillis.toDouble()
         for (task in waiting.before(job) + job.steps.first()) {
             val place = places.poll() ?: break
-            val end = place.freeAtMillis + durations.onTargetMillis(task, place.target, farFactor)
+            val end = place.freeAtMillis + durations.onTargetMillis(task, place.target, options.farFactor)
             places.add(place(place.target, end, sample))
             if (task.job === job) completion = maxOf(completion, end)
         }
@@ -52,7 +52,10 @@
         val places = PriorityQueue<Place>(compareBy { it.sampleEndMillis })
         for (target in targets) {
             if (!TargetChoice.isUsable(target, nowMillis) || !TargetChoice.matches(target, sample)) continue
-            target.runs.values.forEach { run -> places.add(place(target, expectedEndMillis(run, nowMillis), sample)) }
+            val ending = target.runs.values.filterNot { it.owner?.spec?.lasting == true }
+            ending.forEach { run ->
+                places.add(place(target, freeAtMillis(run, sample, nowMillis), sample))
+            }
             repeat(
                 spareRoom(target.free, sample.spec.demand),
             ) { places.add(place(target, nowMillis.toDouble(), sample)) }
@@ -60,6 +63,16 @@
         return places
     }
 
+    private fun freeAtMillis(
+        run: HeldRun,
+        sample: HeldTask,
+        nowMillis: Long,
+    ): Double {
+        val endMillis = expectedEndMillis(run, nowMillis)
+        if (!Preemption.isPreemptable(run, sample.job.spec)) return endMillis
+        return minOf(endMillis, (nowMillis + options.stopMillis).toDouble())
+    }
+
     private fun expectedEndMillis(
         run: HeldRun,
         nowMillis: Long,
--- a/core/src/main/kotlin/io/jackdawring/core/shard/WaitingTasks.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/WaitingTasks.kt
@@ -20,6 +20,9 @@
     )
 
     private val entries = Prospect.entries.associateWith { newQueue() }
+
+    /** Tasks that last come first: they have no objective to miss, and take a place once. */
+    private val lasting = newQueue()
     private val byKey = HashMap<TaskKey, Entry>()
 
     /** Declared work of the waiting tasks by service, in thousandths of a core times milliseconds. */
@@ -34,6 +37,8 @@
                 .thenBy { it.task.key.index },
         )
 
+    private fun queueOf(entry: Entry) = if (entry.task.spec.lasting) lasting else entries.getValue(entry.prospect)
+
     val size: Int get() = byKey.size
     val isEmpty: Boolean get() = byKey.isEmpty()
 
@@ -55,11 +60,11 @@
         val prospect = task.job.prospect
         val entry = Entry(task, prospect, latestStart(task) + allowanceMillis(task.job))
         byKey[task.key] = entry
-        entries.getValue(prospect).add(entry)
+        queueOf(entry).add(entry)
     }
 
     private fun dequeue(task: HeldTask) {
-        byKey.remove(task.key)?.let { entries.getValue(it.prospect).remove(it) }
+        byKey.remove(task.key)?.let { queueOf(it).remove(it) }
     }
 
     /** Time past the objective within which the job is useful by its prospect. */
@@ -90,7 +95,10 @@
     private fun work(task: HeldTask): Long = task.spec.estimateMillis * task.spec.demand.cpuMillis
 
     /** The waiting tasks in order; a copy, so that tasks may be removed meanwhile. */
-    fun inOrder(): List<HeldTask> = entries.values.flatMap { queue -> queue.map { it.task } }
+    fun inOrder(): List<HeldTask> = (listOf(lasting) + entries.values).flatMap { queue -> queue.map { it.task } }
+
+    /** Latest time at which a waiting task must start to end in time for its prospect. */
+    fun latestStartMillis(task: HeldTask): Long = byKey.getValue(task.key).latestStartMillis
 
     /** Tasks that are placed before the first step of [job], which does not wait yet, in order. */
     fun before(job: HeldJob): List<HeldTask> {
--- a/testing/src/main/kotlin/io/jackdawring/testing/shard/FakeShardTarget.kt
+++ b/testing/src/main/kotlin/io/jackdawring/testing/shard/FakeShardTarget.kt
@@ -10,6 +10,7 @@
 import io.jackdawring.core.shard.ShardTarget
 import io.jackdawring.core.shard.StartOrder
 import io.jackdawring.core.shard.StartResult
+import io.jackdawring.core.shard.StepSpec
 import io.jackdawring.core.shard.TaskKey
 import kotlinx.collections.immutable.persistentSetOf
 import kotlinx.collections.immutable.toImmutableList
@@ -51,11 +52,25 @@
         val demand: Resources,
         val endsAtMillis: Long,
         val fails: Boolean,
-    )
+        val startedAtMillis: Long,
+        /** Work that was done before the run, of which it knows by its checkpoint. */
+        val restoredMillis: Long,
+        val checkpointing: Boolean,
+    ) {
+        var saved = if (restoredMillis > 0) checkpoint(key, attempt, restoredMillis) else null
+
+        fun save(
+            nowMillis: Long,
+            speed: Double,
+        ) {
+            val worked = ((nowMillis - startedAtMillis) * speed).toLong()
+            if (checkpointing) saved = checkpoint(key, attempt, restoredMillis + worked)
+        }
+    }
 
     internal val runs = LinkedHashMap<TaskKey, Run>()
     private val ends = ArrayList<EndedRun>()
-    private val forgotten = ArrayList<TaskKey>()
+    private val forgotten = ArrayList<EndedRun>()
     private val stopped = HashMap<TaskKey, Int>()
     private var nextEnd = 1L
     private var leaseUntilMillis = 0L
@@ -80,7 +95,7 @@
 
     internal fun start(
         order: StartOrder,
-        demand: Resources,
+        step: StepSpec,
         workMillis: Long,
         nowMillis: Long,
     ): StartResult {
@@ -90,13 +105,32 @@
             when {
                 order.leaseUntilMillis < clock -> StartResult.Reason.LATE
                 order.attempt <= (stopped[order.task] ?: 0) -> StartResult.Reason.OLD_ATTEMPT
-                !demand.fitsInto(free) -> StartResult.Reason.NO_ROOM
+                !step.demand.fitsInto(free) -> StartResult.Reason.NO_ROOM
                 else -> null
             }
         if (rejection != null) return StartResult.Rejected(rejection, clock)
-        val duration = if (mode == Mode.HANGS) FOREVER_MILLIS else (workMillis / speed).toLong()
+        val restored = order.checkpoint?.let { progressOf(order.task, it) } ?: 0
+        val left = ((workMillis - restored) / speed).toLong() + if (restored > 0) RESTORE_MILLIS else 0
         val fails = mode == Mode.FAILS
-        runs[order.task] = Run(order.task, order.attempt, demand, nowMillis + (if (fails) 1 else duration), fails)
+        val duration =
+            if (fails) {
+                1
+            } else if (mode == Mode.HANGS) {
+                FOREVER_MILLIS
+            } else {
+                left
+            }
+        runs[order.task] =
+            Run(
+                order.task,
+                order.attempt,
+                step.demand,
+                nowMillis + duration,
+                fails,
+                nowMillis,
+                restored,
+                step.checkpointing,
+            )
         extendLease(order.leaseUntilMillis)
         return StartResult.Accepted(clock)
     }
@@ -104,9 +138,12 @@
     internal fun stop(
         task: TaskKey,
         attempt: Int,
+        nowMillis: Long,
     ) {
         stopped.merge(task, attempt, ::maxOf)
-        runs[task]?.takeIf { it.attempt <= attempt }?.let { end(it, EndedRun.Ending.STOPPED) }
+        val run = runs[task]?.takeIf { it.attempt <= attempt } ?: return
+        run.save(nowMillis, speed)
+        end(run, EndedRun.Ending.STOPPED)
     }
 
     internal fun look(
@@ -114,21 +151,25 @@
         nowMillis: Long,
     ): LookResult.Seen {
         order.leaseUntilMillis?.let(::extendLease)
-        forgotten +=
-            ends.filter { it.sequence <= order.acknowledgedEnd && it.ending == EndedRun.Ending.DONE }.map { it.task }
+        forgotten += ends.filter { it.sequence <= order.acknowledgedEnd }
         ends.removeAll { it.sequence <= order.acknowledgedEnd }
-        val running = runs.values.map { RunningRun(it.key, it.attempt) }.toImmutableList()
+        val running = runs.values.map { RunningRun(it.key, it.attempt, it.saved) }.toImmutableList()
         return LookResult.Seen(nowMillis + clockOffsetMillis, bornMillis, running, ends.toImmutableList())
     }
 
-    /** Done tasks whose ends were acknowledged since the last call. */
-    internal fun takeForgotten(): List<TaskKey> = forgotten.toList().also { forgotten.clear() }
+    /** Ends that were acknowledged since the last call. */
+    internal fun takeForgotten(): List<EndedRun> = forgotten.toList().also { forgotten.clear() }
 
     internal val hasNews: Boolean get() = ends.isNotEmpty()
 
     /** Ends the runs whose time or lease is over. */
     internal fun advance(nowMillis: Long) {
         for (run in runs.values.toList()) {
+            if ((nowMillis - run.startedAtMillis) % CHECKPOINT_MILLIS ==
+                CHECKPOINT_MILLIS - 1
+            ) {
+                run.save(nowMillis, speed)
+            }
             when {
                 nowMillis + clockOffsetMillis > leaseUntilMillis -> end(run, EndedRun.Ending.LAPSED)
                 nowMillis >= run.endsAtMillis ->
@@ -159,10 +200,31 @@
     ) {
         runs.remove(run.key)
         stopped.merge(run.key, run.attempt, ::maxOf)
-        ends.add(EndedRun(nextEnd++, run.key, run.attempt, ending))
+        ends.add(EndedRun(nextEnd++, run.key, run.attempt, ending, run.saved))
     }
 
-    private companion object {
-        const val FOREVER_MILLIS = 1_000_000L
+    internal companion object {
+        private const val FOREVER_MILLIS = 1_000_000L
+
+        /** Interval in which a run with checkpoints saves its progress. */
+        private const val CHECKPOINT_MILLIS = 100L
+        private const val RESTORE_MILLIS = 10L
+
+        private fun checkpoint(
+            key: TaskKey,
+            attempt: Int,
+            progressMillis: Long,
+        ) = "$key#$attempt#$progressMillis"
+
+        /** Number of the run that has saved [checkpoint]. */
+        internal fun attemptOf(checkpoint: String): Int = checkpoint.split('#')[1].toInt()
+
+        private fun progressOf(
+            key: TaskKey,
+            checkpoint: String,
+        ): Long {
+            check(checkpoint.startsWith("$key#")) { "the checkpoint $checkpoint is not one of $key" }
+            return checkpoint.substringAfterLast('#').toLong()
+        }
     }
 }
--- a/testing/src/main/kotlin/io/jackdawring/testing/shard/FakeShardWorld.kt
+++ b/testing/src/main/kotlin/io/jackdawring/testing/shard/FakeShardWorld.kt
@@ -1,6 +1,7 @@
 package io.jackdawring.testing.shard
 
 import io.jackdawring.core.shard.Admission
+import io.jackdawring.core.shard.EndedRun
 import io.jackdawring.core.shard.JobId
 import io.jackdawring.core.shard.JobOutcome
 import io.jackdawring.core.shard.JobRequest
@@ -61,10 +62,13 @@
         ): StartResult? {
             if (fake.mode == FakeShardTarget.Mode.SILENT) return null
             if (nowMillis < fake.startingUntilMillis) return StartResult.NotSent("refused")
-            val job = jobs.getValue(order.task.jobId)
-            val step = job.steps[order.task.step]
-            check(order.task !in doneForGood) { "${order.task} starts again after its end was acknowledged" }
-            return fake.start(order, step.demand, works[order.task] ?: step.estimateMillis, nowMillis)
+            val step = stepOf(order.task)
+            check(
+                order.task !in doneForGood || step.lasting,
+            ) { "${order.task} starts again after its end was acknowledged" }
+            val savedBy = order.checkpoint?.let(FakeShardTarget::attemptOf) ?: 0
+            check(savedBy >= (savedForGood[order.task] ?: 0)) { "${order.task} starts without what run $savedBy saved" }
+            return fake.start(order, step, works[order.task] ?: step.estimateMillis, nowMillis)
         }
 
         override fun stop(
@@ -75,7 +79,7 @@
             if (!alive) return
             val fake = target(target)
             val silent = fake.mode == FakeShardTarget.Mode.SILENT
-            if (!silent) schedule(LATENCY_MILLIS) { fake.stop(task, attempt) }
+            if (!silent) schedule(LATENCY_MILLIS) { fake.stop(task, attempt, nowMillis) }
             val result = if (silent) StopResult.Unknown("timed out") else StopResult.Accepted
             val delay = if (silent) TIMEOUT_MILLIS else 2 * LATENCY_MILLIS
             schedule(delay) { reply { it.onStop(target.id, task, attempt, result, nowMillis) } }
@@ -129,10 +133,15 @@
                     if (isHolder) order else order.copy(acknowledgedEnd = 0, leaseUntilMillis = null),
                     nowMillis,
                 )
-            doneForGood += fake.takeForgotten().filter { it.jobId in stored }
+            fake.takeForgotten().filter { it.task.jobId in stored }.forEach(::onForgotten)
             return seen
         }
 
+        private fun onForgotten(end: EndedRun) {
+            if (end.ending == EndedRun.Ending.DONE) doneForGood.add(end.task)
+            if (end.checkpoint != null) savedForGood.merge(end.task, end.attempt, ::maxOf)
+        }
+
         override fun save(
             jobId: JobId,
             snapshot: () -> JobSnapshot,
@@ -196,6 +205,9 @@
     /** Tasks of kept jobs whose ends as done were acknowledged. */
     private val doneForGood = HashSet<TaskKey>()
 
+    /** Latest runs of tasks of kept jobs that had saved progress when their ends were acknowledged. */
+    private val savedForGood = HashMap<TaskKey, Int>()
+
     /** Kept jobs as the store has them. */
     val stored = LinkedHashMap<JobId, KeptJob>()
 
@@ -265,6 +277,10 @@
         return isOpen
     }
 
+    val runningTasks: Int get() = targets.sumOf { it.runs.size }
+
+    fun runningTasksOf(job: JobSpec): Int = targets.sumOf { target -> target.runs.keys.count { it.jobId == job.id } }
+
     val wasReplaced: Boolean get() = holders > 0
 
     fun keptState(job: JobSpec): JobState? = holder.dispatcher.keptState(job.id)
@@ -301,10 +317,12 @@
     }
 
     private fun checkSingleRuns() {
-        val running = targets.flatMap { it.runs.keys }
+        val running = targets.flatMap { it.runs.keys }.filterNot { stepOf(it).speculative }
         check(running.size == running.toSet().size) { "a task runs on two targets at $nowMillis ms: $running" }
     }
 
+    private fun stepOf(task: TaskKey) = jobs.getValue(task.jobId).steps[task.step]
+
     companion object {
         /** One way between the holder and a target. */
         private const val LATENCY_MILLIS = 1L
@@ -324,6 +342,9 @@
             maxAttempts: Int = 3,
             requiredLabel: String? = null,
             maxPerTarget: Int? = null,
+            checkpointing: Boolean = false,
+            speculative: Boolean = false,
+            lasting: Boolean = false,
         ) = JobSpec(
             JobId(id),
             queue,
@@ -341,6 +362,9 @@
                         estimateMillis,
                         requiredLabel = requiredLabel,
                         maxPerTarget = maxPerTarget,
+                        checkpointing = checkpointing,
+                        speculative = speculative,
+                        lasting = lasting,
                     ),
                 ),
         )
