Take saves out of the queue while they are written

Change: a save leaves the queue with its write and returns if the write does not take effect. The dispatcher's three result methods share their guard.

--- a/core/src/main/kotlin/io/jackdawring/core/shard/RealShardDispatcher.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/RealShardDispatcher.kt
@@ -186,11 +186,7 @@
         order: StartOrder,
         result: StartResult,
         nowMillis: Long,
-    ) {
-        if (released) return
-        control.onStart(targetId, order, result, nowMillis)
-        place(nowMillis)
-    }
+    ) = learn(nowMillis) { control.onStart(targetId, order, result, nowMillis) }
 
     override fun onStop(
         targetId: TargetId,
@@ -198,20 +194,22 @@
         attempt: Int,
         result: StopResult,
         nowMillis: Long,
-    ) {
-        if (released) return
-        control.onStop(targetId, task, attempt, result, nowMillis)
-        place(nowMillis)
-    }
+    ) = learn(nowMillis) { control.onStop(targetId, task, attempt, result, nowMillis) }
 
     override fun onLook(
         targetId: TargetId,
         order: LookOrder,
         result: LookResult,
         nowMillis: Long,
+    ) = learn(nowMillis) { control.onLook(targetId, order, result, nowMillis) }
+
+    /** Applies what a target has answered, and uses the room that this may free. */
+    private inline fun learn(
+        nowMillis: Long,
+        apply: () -> Unit,
     ) {
         if (released) return
-        control.onLook(targetId, order, result, nowMillis)
+        apply()
         place(nowMillis)
     }
 
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/kept/KeptBatch.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/kept/KeptBatch.kt
@@ -2,6 +2,7 @@
 
 import io.jackdawring.core.fleet.ShardHolding
 import io.jackdawring.core.shard.JobId
+import io.jackdawring.core.shard.JobSnapshot
 import io.jackdawring.fleet.FleetKeys
 import io.jackdawring.fleet.store.StoreChange
 import kotlinx.collections.immutable.toImmutableList
@@ -10,12 +11,13 @@
 internal class KeptBatch(
     private val holding: ShardHolding,
 ) {
-    /** A record to be written with [version] of its progress. */
+    /** A record to be written with [version] of its progress; [snapshot] gives a newer one if it must be written again. */
     class Save(
         val id: JobId,
         val entry: KeptEntry,
         val record: KeptJobRecord,
         val version: Long,
+        val snapshot: () -> JobSnapshot,
     )
 
     val saves = ArrayList<Save>()
@@ -37,11 +39,12 @@
         entry: KeptEntry,
         record: KeptJobRecord,
         version: Long,
+        snapshot: () -> JobSnapshot,
     ) {
         val key = KeptKeys.record(holding.shardId, id)
         conditions.add(StoreChange.Condition(key, entry.revision))
         writes.add(StoreChange.Write(key, record.encode()))
-        saves.add(Save(id, entry, record, version))
+        saves.add(Save(id, entry, record, version, snapshot))
     }
 
     fun accept(pending: PendingAccept) {
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/kept/KeptEntry.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/kept/KeptEntry.kt
@@ -4,6 +4,4 @@
 internal class KeptEntry(
     var record: KeptJobRecord,
     var revision: Long,
-) {
-    var savedVersion = 0L
-}
+)
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/kept/KeptJobStore.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/kept/KeptJobStore.kt
@@ -149,6 +149,7 @@
         val batch = nextBatch() ?: return
         busy = true
         batch.accepts.forEach { it.isInFlight = true }
+        batch.saves.forEach { dirty.remove(it.id) }
         nextWriteMillis = now + WRITE_INTERVAL_MILLIS
         store.commit(batch.change) { result ->
             busy = false
@@ -164,12 +165,8 @@
             val entry = entries[id] ?: continue
             val current = snapshot()
             val endedAt = if (current.progress.state.isEnded) entry.record.endedAtUnixMillis ?: unixMillis() else null
-            batch.save(
-                id,
-                entry,
-                entry.record.copy(progress = current.progress, endedAtUnixMillis = endedAt),
-                current.version,
-            )
+            val record = entry.record.copy(progress = current.progress, endedAtUnixMillis = endedAt)
+            batch.save(id, entry, record, current.version, snapshot)
         }
         for (pending in accepts.values) {
             // While the store does not answer, only one job is put in doubt by each write.
@@ -188,6 +185,7 @@
         result: CommitResult,
     ) {
         if (result !is CommitResult.Unavailable) failuresInRow = 0
+        if (result !is CommitResult.Committed) batch.saves.forEach { dirty.putIfAbsent(it.id, it.snapshot) }
         when (result) {
             is CommitResult.Committed -> onCommitted(batch, result.revision)
             is CommitResult.Conflict -> onConflict(batch, result.items.associateBy { it.key })
@@ -207,7 +205,6 @@
         for (save in batch.saves) {
             save.entry.record = save.record
             save.entry.revision = revision
-            if (save.version > save.entry.savedVersion) save.entry.savedVersion = save.version
         }
         for (pending in batch.accepts) {
             entries[pending.id] = KeptEntry(pending.record, revision)
@@ -218,10 +215,7 @@
             removed.add(id)
         }
         // The listener may add new writes, so everything is noted before it is called.
-        batch.saves.forEach { save ->
-            dirty[save.id]?.let { if (it().version == save.version) dirty.remove(save.id) }
-            listener.onSaved(save.id, save.version)
-        }
+        batch.saves.forEach { listener.onSaved(it.id, it.version) }
         batch.accepts.forEach {
             // Also without a caller that still waits, the job is stored and has to run.
             listener.onAccepted(it.record.toKeptJob(unixMillis()))
