Answer a question after the end of a kept job with the end

Cause: callers ask right after the last task has ended and then only after a while; the end was still being stored then, and the answer was "running".

Change: a question that finds an end which is being stored waits for that, at most 150 ms. An end is still shown only once it is stored.

HostedKeptJobsTest: the row of the end that is being stored failed first.

--- a/core/src/main/kotlin/io/jackdawring/core/shard/KeptJobs.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/KeptJobs.kt
@@ -44,6 +44,8 @@
         return open[id]?.let { if (it.started) JobState.RUNNING else JobState.QUEUED }
     }
 
+    fun isEndUnsaved(id: JobId): Boolean = ended[id]?.job != null
+
     /** Stores that a task of [job] is done or has failed. */
     fun progressed(job: HeldJob) {
         job.progressVersion++
--- a/core/src/main/kotlin/io/jackdawring/core/shard/RealShardDispatcher.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/RealShardDispatcher.kt
@@ -163,6 +163,8 @@
 
     override fun keptState(jobId: JobId): JobState? = kept.stateOf(jobId)
 
+    override fun isEndUnsaved(jobId: JobId): Boolean = kept.isEndUnsaved(jobId)
+
     override fun forget(jobId: JobId) = kept.forget(jobId)
 
     override fun backlogMillis(
--- a/core/src/main/kotlin/io/jackdawring/core/shard/ShardDispatcher.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/ShardDispatcher.kt
@@ -85,6 +85,9 @@
     /** State of a kept job, or null if it is not known. */
     fun keptState(jobId: JobId): JobState?
 
+    /** Whether a kept job has ended and its end is not stored yet, so that it is still shown as running. */
+    fun isEndUnsaved(jobId: JobId): Boolean
+
     /** What is believed of each target, for operators. */
     fun beliefs(nowMillis: Long): ImmutableList<TargetBelief>
 
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/kept/HostedKeptJobs.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/kept/HostedKeptJobs.kt
@@ -19,7 +19,9 @@
     createStore: (KeptJobStore.Listener) -> KeptJobStore,
 ) : KeptJobStore.Listener {
     private val store = createStore(this)
-    private val cancels = HashMap<JobId, MutableList<(JobState?) -> Unit>>()
+
+    /** Requests that are answered once the end of a job is stored. */
+    private val awaitingEnd = HashMap<JobId, MutableList<(JobState?) -> Unit>>()
 
     /** Above the attempts of all earlier holders, because fences grow. */
     private val attemptBase = (holding.revision % MAX_ATTEMPT_BASE).toInt()
@@ -32,8 +34,8 @@
 
     fun release() {
         store.release()
-        cancels.values.flatten().forEach { it(null) }
-        cancels.clear()
+        awaitingEnd.values.flatten().forEach { it(null) }
+        awaitingEnd.clear()
     }
 
     fun keep(
@@ -59,6 +61,32 @@
         return KeepOutcome.Refused("a backlog of $backlogMillis ms", FULL_RETRY_AFTER_MILLIS, backlogMillis)
     }
 
+    /**
+     * Tells the state of a job, or null if it is not known here.
+     *
+     * Callers ask right after the end and then again only after a while, so an end that is being stored is waited for.
+     */
+    fun ask(
+        id: JobId,
+        onState: (JobState?) -> Unit,
+    ) {
+        if (!dispatcher.isEndUnsaved(id)) {
+            onState(dispatcher.keptState(id))
+            return
+        }
+        awaitEnd(id, onState)
+        loop.schedule(END_WAIT_MILLIS) {
+            if (awaitingEnd[id]?.remove(onState) == true) onState(dispatcher.keptState(id))
+        }
+    }
+
+    private fun awaitEnd(
+        id: JobId,
+        onState: (JobState?) -> Unit,
+    ) {
+        awaitingEnd.getOrPut(id) { ArrayList(1) }.add(onState)
+    }
+
     fun cancel(
         id: JobId,
         onState: (JobState?) -> Unit,
@@ -67,7 +95,7 @@
         if (state == null || state.isEnded) {
             onState(state)
         } else {
-            cancels.getOrPut(id) { ArrayList(1) }.add(onState)
+            awaitEnd(id, onState)
             dispatcher.cancel(id, loop.nowMillis())
         }
     }
@@ -82,7 +110,7 @@
         id: JobId,
         state: JobState,
     ) {
-        cancels.remove(id)?.forEach { it(state) }
+        awaitingEnd.remove(id)?.forEach { it(state) }
     }
 
     override fun onFound(jobs: List<KeptJob>) {
@@ -110,6 +138,9 @@
 
         /** About the time in which a full backlog has shrunk noticeably. */
         const val FULL_RETRY_AFTER_MILLIS = 5_000L
+
+        /** Several writes of a store that is well; callers learn of a running job quickly otherwise. */
+        const val END_WAIT_MILLIS = 150L
         const val MAX_ATTEMPT_BASE = 1_000_000_000L
     }
 }
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/kept/RealKeptHolders.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/kept/RealKeptHolders.kt
@@ -4,6 +4,7 @@
 import io.jackdawring.core.fleet.ShardId
 import io.jackdawring.core.shard.JobId
 import io.jackdawring.core.shard.JobSpec
+import io.jackdawring.core.shard.JobState
 import io.jackdawring.fleet.FleetDirectory
 import io.jackdawring.fleet.HeldShards
 import io.jackdawring.fleet.HolderAccess
@@ -53,11 +54,8 @@
     ) {
         val host = shards.host(holding.shardId)
         if (host != null) {
-            if (cancel) {
-                host.cancel(jobId) { onAnswer(KeptHolders.StateAnswer.Known(it)) }
-            } else {
-                onAnswer(KeptHolders.StateAnswer.Known(host.keptState(jobId)))
-            }
+            val onState = { state: JobState? -> onAnswer(KeptHolders.StateAnswer.Known(state)) }
+            if (cancel) host.cancel(jobId, onState) else host.askState(jobId, onState)
             return
         }
         peers.askState(holding.holder, KeptStateMessage(holding.shardId, jobId, cancel)) { reply ->
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/peer/PeerApi.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/peer/PeerApi.kt
@@ -85,7 +85,7 @@
     ) {
         val host = hostOrDeny(exchange, message.shardId) ?: return
         val respond = { state: JobState? -> exchange.respond(json(KeptStateReply.serializer(), KeptStateReply(state))) }
-        if (message.cancel) host.cancel(message.jobId, respond) else respond(host.keptState(message.jobId))
+        if (message.cancel) host.cancel(message.jobId, respond) else host.askState(message.jobId, respond)
     }
 
     private fun onPending(
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/shard/ShardHost.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/shard/ShardHost.kt
@@ -107,7 +107,11 @@
         onOutcome: (KeepOutcome) -> Unit,
     ) = keptJobs.keep(message, onOutcome)
 
-    fun keptState(id: JobId): JobState? = dispatcher.keptState(id)
+    /** Tells the state of a kept job, or null if there is no such job here. */
+    fun askState(
+        id: JobId,
+        onState: (JobState?) -> Unit,
+    ) = keptJobs.ask(id, onState)
 
     /** Cancels a kept job; [onState] gets its state once that is stored, or null if there is no such job here. */
     fun cancel(
--- /dev/null
+++ b/fleet/src/test/kotlin/io/jackdawring/fleet/kept/HostedKeptJobsTest.kt
@@ -0,0 +1,146 @@
+package io.jackdawring.fleet.kept
+
+import io.jackdawring.core.FailureDomainId
+import io.jackdawring.core.InstanceId
+import io.jackdawring.core.fleet.FleetMember
+import io.jackdawring.core.fleet.ShardHolding
+import io.jackdawring.core.fleet.ShardId
+import io.jackdawring.core.shard.JobId
+import io.jackdawring.core.shard.JobOutcome
+import io.jackdawring.core.shard.JobSnapshot
+import io.jackdawring.core.shard.JobState
+import io.jackdawring.core.shard.LookOrder
+import io.jackdawring.core.shard.ShardDecision
+import io.jackdawring.core.shard.ShardDispatcher
+import io.jackdawring.core.shard.ShardOutlet
+import io.jackdawring.core.shard.ShardTarget
+import io.jackdawring.core.shard.StartOrder
+import io.jackdawring.core.shard.TaskKey
+import io.jackdawring.core.shard.WaiterId
+import io.jackdawring.core.shard.shardOptions
+import io.jackdawring.fleet.FakeControlLoop
+import io.jackdawring.fleet.FleetKeys
+import io.jackdawring.fleet.store.FakeTransactionalStore
+import org.junit.jupiter.api.DynamicTest
+import org.junit.jupiter.api.TestFactory
+import kotlin.test.assertEquals
+
+/** Guards against callers that learn of an end only with their next question, and against ends shown before they are stored. */
+class HostedKeptJobsTest {
+    /** Does nothing; the jobs of these tests never run. */
+    private object NoOutlet : ShardOutlet {
+        override fun start(
+            target: ShardTarget,
+            order: StartOrder,
+        ) = Unit
+
+        override fun stop(
+            target: ShardTarget,
+            task: TaskKey,
+            attempt: Int,
+        ) = Unit
+
+        override fun look(
+            target: ShardTarget,
+            order: LookOrder,
+        ) = Unit
+
+        override fun answer(
+            waiter: WaiterId,
+            outcome: JobOutcome,
+        ) = Unit
+
+        override fun save(
+            jobId: JobId,
+            snapshot: () -> JobSnapshot,
+        ) = Unit
+
+        override fun ended(
+            jobId: JobId,
+            state: JobState,
+        ) = Unit
+
+        override fun fenced(target: ShardTarget) = Unit
+
+        override fun report(decision: ShardDecision) = Unit
+    }
+
+    /** A dispatcher with one job in [state], whose end is stored if [isSaved]. */
+    private class OneJobDispatcher(
+        var state: JobState?,
+        var isSaved: Boolean,
+    ) : ShardDispatcher by ShardDispatcher.Factory.Default.create(shardOptions(), NoOutlet) {
+        override fun keptState(jobId: JobId) = state
+
+        override fun isEndUnsaved(jobId: JobId) = !isSaved
+    }
+
+    private class Scene(
+        state: JobState?,
+        isSaved: Boolean,
+    ) {
+        val loop = FakeControlLoop()
+        val dispatcher = OneJobDispatcher(state, isSaved)
+        private val store = FakeTransactionalStore(loop)
+        private val shardId = ShardId(FailureDomainId("a"), 0)
+        private val member = FleetMember(InstanceId("e1"), "i1", FailureDomainId("a"), "10.0.0.1:1", 1.0)
+        private val holding = ShardHolding(shardId, member, store.put(FleetKeys.shard(shardId)))
+        val jobs =
+            HostedKeptJobs(holding, dispatcher, loop, {}) { listener ->
+                KeptJobStore(holding, store, loop, { loop.nowMillis() }, 10_000, listener)
+            }
+        val answers = ArrayList<JobState?>()
+
+        fun ask() = jobs.ask(ID) { answers.add(it) }
+    }
+
+    private class Row(
+        val name: String,
+        val state: JobState?,
+        val isSaved: Boolean,
+        val test: Scene.() -> Unit,
+    )
+
+    private val rows =
+        listOf(
+            Row("a running job is shown at once", JobState.RUNNING, isSaved = true) {
+                ask()
+                assertEquals(listOf<JobState?>(JobState.RUNNING), answers)
+            },
+            Row("an unknown job is told at once", null, isSaved = true) {
+                ask()
+                assertEquals(listOf<JobState?>(null), answers)
+            },
+            Row("an end that is being stored is shown once it is stored", JobState.RUNNING, isSaved = false) {
+                repeat(2) { ask() }
+                loop.clock.advance(40)
+                assertEquals(emptyList(), answers.toList())
+                jobs.ended(ID, JobState.COMPLETED)
+                loop.clock.advance(1_000)
+                assertEquals(List<JobState?>(2) { JobState.COMPLETED }, answers)
+            },
+            Row(
+                "while the store does not take an end, the job is shown as running",
+                JobState.RUNNING,
+                isSaved = false,
+            ) {
+                ask()
+                loop.clock.advance(1_000)
+                assertEquals(listOf<JobState?>(JobState.RUNNING), answers)
+            },
+            Row("a holder that loses its shard leaves the answer to the store", JobState.RUNNING, isSaved = false) {
+                ask()
+                jobs.release()
+                loop.clock.advance(1_000)
+                assertEquals(listOf<JobState?>(null), answers)
+            },
+        )
+
+    @TestFactory
+    fun `questions for the state of a kept job`() =
+        rows.map { row -> DynamicTest.dynamicTest(row.name) { Scene(row.state, row.isSaved).run(row.test) } }
+
+    private companion object {
+        val ID = JobId("j")
+    }
+}
