Bound the work that preemption throws away

Change: a run is stopped only if it loses less time than the urgent task would be late. That counts the places that become free by themselves, after those for earlier tasks of its own job; with checkpoints, a run loses the time to restore one. The forecast on arrival follows the same rule.

Tried: counting all tasks that wait before it.

--- a/core/src/main/kotlin/io/jackdawring/core/shard/HeldRun.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/HeldRun.kt
@@ -45,8 +45,16 @@
     var stopReason: String? = null
     var stopSentAtMillis = Long.MIN_VALUE
 
+    fun expectedEndMillis(nowMillis: Long): Long =
+        maxOf(sentAtMillis + expectedMillis, nowMillis + expectedMillis / OVERDUE_SHARE)
+
     val demand: Resources get() = owner?.spec?.demand ?: Resources()
 
+    private companion object {
+        /** A run past its expected end is taken to need a further quarter of it. */
+        const val OVERDUE_SHARE = 4
+    }
+
     /** What is known of a run. */
     enum class State {
         /** Ordered and not yet answered. */
--- a/core/src/main/kotlin/io/jackdawring/core/shard/Placement.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/Placement.kt
@@ -29,7 +29,7 @@
             val isHopeless = !task.spec.demand.fitsInto(free) || need in unmet
             val target = if (isHopeless) null else choice.choose(task, control.targets, nowMillis)
             if (target == null) {
-                if (!task.spec.lasting) preemption.consider(task, waiting.latestStartMillis(task), nowMillis)
+                preemption.consider(task, waiting.latestStartMillis(task), nowMillis)
                 if (isHopeless) continue
                 if (task.spec.maxPerTarget == null) unmet.add(need)
                 if (unmet.size >= MAX_UNMET) return
--- a/core/src/main/kotlin/io/jackdawring/core/shard/Preemption.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/Preemption.kt
@@ -3,7 +3,8 @@
 /**
  * Stops runs of less urgent kept jobs for tasks that would otherwise miss their objective.
  *
- * Runs that a caller waits for are not stopped: that would only make another answer late.
+ * A run is stopped only if it loses less time than the urgent task would be late. Runs that a caller waits for are not
+ * stopped: that would only make another answer late.
  */
 internal class Preemption(
     private val options: ShardOptions,
@@ -13,9 +14,8 @@
     private class Plan(
         val target: HeldTarget,
         val victims: List<HeldRun>,
-    ) {
-        fun lostWork(nowMillis: Long): Long = victims.sumOf { lostWork(it, nowMillis) }
-    }
+        val lostMillis: Long,
+    )
 
     /** Tasks for which runs are being stopped, with the target that they are meant for. */
     private val pending = HashMap<HeldTask, HeldTarget>()
@@ -27,18 +27,44 @@
         nowMillis: Long,
     ) {
         if (task.hasPreempted || nowMillis < latestStartMillis - options.stopMillis - LEAD_MILLIS) return
-        if (task.job.prospect != Prospect.IN_TIME) return
+        if (task.spec.lasting || task.job.prospect != Prospect.IN_TIME) return
+        val lateMillis = nextPlaceMillis(task, nowMillis) - latestStartMillis
+        if (lateMillis <= 0) return
         pending.keys.removeAll { !it.waiting }
-        val plan =
-            control.targets.mapNotNull { plan(task, it, nowMillis) }.minByOrNull { it.lostWork(nowMillis) } ?: return
+        val plans = control.targets.mapNotNull { plan(task, it, lateMillis, nowMillis) }
+        val plan = plans.minByOrNull { it.lostMillis } ?: return
         task.hasPreempted = true
         pending[task] = plan.target
         plan.victims.forEach { control.stop(it, "preempted by job ${task.key.jobId.value}", nowMillis) }
     }
 
+    /**
+     * Expected time at which a place becomes free for the task by itself, after those for earlier tasks of its job.
+     *
+     * Other jobs that wait do not count: stopping runs adds work, and makes a backlog of short tasks longer.
+     */
+    private fun nextPlaceMillis(
+        task: HeldTask,
+        nowMillis: Long,
+    ): Long {
+        val tasksBefore =
+            task.job
+                .tasks()
+                .takeWhile { it !== task }
+                .count { it.waiting }
+        return control.targets
+            .filter { TargetChoice.canRun(it, task, nowMillis) }
+            .flatMap { it.runs.values }
+            .filterNot { it.owner?.spec?.lasting == true }
+            .map { it.expectedEndMillis(nowMillis) }
+            .sorted()
+            .getOrElse(tasksBefore) { Long.MAX_VALUE / 2 }
+    }
+
     private fun plan(
         task: HeldTask,
         target: HeldTarget,
+        lateMillis: Long,
         nowMillis: Long,
     ): Plan? {
         if (!TargetChoice.canRun(target, task, nowMillis) || !endsInTime(task, target, nowMillis)) return null
@@ -49,7 +75,9 @@
             victims.add(run)
             free += run.demand
         }
-        return if (victims.isNotEmpty() && task.spec.demand.fitsInto(free)) Plan(target, victims) else null
+        if (victims.isEmpty() || !task.spec.demand.fitsInto(free)) return null
+        val lostMillis = victims.sumOf { lostMillis(it, options, nowMillis) }
+        return Plan(target, victims, lostMillis).takeIf { lostMillis < lateMillis }
     }
 
     private fun endsInTime(
@@ -79,14 +107,7 @@
     ): List<HeldRun> =
         target.runs.values
             .filter { isPreemptable(it, task.job.spec) }
-            .sortedWith(
-                compareByDescending<HeldRun> {
-                    it.owner
-                        ?.job
-                        ?.spec
-                        ?.priority
-                }.thenBy { lostWork(it, nowMillis) },
-            )
+            .sortedBy { lostMillis(it, options, nowMillis) }
 
     companion object {
         /** Time between the stop of a run and the next start there; a few messages and the interval of ticks. */
@@ -102,11 +123,14 @@
             return isLessUrgent && task.job.isKept && !task.spec.lasting && run.stopReason == null
         }
 
-        /** Work that a stop throws away, in thousandths of a core times milliseconds; a stop saves a checkpoint. */
-        private fun lostWork(
+        /** Time of work that a stop of [run] throws away; a stop saves a checkpoint. */
+        fun lostMillis(
             run: HeldRun,
+            options: ShardOptions,
             nowMillis: Long,
-        ): Long =
-            if (run.owner?.spec?.checkpointing == true) 0 else (nowMillis - run.sentAtMillis) * run.demand.cpuMillis
+        ): Long {
+            val ranMillis = nowMillis - run.sentAtMillis
+            return if (run.owner?.spec?.checkpointing == true) minOf(ranMillis, options.restoreMillis) else ranMillis
+        }
     }
 }
--- a/core/src/main/kotlin/io/jackdawring/core/shard/ShardOptions.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/ShardOptions.kt
@@ -10,6 +10,8 @@
     val leaseMillis: Long,
     /** Longest time a target takes to stop a run; platform. */
     val stopMillis: Long,
+    /** Time a run needs to go on from a checkpoint; platform. */
+    val restoreMillis: Long,
     /** Factor by which a task takes longer outside its rack; platform. */
     val farFactor: Double,
     /** Wait of a look, well below the lease so that a missed look does not end it. */
@@ -25,6 +27,7 @@
     class Builder {
         var leaseMillis: Long = 1_000
         var stopMillis: Long = 50
+        var restoreMillis: Long = 100
         var farFactor: Double = 2.0
         var lookWaitMillis: Long = 400
         var adoptMillis: Long = 700
@@ -35,6 +38,7 @@
             ShardOptions(
                 leaseMillis,
                 stopMillis,
+                restoreMillis,
                 farFactor,
                 lookWaitMillis,
                 adoptMillis,
--- a/core/src/main/kotlin/io/jackdawring/core/shard/WaitForecast.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/WaitForecast.kt
@@ -68,16 +68,12 @@
         sample: HeldTask,
         nowMillis: Long,
     ): Double {
-        val endMillis = expectedEndMillis(run, nowMillis)
-        if (!Preemption.isPreemptable(run, sample.job.spec)) return endMillis
-        return minOf(endMillis, (nowMillis + options.stopMillis).toDouble())
+        val endMillis = run.expectedEndMillis(nowMillis)
+        val isCheap = Preemption.lostMillis(run, options, nowMillis) < endMillis - nowMillis
+        val isPreempted = isCheap && Preemption.isPreemptable(run, sample.job.spec)
+        return (if (isPreempted) minOf(endMillis, nowMillis + options.stopMillis) else endMillis).toDouble()
     }
 
-    private fun expectedEndMillis(
-        run: HeldRun,
-        nowMillis: Long,
-    ): Double = maxOf(run.sentAtMillis + run.expectedMillis, nowMillis + run.expectedMillis / OVERDUE_SHARE).toDouble()
-
     private fun spareRoom(
         free: Resources,
         demand: Resources,
@@ -89,9 +85,6 @@
     }
 
     private companion object {
-        /** A run past its expected end is taken to need a further quarter of it. */
-        const val OVERDUE_SHARE = 4
-
         /** Bounds the work for tasks of negligible size. */
         const val MAX_SPARE = 64
     }
--- a/testing/src/test/kotlin/io/jackdawring/testing/shard/KeptJobPatternTest.kt
+++ b/testing/src/test/kotlin/io/jackdawring/testing/shard/KeptJobPatternTest.kt
@@ -111,6 +111,18 @@
                 world.runFor(3_000)
                 assertEquals(4, world.starts.size)
             },
+            Row("a backlog of short tasks: little work is thrown away for urgent ones") {
+                val world = world(count = 4)
+                val jobs = List(200) { job("k$it", tasks = 2, estimateMillis = 200, priority = it % 3) }
+                for (job in jobs) {
+                    world.keep(job)
+                    world.runFor(25)
+                }
+                world.runFor(20_000)
+                assertEquals(jobs.size, jobs.count { world.keptState(it) == JobState.COMPLETED })
+                // A tenth of the starts.
+                assertTrue(world.starts.size <= 440, "${world.starts.size} starts of 400 tasks")
+            },
             Row("the run that loses least is stopped: one with checkpoints") {
                 val world = world(count = 1)
                 val saved = job("saved", estimateMillis = 3_000, priority = 2, checkpointing = true)
