Keep the cost of a shard's decisions flat under a backlog

Every arrival built a forecast over all places and all tasks before it.

Change: targets are kept in the order of their free room, and waiting tasks are counted by their need, so that full targets end the search at once. A forecast samples the targets beyond 64 and simulates at most 256 waiting tasks for each sample.

Ruled out as the whole cause: the queue's order and admission, which are unchanged.

--- a/cli/src/main/kotlin/io/jackdawring/cli/commands/BenchCommand.kt
+++ b/cli/src/main/kotlin/io/jackdawring/cli/commands/BenchCommand.kt
@@ -16,7 +16,7 @@
         "measure processor time, messages, memory and store calls on this machine",
         "jackdawring bench --only core --json",
     ) {
-    @Option(name = "--only", metaVar = "NAME", usage = "core, starts, control, memory or store (default all)")
+    @Option(name = "--only", metaVar = "NAME", usage = "core, shard, starts, control, memory or store (default all)")
     var only: String? = null
 
     @Option(name = "--case-millis", metaVar = "N", usage = "time per case in milliseconds (100 to 10000; default 1000)")
--- a/cli/src/test/kotlin/io/jackdawring/cli/CommandLineTest.kt
+++ b/cli/src/test/kotlin/io/jackdawring/cli/CommandLineTest.kt
@@ -31,7 +31,7 @@
                 "scenarios --policies fastest",
                 "--policies: 'fastest' is not allowed; allowed are adaptive-window",
             ),
-            Mistake("bench --only cores", "--only: 'cores' is not allowed; allowed are core, starts, control"),
+            Mistake("bench --only cores", "--only: 'cores' is not allowed; allowed are core, shard, starts, control"),
             Mistake("load --service s --kind k --rate 0", "--rate: '0' is not allowed; allowed is 1 to 100000"),
             Mistake("load --service s --kind k --rate x", "\"x\" is not a valid value for \"--rate\""),
             Mistake("standin platform --listen x", "--listen: 'x' is not allowed; allowed is IP:PORT"),
--- a/core/src/main/kotlin/io/jackdawring/core/shard/HeldTarget.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/HeldTarget.kt
@@ -2,8 +2,16 @@
 
 /** What the holder believes about one target. */
 internal class HeldTarget(
-    var facts: ShardTarget,
+    facts: ShardTarget,
+    /** Number in the order in which the targets became known. */
+    val sequence: Int,
+    private val byRoom: TargetsByRoom,
 ) {
+    var facts = facts
+        set(value) {
+            field = value
+            recount()
+        }
     val id get() = facts.id
     val runs = LinkedHashMap<TaskKey, HeldRun>()
     val record = TargetRecord()
@@ -44,10 +52,12 @@
     /** Whether starts are paused because something runs that no job has claimed. */
     val hasUnclaimedRuns: Boolean get() = runs.values.any { it.owner == null }
 
-    var used = Resources()
+    var free = facts.capacity
         private set
 
-    val free: Resources get() = facts.capacity - used
+    init {
+        byRoom.add(this)
+    }
 
     /** Whether the target may be used; an entry that lapsed with the store returns within the grace if it is alive. */
     fun isListed(nowMillis: Long): Boolean = unlistedSinceMillis?.let { nowMillis - it < UNLISTED_GRACE_MILLIS } ?: true
@@ -63,7 +73,9 @@
     }
 
     fun recount() {
-        used = runs.values.fold(Resources()) { sum, run -> sum + run.demand }
+        byRoom.remove(this)
+        free = runs.values.fold(facts.capacity) { left, run -> left - run.demand }
+        byRoom.add(this)
     }
 
     fun describe(nowMillis: Long) =
--- a/core/src/main/kotlin/io/jackdawring/core/shard/JobAdmissions.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/JobAdmissions.kt
@@ -21,13 +21,25 @@
         if (completionMillis == null) return JobOutcome.NotRun("no target can run it now", NO_TARGET_RETRY_MILLIS)
         val lateMillis = (completionMillis - job.objectiveAtMillis).toLong()
         if (lateMillis <= 0) return null
-        val hasRoom = choice.choose(job.steps.first().first(), control.targets, nowMillis) != null
+        val hasRoom = hasRoom(job.steps.first().first(), nowMillis)
         if (hasRoom && admission == Admission.ON_TIME_OR_ROOM) return null
         val forecastMillis = completionMillis.toLong() - nowMillis
         val reason = "forecast of $forecastMillis ms exceeds the objective of ${job.spec.objectiveMillis} ms"
         return JobOutcome.NotRun(reason, lateMillis, hasRoom)
     }
 
+    private fun hasRoom(
+        task: HeldTask,
+        nowMillis: Long,
+    ): Boolean {
+        val candidates =
+            control.byRoom.candidates(
+                task.spec.demand.cpuMillis,
+                nowMillis,
+            ) { TargetChoice.matches(it, task) }
+        return choice.choose(task, candidates, nowMillis) != null
+    }
+
     private companion object {
         /** Time for the targets to answer the first look of a new holder. */
         const val WARM_UP_MILLIS = 250L
--- a/core/src/main/kotlin/io/jackdawring/core/shard/Placement.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/Placement.kt
@@ -8,8 +8,6 @@
     private val choice: TargetChoice,
     private val waiting: WaitingTasks,
 ) {
-    private val preemption = Preemption(options, control, durations)
-
     /** What decides whether any target has room for a task. */
     private data class Need(
         val service: String,
@@ -19,38 +17,45 @@
 
     /** Starts as many waiting tasks as there is room for. */
     fun place(nowMillis: Long) {
-        if (waiting.isEmpty) return
+        var candidates = candidates(nowMillis)
+        var free = largestFree(candidates)
         val unmet = HashSet<Need>()
-        var free = largestFree(nowMillis)
         for (task in waiting.inOrder()) {
+            control.cost.add()
+            if (candidates.isEmpty() || unmet.size == MAX_UNMET) return
+            if (!task.spec.demand.fitsInto(free)) continue
             // A run of an earlier request for the job may still be stopping.
             if (control.isPresent(task.key) || nowMillis < task.notBeforeMillis) continue
             val need = Need(task.job.spec.service, task.spec.demand, task.spec.requiredLabel)
-            val isHopeless = !task.spec.demand.fitsInto(free) || need in unmet
-            val target = if (isHopeless) null else choice.choose(task, control.targets, nowMillis)
+            if (need in unmet) continue
+            control.cost.add(candidates.size)
+            val target = choice.choose(task, candidates, nowMillis)
             if (target == null) {
-                preemption.consider(task, waiting.latestStartMillis(task), nowMillis)
-                if (isHopeless) continue
                 if (task.spec.maxPerTarget == null) unmet.add(need)
-                if (unmet.size >= MAX_UNMET) return
                 continue
             }
             waiting.remove(task)
             task.job.started = true
             val expected = durations.onTargetMillis(task, target, options.farFactor).toLong()
             control.start(task, target, expected, nowMillis)
-            free = largestFree(nowMillis)
+            candidates = candidates(nowMillis)
+            free = largestFree(candidates)
+        }
+    }
+
+    /** Targets with room for the smallest task that waits for their service. */
+    private fun candidates(nowMillis: Long): List<HeldTarget> {
+        val smallestMillis = waiting.smallestCpuMillis ?: return emptyList()
+        return control.byRoom.candidates(smallestMillis, nowMillis) { target ->
+            waiting.smallestCpuMillis(target.facts.service)?.let { it <= target.free.cpuMillis } == true
         }
     }
 
-    /** Bounds the free resources of every target, so that most tasks of a backlog need no look at the targets. */
-    private fun largestFree(nowMillis: Long): Resources =
-        control.targets
-            .filter { TargetChoice.isUsable(it, nowMillis) }
-            .fold(Resources()) { most, target -> most.atLeast(target.free) }
+    private fun largestFree(candidates: List<HeldTarget>): Resources =
+        candidates.fold(Resources()) { most, target -> most.atLeast(target.free) }
 
     private companion object {
-        /** Bounds the work for a backlog of tasks of many sizes; the next event goes on from the front. */
+        /** Bounds the searches for tasks of many sizes; the next event goes on from the front. */
         const val MAX_UNMET = 200
     }
 }
--- a/core/src/main/kotlin/io/jackdawring/core/shard/Preemption.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/Preemption.kt
@@ -20,14 +20,28 @@
     /** Tasks for which runs are being stopped, with the target that they are meant for. */
     private val pending = HashMap<HeldTask, HeldTarget>()
 
-    /** Makes room for [task] if it must start soon; each task has one try. */
-    fun consider(
+    /** Makes room for the tasks that must start soon. */
+    fun makeRoom(
+        waiting: WaitingTasks,
+        nowMillis: Long,
+    ) {
+        val untilMillis = nowMillis + options.stopMillis + LEAD_MILLIS
+        waiting
+            .inTime()
+            .map { it to waiting.latestStartMillis(it) }
+            .takeWhile { (_, latestStartMillis) -> latestStartMillis <= untilMillis }
+            .filterNot { (task, _) -> task.hasPreempted || control.isPresent(task.key) || isTooLate(task, nowMillis) }
+            .take(MAX_CONSIDERED)
+            .forEach { (task, latestStartMillis) -> consider(task, latestStartMillis, nowMillis) }
+    }
+
+    /** Makes room for [task]; each task has one try. */
+    private fun consider(
         task: HeldTask,
         latestStartMillis: Long,
         nowMillis: Long,
     ) {
-        if (task.hasPreempted || nowMillis < latestStartMillis - options.stopMillis - LEAD_MILLIS) return
-        if (task.spec.lasting || task.job.prospect != Prospect.IN_TIME) return
+        control.cost.add(control.targets.size)
         val lateMillis = nextPlaceMillis(task, nowMillis) - latestStartMillis
         if (lateMillis <= 0) return
         pending.keys.removeAll { !it.waiting }
@@ -80,6 +94,15 @@
         return Plan(target, victims, lostMillis).takeIf { lostMillis < lateMillis }
     }
 
+    /** Whether [task] would miss its objective on the fastest target. */
+    private fun isTooLate(
+        task: HeldTask,
+        nowMillis: Long,
+    ): Boolean {
+        val unitMillis = durations.atUnitSpeedMillis(task.job.spec.queue, task.spec.estimateMillis)
+        return nowMillis + options.stopMillis + unitMillis / FASTEST_SPEED > task.job.objectiveAtMillis
+    }
+
     private fun endsInTime(
         task: HeldTask,
         target: HeldTarget,
@@ -113,6 +136,12 @@
         /** Time between the stop of a run and the next start there; a few messages and the interval of ticks. */
         private const val LEAD_MILLIS = 40L
 
+        /** Speed that hardly any target exceeds. */
+        private const val FASTEST_SPEED = 2
+
+        /** Bounds the work of one call. */
+        private const val MAX_CONSIDERED = 50
+
         /** Whether [run] may be stopped for a job like [urgent]. */
         fun isPreemptable(
             run: HeldRun,
--- a/core/src/main/kotlin/io/jackdawring/core/shard/RealShardDispatcher.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/RealShardDispatcher.kt
@@ -14,9 +14,10 @@
     private val waiting = lifecycle.waiting
     private val kept = lifecycle.kept
     private val choice = TargetChoice(lifecycle.durations, options.farFactor)
-    private val forecast = WaitForecast(lifecycle.durations, options)
+    private val forecast = WaitForecast(lifecycle.durations, options, control.cost)
     private val admissions = JobAdmissions(control, choice)
     private val placement = Placement(options, control, lifecycle.durations, choice, waiting)
+    private val preemption = Preemption(options, control, lifecycle.durations)
     private val copies = SpeculativeCopies(options, control, lifecycle.durations, choice)
     private val hangs = HangWatch(control)
     private var nextJobSequence = 0L
@@ -24,6 +25,8 @@
 
     override val waitingTasks: Int get() = waiting.size
 
+    override val examined: Long get() = control.cost.examined
+
     override fun updateTargets(
         targets: ImmutableCollection<ShardTarget>,
         nowMillis: Long,
@@ -88,6 +91,7 @@
         )
         lifecycle.proceed(job, nowMillis)
         place(nowMillis)
+        preempt(nowMillis)
     }
 
     override fun withdraw(
@@ -118,6 +122,7 @@
         kept.add(held)
         lifecycle.proceed(held, nowMillis)
         place(nowMillis)
+        preempt(nowMillis)
     }
 
     override fun recover(
@@ -222,6 +227,7 @@
         hangs.check(nowMillis)
         lifecycle.forgetOld(nowMillis)
         place(nowMillis)
+        preempt(nowMillis)
         if (waiting.isEmpty) copies.start(nowMillis)
     }
 
@@ -252,10 +258,16 @@
 
     private fun place(nowMillis: Long) {
         lifecycle.decideOnEarlierJobs(nowMillis)
+        if (waiting.isEmpty) return
         waiting.lowerProspects(nowMillis)
         placement.place(nowMillis)
     }
 
+    private fun preempt(nowMillis: Long) {
+        // Only runs of kept jobs are stopped for others.
+        if (kept.openJobs.isNotEmpty() && !waiting.isEmpty) preemption.makeRoom(waiting, nowMillis)
+    }
+
     override fun release(nowMillis: Long) {
         if (released) return
         released = true
--- a/core/src/main/kotlin/io/jackdawring/core/shard/ShardDispatcher.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/ShardDispatcher.kt
@@ -100,6 +100,9 @@
     /** Number of tasks that wait for a target. */
     val waitingTasks: Int
 
+    /** Number of waiting tasks, targets and runs that the decisions so far have looked at. */
+    val examined: Long
+
     /** Forgets a kept job that has ended. */
     fun forget(jobId: JobId)
 
--- a/core/src/main/kotlin/io/jackdawring/core/shard/TargetControl.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/TargetControl.kt
@@ -9,12 +9,15 @@
     private val outlet: ShardOutlet,
     private val listener: RunListener,
 ) {
-    private val roster = TargetRoster(::report)
+    /** What the decisions about these targets have looked at. */
+    val cost = DecisionCost()
+    private val roster = TargetRoster(cost, ::report)
     private val looks = TargetLooks(options, outlet)
     private val stops = StopOrders(outlet)
     private val index = RunIndex()
 
     val targets: Collection<HeldTarget> get() = roster.targets
+    val byRoom: TargetsByRoom get() = roster.byRoom
 
     /** Time of the first list of targets; null before. */
     val listedAtMillis: Long? get() = roster.listedAtMillis
--- a/core/src/main/kotlin/io/jackdawring/core/shard/TargetRoster.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/TargetRoster.kt
@@ -5,10 +5,13 @@
 
 /** The targets of a shard: those in the platform's list, and those that left it and may still run something. */
 internal class TargetRoster(
+    cost: DecisionCost,
     private val onChanged: (target: HeldTarget, state: String, reason: String) -> Unit,
 ) {
     private val byId = LinkedHashMap<TargetId, HeldTarget>()
+    private var nextSequence = 0
     val targets: Collection<HeldTarget> get() = byId.values
+    val byRoom = TargetsByRoom(cost)
 
     /** Time of the first list of targets; null before. */
     var listedAtMillis: Long? = null
@@ -30,11 +33,11 @@
         val seen = HashSet<TargetId>()
         for (facts in listed) {
             seen.add(facts.id)
-            val target = byId.getOrPut(facts.id) { HeldTarget(facts) }
+            val target = byId.getOrPut(facts.id) { newTarget(facts) }
             val state = if (facts.draining) "draining" else "ready"
             if (target.facts.draining != facts.draining) onChanged(target, state, "listed so")
             if (target.facts.address != facts.address) onMoved(target)
-            target.facts = facts
+            if (target.facts != facts) target.facts = facts
             target.unlistedSinceMillis = null
         }
         for (target in byId.values) {
@@ -52,12 +55,18 @@
         inherited = true
         if (listedAtMillis == null) listedAtMillis = nowMillis
         for (facts in targets) {
-            byId.getOrPut(facts.id) { HeldTarget(facts).apply { unlistedSinceMillis = nowMillis } }
+            byId.getOrPut(facts.id) { newTarget(facts).apply { unlistedSinceMillis = nowMillis } }
         }
     }
 
+    private fun newTarget(facts: ShardTarget) = HeldTarget(facts, nextSequence++, byRoom)
+
     /** Forgets targets that are gone and run nothing. */
     fun forgetGone(nowMillis: Long) {
-        byId.values.removeIf { !it.isListed(nowMillis) && it.runs.isEmpty() }
+        val gone = byId.values.filter { !it.isListed(nowMillis) && it.runs.isEmpty() }
+        gone.forEach {
+            byId.remove(it.id)
+            byRoom.remove(it)
+        }
     }
 }
--- a/core/src/main/kotlin/io/jackdawring/core/shard/WaitForecast.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/WaitForecast.kt
@@ -5,11 +5,13 @@
 /**
  * Forecasts when a job would be complete if the waiting tasks were placed in order on the places of the shard.
  *
- * A place is a running task, which frees it at its expected end, or the room for one more task of the job's size.
+ * A place is a running task, which frees it at its expected end, or the room for one more task of the job's size. In a
+ * large shard, a sample of the targets serves the same share of the tasks.
  */
 internal class WaitForecast(
     private val durations: DurationEstimator,
     private val options: ShardOptions,
+    private val cost: DecisionCost,
 ) {
     /** [sampleEndMillis] orders the places: a free one on a fast target comes before a free one on a slow target. */
     private class Place(
@@ -31,17 +33,44 @@
         waiting: WaitingTasks,
         nowMillis: Long,
     ): Double? {
-        val sample = job.steps.first().first()
-        val places = places(sample, targets, nowMillis)
+        val own = job.steps.first()
+        val sample = own.first()
+        val share = 1 + targets.size / MAX_TARGETS
+        val places = places(sample, every(share, job.sequence, targets), nowMillis)
+        if (places.isEmpty() && share > 1) places.addAll(places(sample, targets, nowMillis))
         if (places.isEmpty()) return null
-        var completion = nowMillis.toDouble()
-        for (task in waiting.before(job) + job.steps.first()) {
+        val before = waiting.before(job).take(MAX_TASKS * share).toList()
+        fill(places, every(share, 0, before), sample, nowMillis)
+        val completion = fill(places, every(share, 0, own), sample, nowMillis)
+        if (before.size < MAX_TASKS * share) return completion
+        val unseen = (waiting.countBefore(job) - before.size).coerceAtLeast(0)
+        return nowMillis + (completion - nowMillis) * (1 + unseen.toDouble() / before.size)
+    }
+
+    /** Every [share]th of [all], beginning at a place that [offset] gives. */
+    private fun <T> every(
+        share: Int,
+        offset: Long,
+        all: Collection<T>,
+    ): Collection<T> =
+        if (share == 1) all else all.filterIndexed { index, _ -> index % share == Math.floorMod(offset, share) }
+
+    /** Gives [tasks] the places that are free first, and returns the time of their last end. */
+    private fun fill(
+        places: PriorityQueue<Place>,
+        tasks: Collection<HeldTask>,
+        sample: HeldTask,
+        nowMillis: Long,
+    ): Double {
+        var last = nowMillis.toDouble()
+        for (task in tasks) {
             val place = places.poll() ?: break
+            cost.add()
             val end = place.freeAtMillis + durations.onTargetMillis(task, place.target, options.farFactor)
             places.add(place(place.target, end, sample))
-            if (task.job === job) completion = maxOf(completion, end)
+            last = maxOf(last, end)
         }
-        return completion
+        return last
     }
 
     private fun places(
@@ -52,14 +81,15 @@
         val places = PriorityQueue<Place>(compareBy { it.sampleEndMillis })
         for (target in targets) {
             if (!TargetChoice.isUsable(target, nowMillis) || !TargetChoice.matches(target, sample)) continue
-            val ending = target.runs.values.filterNot { it.owner?.spec?.lasting == true }
-            ending.forEach { run ->
+            for (run in target.runs.values) {
+                if (run.owner?.spec?.lasting == true) continue
                 places.add(place(target, freeAtMillis(run, sample, nowMillis), sample))
             }
-            repeat(
-                spareRoom(target.free, sample.spec.demand),
-            ) { places.add(place(target, nowMillis.toDouble(), sample)) }
+            repeat(spareRoom(target.free, sample.spec.demand)) {
+                places.add(place(target, nowMillis.toDouble(), sample))
+            }
         }
+        cost.add(places.size)
         return places
     }
 
@@ -87,5 +117,11 @@
     private companion object {
         /** Bounds the work for tasks of negligible size. */
         const val MAX_SPARE = 64
+
+        /** Targets beyond this number are sampled. */
+        const val MAX_TARGETS = 64
+
+        /** Waiting tasks beyond this number are counted only, and taken to wait at the same rate. */
+        const val MAX_TASKS = 256
     }
 }
--- a/core/src/main/kotlin/io/jackdawring/core/shard/WaitingTasks.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/WaitingTasks.kt
@@ -1,5 +1,6 @@
 package io.jackdawring.core.shard
 
+import java.util.TreeMap
 import java.util.TreeSet
 
 /**
@@ -21,10 +22,19 @@
 
     private val entries = Prospect.entries.associateWith { newQueue() }
 
+    /** Entries of kept jobs that can miss the objective of their prospect. */
+    private val lowerable = newQueue()
+
     /** Tasks that last come first: they have no objective to miss, and take a place once. */
     private val lasting = newQueue()
     private val byKey = HashMap<TaskKey, Entry>()
 
+    /** Number of waiting tasks by service and by the processor capacity that they need. */
+    private val demands = HashMap<String, TreeMap<Int, Int>>()
+
+    /** Number of tasks whose jobs can be in time, by service and by the span in which they must start. */
+    private val startSpans = HashMap<String, TreeMap<Long, Int>>()
+
     /** Declared work of the waiting tasks by service, in thousandths of a core times milliseconds. */
     private val workByService = HashMap<String, Long>()
 
@@ -46,6 +56,7 @@
         if (task.waiting) return
         task.waiting = true
         workByService.merge(task.job.spec.service, work(task), Long::plus)
+        demands.getOrPut(task.job.spec.service, ::TreeMap).merge(task.spec.demand.cpuMillis, 1, Int::plus)
         enqueue(task)
     }
 
@@ -53,6 +64,8 @@
         if (!task.waiting) return
         task.waiting = false
         workByService.merge(task.job.spec.service, -work(task), Long::plus)
+        demands[task.job.spec.service]
+            ?.computeIfPresent(task.spec.demand.cpuMillis) { _, count -> (count - 1).takeIf { it > 0 } }
         dequeue(task)
     }
 
@@ -61,10 +74,24 @@
         val entry = Entry(task, prospect, latestStart(task) + allowanceMillis(task.job))
         byKey[task.key] = entry
         queueOf(entry).add(entry)
+        countStart(entry, 1)
+        if (task.job.isKept && !task.spec.lasting && prospect != Prospect.OVERDUE) lowerable.add(entry)
     }
 
     private fun dequeue(task: HeldTask) {
-        byKey.remove(task.key)?.let { queueOf(it).remove(it) }
+        val entry = byKey.remove(task.key) ?: return
+        queueOf(entry).remove(entry)
+        countStart(entry, -1)
+        lowerable.remove(entry)
+    }
+
+    private fun countStart(
+        entry: Entry,
+        change: Int,
+    ) {
+        if (entry.task.spec.lasting || entry.prospect != Prospect.IN_TIME) return
+        val spans = startSpans.getOrPut(entry.task.job.spec.service, ::TreeMap)
+        spans.merge(Math.floorDiv(entry.latestStartMillis, SPAN_MILLIS), change) { a, b -> (a + b).takeIf { it > 0 } }
     }
 
     /** Time past the objective within which the job is useful by its prospect. */
@@ -73,13 +100,10 @@
 
     /** Lowers the prospect of kept jobs of which a waiting task would start too late at [nowMillis]. */
     fun lowerProspects(nowMillis: Long) {
-        for (prospect in listOf(Prospect.IN_TIME, Prospect.LATE)) {
-            val tooLate = entries.getValue(prospect).takeWhile { it.latestStartMillis < nowMillis }
-            tooLate
-                .map { it.task.job }
-                .filter { it.isKept }
-                .distinct()
-                .forEach(::lower)
+        while (lowerable.isNotEmpty() &&
+            lowerable.first().latestStartMillis < nowMillis
+        ) {
+            lower(lowerable.first().task.job)
         }
     }
 
@@ -94,14 +118,26 @@
 
     private fun work(task: HeldTask): Long = task.spec.estimateMillis * task.spec.demand.cpuMillis
 
-    /** The waiting tasks in order; a copy, so that tasks may be removed meanwhile. */
-    fun inOrder(): List<HeldTask> = (listOf(lasting) + entries.values).flatMap { queue -> queue.map { it.task } }
+    /** Least processor capacity that a waiting task needs, in thousandths of a core; null if none waits. */
+    val smallestCpuMillis: Int? get() = demands.keys.mapNotNull(::smallestCpuMillis).minOrNull()
+
+    /** The same for the tasks that wait for [service]. */
+    fun smallestCpuMillis(service: String): Int? = demands[service]?.let { if (it.isEmpty()) null else it.firstKey() }
+
+    /** The waiting tasks in order; tasks may be removed meanwhile. */
+    fun inOrder(): Sequence<HeldTask> = (sequenceOf(lasting) + entries.values.asSequence()).flatMap(::walk)
+
+    /** Tasks whose jobs can still be in time, in the order of their latest starts. */
+    fun inTime(): Sequence<HeldTask> = walk(entries.getValue(Prospect.IN_TIME))
+
+    private fun walk(queue: TreeSet<Entry>): Sequence<HeldTask> =
+        generateSequence(queue.firstOrNull()) { queue.higher(it) }.map { it.task }
 
     /** Latest time at which a waiting task must start to end in time for its prospect. */
     fun latestStartMillis(task: HeldTask): Long = byKey.getValue(task.key).latestStartMillis
 
-    /** Tasks that are placed before the first step of [job], which does not wait yet, in order. */
-    fun before(job: HeldJob): List<HeldTask> {
+    /** Tasks of its service that are placed before the first step of [job], which does not wait yet, in order. */
+    fun before(job: HeldJob): Sequence<HeldTask> {
         val latestMillis = latestStart(job.steps.first().first())
         return entries
             .getValue(Prospect.IN_TIME)
@@ -109,6 +145,16 @@
             .takeWhile { it.latestStartMillis <= latestMillis }
             .map { it.task }
             .filter { it.job.spec.service == job.spec.service }
-            .toList()
+    }
+
+    /** About the number of the tasks that [before] gives. */
+    fun countBefore(job: HeldJob): Int {
+        val span = Math.floorDiv(latestStart(job.steps.first().first()), SPAN_MILLIS)
+        return startSpans[job.spec.service]?.headMap(span, true)?.values?.sum() ?: 0
+    }
+
+    private companion object {
+        /** Resolution of the count of tasks; short against the latency objectives. */
+        const val SPAN_MILLIS = 64L
     }
 }
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/metrics/FleetMetrics.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/metrics/FleetMetrics.kt
@@ -36,6 +36,11 @@
     private val keptJobs =
         registry.counter("jackdawring_kept_jobs", "Changes of kept jobs at held shards, by new state.", "state")
     private val repeats = registry.counter("jackdawring_repeated_runs", "Runs that were over without a result.")
+    private val examinations =
+        registry.counter(
+            "jackdawring_decision_examinations",
+            "Waiting tasks, targets and runs that the decisions of held shards have looked at.",
+        )
     private val targetChanges =
         registry.counter("jackdawring_target_changes", "Changes of belief about targets, by new state.", "state")
     private val holdings =
@@ -71,6 +76,8 @@
 
     fun runRepeated() = repeats.inc()
 
+    fun decisionsExamined(count: Long) = examinations.inc(count)
+
     fun targetChanged(state: String) = targetChanges.labelValues(state).inc()
 
     fun shardTaken() = holdings.labelValues("taken").inc()
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/shard/DecisionLog.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/shard/DecisionLog.kt
@@ -12,6 +12,9 @@
     private val shardName: String,
     private val metrics: FleetMetrics,
 ) {
+    /** Counts what decisions have looked at. */
+    fun examined(count: Long) = metrics.decisionsExamined(count)
+
     fun report(decision: ShardDecision) {
         when (decision) {
             is ShardDecision.JobAdmitted -> onAdmitted(decision)
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/shard/ShardHost.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/shard/ShardHost.kt
@@ -46,6 +46,7 @@
     private val waiters = HashMap<WaiterId, Waiter>()
     private var nextWaiter = 0L
     private var released = false
+    private var examinedBefore = 0L
 
     /** Starts to work. */
     fun start() {
@@ -56,6 +57,8 @@
     private fun run() {
         if (released) return
         dispatcher.tick(loop.nowMillis())
+        log.examined(dispatcher.examined - examinedBefore)
+        examinedBefore = dispatcher.examined
         loop.schedule(TICK_MILLIS, ::run)
     }
 
--- a/load/src/main/kotlin/io/jackdawring/load/bench/BenchOptions.kt
+++ b/load/src/main/kotlin/io/jackdawring/load/bench/BenchOptions.kt
@@ -5,6 +5,7 @@
     val label: String,
 ) {
     CORE("core"),
+    SHARD("shard"),
     STARTS("starts"),
     CONTROL("control"),
     MEMORY("memory"),
--- a/load/src/main/kotlin/io/jackdawring/load/bench/BenchTool.kt
+++ b/load/src/main/kotlin/io/jackdawring/load/bench/BenchTool.kt
@@ -32,6 +32,7 @@
     table: BenchTable,
 ) = when (benchmark) {
     Benchmark.CORE -> CoreBench(options, table).run()
+    Benchmark.SHARD -> ShardBench(options, table).run()
     Benchmark.STARTS -> StartsBench(options, table).run()
     Benchmark.CONTROL -> ControlBench(options, table).run()
     Benchmark.MEMORY -> MemoryBench(options, table).run()
--- /dev/null
+++ b/load/src/main/kotlin/io/jackdawring/load/bench/ShardBench.kt
@@ -0,0 +1,175 @@
+package io.jackdawring.load.bench
+
+import io.jackdawring.core.TargetId
+import io.jackdawring.core.shard.Admission
+import io.jackdawring.core.shard.JobId
+import io.jackdawring.core.shard.JobRequest
+import io.jackdawring.core.shard.JobSpec
+import io.jackdawring.core.shard.Resources
+import io.jackdawring.core.shard.ShardDispatcher
+import io.jackdawring.core.shard.StartResult
+import io.jackdawring.core.shard.StepSpec
+import io.jackdawring.core.shard.WaiterId
+import io.jackdawring.core.shard.shardOptions
+import kotlinx.collections.immutable.toImmutableList
+import kotlin.random.Random
+
+/**
+ * Processor time of a shard's decisions on one thread, by the number of its targets and of the tasks that wait.
+ *
+ * All targets are full; each end of a run is followed by the start of the next task, a new job and a job that is refused
+ * because it cannot be in time.
+ */
+internal class ShardBench(
+    private val options: BenchOptions,
+    private val table: BenchTable,
+) {
+    fun run() {
+        for (targets in if (options.small) listOf(10) else listOf(50, 250, 1_000)) {
+            for (waiting in if (options.small) listOf(0) else listOf(0, 100, 1_000, 5_000)) measure(targets, waiting)
+        }
+    }
+
+    private fun measure(
+        targets: Int,
+        waiting: Int,
+    ) {
+        val run = ShardRun(targets, waiting)
+        run.fill()
+        run.runFor(options.caseMillis / 2)
+        run.costs.values.forEach { it.reset() }
+        run.runFor(options.caseMillis)
+        val events = run.costs.values.sumOf { it.events }
+        val nanos = run.costs.values.sumOf { it.nanos }
+        table.add(
+            "targets" to targets,
+            "waiting" to waiting,
+            "events/s" to (events * NANOS / maxOf(1, nanos)).toLong(),
+            *run.costs
+                .map { (event, cost) ->
+                    "us/$event" to cost.nanos / MICROS / maxOf(1, cost.events)
+                }.toTypedArray(),
+        )
+    }
+
+    private companion object {
+        const val NANOS = 1e9
+        const val MICROS = 1e3
+    }
+}
+
+/** Time spent on events of one kind. */
+private class EventCost {
+    var events = 0L
+        private set
+    var nanos = 0L
+        private set
+
+    fun reset() {
+        events = 0
+        nanos = 0
+    }
+
+    fun add(spentNanos: Long) {
+        events++
+        nanos += spentNanos
+    }
+}
+
+private class ShardRun(
+    targets: Int,
+    private val waiting: Int,
+) {
+    private val random = Random(SEED)
+    private val outlet = ScriptedTargets(targets)
+    private val dispatcher = ShardDispatcher.Factory.Default.create(shardOptions(), outlet)
+    private var jobs = 0L
+    private var ends = 0L
+    private var runningTasks = 1
+    private val ticks get() = maxOf(1, runningTasks * TICK_MILLIS / RUN_MILLIS)
+    private var nowMillis = 0L
+    val costs = listOf("job", "refusal", "start", "end", "tick").associateWith { EventCost() }
+
+    init {
+        dispatcher.updateTargets(outlet.facts.toImmutableList(), nowMillis)
+        outlet.facts.forEach { answerLook(it.id, null) }
+    }
+
+    /** Fills the targets and the queue. */
+    fun fill() {
+        while (dispatcher.waitingTasks <= waiting) submit(patient = true)
+        acceptStarts()
+        runningTasks = outlet.started.size
+    }
+
+    fun runFor(millis: Long) {
+        val end = System.nanoTime() + millis * NANOS_PER_MILLI
+        while (System.nanoTime() < end) repeat(BATCH) { step() }
+    }
+
+    private fun step() {
+        val ended = outlet.started.removeFirst()
+        ends++
+        nowMillis = ends * RUN_MILLIS / runningTasks
+        timed("end") { answerLook(ended.target.id, ended) }
+        acceptStarts()
+        if (dispatcher.waitingTasks <= waiting) timed("job") { submit(patient = true) }
+        acceptStarts()
+        timed("refusal") { submit(patient = false) }
+        if (ends % ticks == 0L) timed("tick") { dispatcher.tick(nowMillis) }
+    }
+
+    private fun acceptStarts() {
+        while (outlet.ordered.isNotEmpty()) {
+            val start = outlet.ordered.removeFirst()
+            outlet.started.addLast(start)
+            val accepted = StartResult.Accepted(nowMillis)
+            timed("start") { dispatcher.onStart(start.target.id, start.order, accepted, nowMillis) }
+        }
+    }
+
+    private fun answerLook(
+        id: TargetId,
+        ended: ScriptedTargets.Started?,
+    ) {
+        val (look, result) = outlet.answerLook(id, ended, nowMillis) ?: return
+        dispatcher.onLook(id, look, result, nowMillis)
+    }
+
+    private fun submit(patient: Boolean) {
+        val cpu = random.nextInt(SMALLEST_CPU_MILLIS, LARGEST_CPU_MILLIS)
+        val step = StepSpec(TASKS, Resources(cpu, TASK_MB), RUN_MILLIS)
+        val id = JobId((jobs++).toString())
+        val aimMillis = if (patient) PATIENT_MILLIS else -RUN_MILLIS
+        val spec = JobSpec(id, "q", ScriptedTargets.SERVICE, 0, 3, 1.0, aimMillis, PAYLOAD, listOf(step))
+        val request = JobRequest(spec, WAIT_MILLIS, Admission.ON_TIME, mayRun = false)
+        dispatcher.submit(request, WaiterId(jobs), nowMillis)
+    }
+
+    private inline fun timed(
+        event: String,
+        action: () -> Unit,
+    ) {
+        val before = System.nanoTime()
+        action()
+        costs.getValue(event).add(System.nanoTime() - before)
+    }
+
+    private companion object {
+        const val SEED = 7
+        const val TASKS = 4
+        const val RUN_MILLIS = 100L
+        const val TICK_MILLIS = 20L
+        const val BATCH = 20
+        const val SMALLEST_CPU_MILLIS = 8_000
+        const val LARGEST_CPU_MILLIS = 15_000
+        const val TASK_MB = 64
+
+        /** Longer than any backlog, so that the job is accepted. */
+        const val PATIENT_MILLIS = 100_000_000L
+
+        const val WAIT_MILLIS = 1_000_000_000L
+        const val NANOS_PER_MILLI = 1_000_000L
+        const val PAYLOAD = "0123456789012345678901234567890123456789"
+    }
+}
--- a/testing/src/main/kotlin/io/jackdawring/testing/shard/FakeShardWorld.kt
+++ b/testing/src/main/kotlin/io/jackdawring/testing/shard/FakeShardWorld.kt
@@ -287,6 +287,11 @@
 
     fun backlogMillis(): Long? = holder.dispatcher.backlogMillis("orders", nowMillis)
 
+    /** Number of waiting tasks, targets and runs that the holder's decisions have looked at. */
+    val examined: Long get() = holder.dispatcher.examined
+
+    val waitingTasks: Int get() = holder.dispatcher.waitingTasks
+
     fun pendingJobs(queue: String): Int = holder.dispatcher.pendingJobs(queue)
 
     fun submit(
