Keep following the store and ticking after an unexpected error

Cause: the mirrors of the store called their listener before they sent the next watch, and the rounds of an instance and of a shard scheduled the next round at their end. An error in between ended the series without a log line, because the executor keeps the error of a scheduled action in a future that nobody reads. The process then went on with an old configuration or without leases for its targets.

Also: an item that was removed could come back when it was learned again from elsewhere with its last revision.

Ruled out: ending the process, since callers in progress would lose their answers.

Change: the next watch is sent before the listener is called, repeated actions go on after an error, and every error of an action on the control thread is logged.

--- a/fleet/src/main/kotlin/io/jackdawring/fleet/ControlLoop.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/ControlLoop.kt
@@ -1,9 +1,12 @@
 package io.jackdawring.fleet
 
+import io.github.oshai.kotlinlogging.KotlinLogging
 import java.util.concurrent.RejectedExecutionException
 import java.util.concurrent.ScheduledExecutorService
 import java.util.concurrent.TimeUnit
 
+private val logger = KotlinLogging.logger("io.jackdawring.control")
+
 /** The thread that owns all decisions of the process. */
 interface ControlLoop {
     /** Steady time in milliseconds. */
@@ -19,6 +22,19 @@
     )
 }
 
+/** Runs [action] now and every [intervalMillis] until it returns false; an error ends one round, not the series. */
+internal fun ControlLoop.repeatEvery(
+    intervalMillis: Long,
+    action: () -> Boolean,
+) {
+    var goesOn = true
+    try {
+        goesOn = action()
+    } finally {
+        if (goesOn) schedule(intervalMillis) { repeatEvery(intervalMillis, action) }
+    }
+}
+
 internal class RealControlLoop(
     private val executor: ScheduledExecutorService,
 ) : ControlLoop {
@@ -26,7 +42,7 @@
 
     override fun execute(action: () -> Unit) =
         try {
-            executor.execute(action)
+            executor.execute { runLogged(action) }
         } catch (_: RejectedExecutionException) {
             // The process is closing; nothing is decided any more.
         }
@@ -36,9 +52,17 @@
         action: () -> Unit,
     ) {
         try {
-            executor.schedule(action, delayMillis, TimeUnit.MILLISECONDS)
+            executor.schedule({ runLogged(action) }, delayMillis, TimeUnit.MILLISECONDS)
         } catch (_: RejectedExecutionException) {
             // The process is closing; nothing is decided any more.
         }
     }
+
+    /** The executor would drop the error of a scheduled action without a trace. */
+    private fun runLogged(action: () -> Unit) =
+        try {
+            action()
+        } catch (e: RuntimeException) {
+            logger.error(e) { "an action of the control thread failed; the others go on" }
+        }
 }
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/RealFleetInstance.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/RealFleetInstance.kt
@@ -103,16 +103,16 @@
         loop.execute {
             fleetMirror.start()
             configurationMirror.start()
-            round()
+            loop.repeatEvery(PeerWatch.PING_INTERVAL_MILLIS, ::round)
         }
     }
 
-    private fun round() {
+    private fun round(): Boolean {
         registration.maintain(fleetMirror[FleetKeys.member(self.instanceId.value)])
         peerWatch.round(holders.holdersAsked)
         maintainShards()
         openCallerServer()
-        loop.schedule(PeerWatch.PING_INTERVAL_MILLIS, ::round)
+        return true
     }
 
     private fun maintainShards() {
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/shard/ShardHost.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/shard/ShardHost.kt
@@ -23,6 +23,7 @@
 import io.jackdawring.fleet.kept.KeepMessage
 import io.jackdawring.fleet.kept.KeepOutcome
 import io.jackdawring.fleet.kept.KeptJobStore
+import io.jackdawring.fleet.repeatEvery
 import kotlinx.collections.immutable.ImmutableCollection
 
 /** Runs the dispatcher of a shard that this process holds; belongs to the control thread. */
@@ -51,15 +52,15 @@
     /** Starts to work. */
     fun start() {
         keptJobs.start()
-        run()
+        loop.repeatEvery(TICK_MILLIS, ::tick)
     }
 
-    private fun run() {
-        if (released) return
+    private fun tick(): Boolean {
+        if (released) return false
         dispatcher.tick(loop.nowMillis())
         log.examined(dispatcher.examined - examinedBefore)
         examinedBefore = dispatcher.examined
-        loop.schedule(TICK_MILLIS, ::run)
+        return true
     }
 
     fun updateTargets(listed: ImmutableCollection<ShardTarget>) = dispatcher.updateTargets(listed, loop.nowMillis())
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/store/StoreMirror.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/store/StoreMirror.kt
@@ -64,6 +64,8 @@
     fun learn(item: StoreItem) {
         val known = copy[item.key]
         if (known != null && known.revision >= item.revision) return
+        // The store's own changes have come this far, so the item was removed since.
+        if (known == null && isLoaded && item.revision <= revision) return
         copy[item.key] = item
         onChange()
     }
@@ -76,6 +78,7 @@
                 is ListResult.Listed -> {
                     replace(result)
                     watch()
+                    onChange()
                 }
 
                 is ListResult.Unavailable -> {
@@ -93,7 +96,6 @@
         fresh.values.forEach { item -> if ((copy[item.key]?.revision ?: -1) < item.revision) copy[item.key] = item }
         revision = listed.revision
         isLoaded = true
-        onChange()
     }
 
     private fun watch() {
@@ -105,6 +107,7 @@
                     reachable()
                     apply(result)
                     watchAgain(startedIn)
+                    if (result.events.isNotEmpty()) onChange()
                 }
 
                 is WatchResult.HistoryLost -> {
@@ -136,7 +139,6 @@
             }
         }
         revision = maxOf(revision, changed.revision)
-        if (changed.events.isNotEmpty()) onChange()
     }
 
     private fun reachable() {
--- a/fleet/src/test/kotlin/io/jackdawring/fleet/store/StoreMirrorTest.kt
+++ b/fleet/src/test/kotlin/io/jackdawring/fleet/store/StoreMirrorTest.kt
@@ -4,6 +4,7 @@
 import org.junit.jupiter.api.DynamicTest
 import org.junit.jupiter.api.TestFactory
 import kotlin.test.assertEquals
+import kotlin.test.assertFailsWith
 
 /** Guards against copies that miss a change, go back to an older one, or stop following the store. */
 class StoreMirrorTest {
@@ -11,7 +12,12 @@
         val loop = FakeControlLoop()
         val store = FakeKeyValueStore()
         var changes = 0
-        val mirror = StoreMirror("k/", store, loop, gatherMillis = 0) { changes++ }
+        var failing = false
+        val mirror =
+            StoreMirror("k/", store, loop, gatherMillis = 0) {
+                require(!failing) { "the listener fails" }
+                changes++
+            }
 
         fun item(
             key: String,
@@ -69,6 +75,28 @@
                 store.answerWatch(9, written("a", 7), StoreEvent.Removed("k/a", 8))
                 assertEquals(listOf("a9"), copy())
             },
+            Row("what a peer tells of an item that was removed since does not bring it back") {
+                mirror.start()
+                store.answerList(5, item("a", 3), item("b", 5))
+                store.answerWatch(8, StoreEvent.Removed("k/a", 8))
+                mirror.learn(item("a", 7))
+                assertEquals(listOf("b5"), copy())
+            },
+            Row("a list without an item that a peer told of before removes it") {
+                mirror.start()
+                mirror.learn(item("a", 3))
+                store.answerList(5, item("b", 5))
+                assertEquals(listOf("b5"), copy())
+            },
+            Row("an error of the listener does not end the following of the store") {
+                mirror.start()
+                failing = true
+                assertFailsWith<IllegalArgumentException> { store.answerList(5, item("a", 3)) }
+                assertFailsWith<IllegalArgumentException> { store.answerWatch(6, written("a", 6)) }
+                failing = false
+                store.answerWatch(7, written("a", 7))
+                assertEquals(listOf("a7"), copy())
+            },
             Row("a store that does not answer is asked again") {
                 mirror.start()
                 store.lists.removeFirst()(ListResult.Unavailable("status 503"))
