Read answers once more before a request times out

Cause: on an event loop that falls behind, the timers of requests run before the sockets that have become readable meanwhile.

Ruled out: longer timeouts, which hide lost targets from holders that are not busy.

Change: a timeout that fires lets the loop read its sockets once more. RealHttpClientTest: the new case failed before.

--- a/server/src/main/kotlin/io/jackdawring/server/http/HttpConnectionPool.kt
+++ b/server/src/main/kotlin/io/jackdawring/server/http/HttpConnectionPool.kt
@@ -36,7 +36,7 @@
             return
         }
         if (call.completed) return
-        call.timeout = loop.schedule({ abort(call, "timed out") }, timeoutMillis, TimeUnit.MILLISECONDS)
+        call.timeout = loop.schedule({ onTimeout(call) }, timeoutMillis, TimeUnit.MILLISECONDS)
         val connection = takeIdle()
         val maximum = options.maxConnectionsPerAddress
         when {
@@ -47,6 +47,12 @@
         }
     }
 
+    /** A busy event loop may not have read an answer that arrived in time; it reads once more before the call ends. */
+    private fun onTimeout(call: PendingHttpCall) {
+        if (call.completed) return
+        call.timeout = loop.schedule({ abort(call, "timed out") }, READ_ONCE_MORE_MILLIS, TimeUnit.MILLISECONDS)
+    }
+
     /** Takes the connection used last, so that unneeded ones become idle for long and are closed. */
     private fun takeIdle(): HttpClientConnection? {
         while (idle.isNotEmpty()) {
@@ -172,4 +178,9 @@
         waiting.clear()
         open.toList().forEach { it.fail("the client is closed") }
     }
+
+    private companion object {
+        /** The shortest delay after which the loop reads its sockets before it runs a task. */
+        const val READ_ONCE_MORE_MILLIS = 1L
+    }
 }
--- a/server/src/test/kotlin/io/jackdawring/server/http/RealHttpClientTest.kt
+++ b/server/src/test/kotlin/io/jackdawring/server/http/RealHttpClientTest.kt
@@ -70,6 +70,39 @@
         assertIs<HttpResult.Broken>(first.get(20, TimeUnit.SECONDS))
     }
 
+    @Test
+    fun `an answer that arrived while the event loop was busy past the timeout is delivered`() {
+        val busyTransport = HttpTransport(threads = 1)
+        ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { listener ->
+            val loopBlocked = CountDownLatch(1)
+            val received = CountDownLatch(1)
+            val answered = CountDownLatch(1)
+            Thread {
+                listener.accept().use {
+                    it.getInputStream().read()
+                    received.countDown()
+                    loopBlocked.await()
+                    it.getOutputStream().write("HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n".encodeToByteArray())
+                    answered.countDown()
+                    it.getInputStream().readAllBytes()
+                }
+            }.start()
+            val result = CompletableFuture<HttpResult>()
+            val request = HttpRequestMessage("GET", "/")
+            val client = busyTransport.client()
+            client.send("127.0.0.1:${listener.localPort}", request, BUSY_MILLIS) { result.complete(it) }
+            received.await()
+            val server = transport.serverFactory().start("127.0.0.1:0") { it.respond(HttpResponseMessage(200)) }
+            client.send(server.address, request, BUSY_MILLIS) {
+                loopBlocked.countDown()
+                answered.await()
+                Thread.sleep(BUSY_MILLIS)
+            }
+            assertIs<HttpResult.Answered>(result.get(20, TimeUnit.SECONDS))
+            busyTransport.close()
+        }
+    }
+
     @Test
     fun `cancelling closes the connection, which the server notices`() {
         val arrived = CountDownLatch(1)
@@ -112,4 +145,9 @@
         }
         assertTrue(highest.get() <= 2, "requests in progress at once: ${highest.get()}")
     }
+
+    private companion object {
+        /** Timeout of a request, and a time for which its event loop is busy. */
+        const val BUSY_MILLIS = 1_000L
+    }
 }
