Offer refused jobs only to less loaded failure domains

Cause: a job that the own shard refused was offered to three other failure domains one after the other, in an order that knew nothing of their load, and then again for room. In a burst everywhere, each refusal cost five questions and forecasts, which made busy holders busier, and came late.

Ruled out: refusing at the relay by its own past refusals; with 40 relays each sees too few jobs of a kind to know.

Change: holders publish the load of their targets by service with each answer to a ping, ask each other, and pass on what they know. A refused job goes to at most two failure domains that are less loaded than the own one or likely to have room, the better of two first, so that relays do not all choose the same one. A job that may run somewhere is asked for there whatever the load.

--- a/core/src/main/kotlin/io/jackdawring/core/shard/RealShardDispatcher.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/RealShardDispatcher.kt
@@ -3,7 +3,9 @@
 import io.jackdawring.core.TargetId
 import kotlinx.collections.immutable.ImmutableCollection
 import kotlinx.collections.immutable.ImmutableList
+import kotlinx.collections.immutable.ImmutableMap
 import kotlinx.collections.immutable.toImmutableList
+import kotlinx.collections.immutable.toImmutableMap
 
 internal class RealShardDispatcher(
     private val options: ShardOptions,
@@ -185,6 +187,27 @@
         return if (cpuMillis > 0) waiting.work(service) / cpuMillis else null
     }
 
+    override fun loadPercents(nowMillis: Long): ImmutableMap<String, Int> =
+        control.targets
+            .filter { TargetChoice.isUsable(it, nowMillis) }
+            .groupBy { it.facts.service }
+            .mapNotNull { (service, usable) -> loadPercent(service, usable)?.let { service to it } }
+            .toMap()
+            .toImmutableMap()
+
+    private fun loadPercent(
+        service: String,
+        usable: List<HeldTarget>,
+    ): Int? {
+        val capacity =
+            usable.sumOf {
+                it.facts.capacity.cpuMillis
+                    .toLong()
+            }
+        val free = usable.sumOf { it.free.cpuMillis.toLong() }
+        return if (capacity > 0) (PERCENT * (capacity - free + waiting.demand(service)) / capacity).toInt() else null
+    }
+
     override fun pendingJobs(queue: String): Int =
         (lifecycle.awaitedJobs + kept.openJobs).count { it.spec.queue == queue && !it.started }
 
@@ -273,4 +296,8 @@
         released = true
         lifecycle.release()
     }
+
+    private companion object {
+        const val PERCENT = 100
+    }
 }
--- a/core/src/main/kotlin/io/jackdawring/core/shard/ShardDispatcher.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/ShardDispatcher.kt
@@ -3,6 +3,7 @@
 import io.jackdawring.core.TargetId
 import kotlinx.collections.immutable.ImmutableCollection
 import kotlinx.collections.immutable.ImmutableList
+import kotlinx.collections.immutable.ImmutableMap
 
 /**
  * Decides everything about the targets of one shard: admission, queue, placement, retries, leases.
@@ -97,6 +98,13 @@
         nowMillis: Long,
     ): Long?
 
+    /**
+     * Load of the usable targets by service, in percent of their processor capacity.
+     *
+     * Tasks that wait count as well, so that more than 100 is a backlog. Services without a usable target are missing.
+     */
+    fun loadPercents(nowMillis: Long): ImmutableMap<String, Int>
+
     /** Number of tasks that wait for a target. */
     val waitingTasks: Int
 
--- a/core/src/main/kotlin/io/jackdawring/core/shard/WaitingTasks.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/WaitingTasks.kt
@@ -38,6 +38,8 @@
     /** Declared work of the waiting tasks by service, in thousandths of a core times milliseconds. */
     private val workByService = HashMap<String, Long>()
 
+    private val demandByService = HashMap<String, Long>()
+
     private fun newQueue() =
         TreeSet<Entry>(
             compareBy<Entry> { it.latestStartMillis }
@@ -56,6 +58,12 @@
         if (task.waiting) return
         task.waiting = true
         workByService.merge(task.job.spec.service, work(task), Long::plus)
+        demandByService.merge(
+            task.job.spec.service,
+            task.spec.demand.cpuMillis
+                .toLong(),
+            Long::plus,
+        )
         demands.getOrPut(task.job.spec.service, ::TreeMap).merge(task.spec.demand.cpuMillis, 1, Int::plus)
         enqueue(task)
     }
@@ -64,6 +72,12 @@
         if (!task.waiting) return
         task.waiting = false
         workByService.merge(task.job.spec.service, -work(task), Long::plus)
+        demandByService.merge(
+            task.job.spec.service,
+            -task.spec.demand.cpuMillis
+                .toLong(),
+            Long::plus,
+        )
         demands[task.job.spec.service]
             ?.computeIfPresent(task.spec.demand.cpuMillis) { _, count -> (count - 1).takeIf { it > 0 } }
         dequeue(task)
@@ -116,6 +130,9 @@
 
     fun work(service: String): Long = workByService[service] ?: 0
 
+    /** Processor capacity that the waiting tasks of [service] need, in thousandths of a core. */
+    fun demand(service: String): Long = demandByService[service] ?: 0
+
     private fun work(task: HeldTask): Long = task.spec.estimateMillis * task.spec.demand.cpuMillis
 
     /** Least processor capacity that a waiting task needs, in thousandths of a core; null if none waits. */
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/HeldShards.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/HeldShards.kt
@@ -37,6 +37,7 @@
     private val directory: FleetDirectory,
     private val targetClient: TargetClient,
     private val peers: PeerClient,
+    private val loads: ShardLoads,
     private val metrics: FleetMetrics,
     private val unixMillis: () -> Long,
     private val targetsOf: (ShardId) -> ImmutableCollection<ShardTarget>,
@@ -142,6 +143,7 @@
             targetClient,
             loop,
             DecisionLog(FleetKeys.shard(holding.shardId), metrics),
+            onLoad = { percents -> loads.learn(holding.shardId, percents, ageMillis = 0) },
             onFenced = { letGoFenced(holding) },
         ) { listener -> KeptJobStore(holding, store, loop, unixMillis, options.keptRetentionMillis, listener) }
 
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/HolderAccess.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/HolderAccess.kt
@@ -3,6 +3,7 @@
 import io.jackdawring.core.InstanceId
 import io.jackdawring.core.fleet.FleetMember
 import io.jackdawring.core.fleet.ShardHolding
+import io.jackdawring.core.fleet.ShardId
 import io.jackdawring.core.shard.JobRequest
 import io.jackdawring.core.shard.JobSpec
 import io.jackdawring.fleet.peer.JobMessage
@@ -18,6 +19,7 @@
     private val shards: HeldShards,
     private val directory: FleetDirectory,
     private val peers: PeerClient,
+    private val loads: ShardLoads,
     private val loop: ControlLoop,
 ) : ShardAccess {
     private val openQuestions = HashMap<InstanceId, Int>()
@@ -29,14 +31,32 @@
                 .map { it.holder }
                 .filter { (openQuestions[it.instanceId] ?: 0) > 0 }
 
-    override fun findHolder(job: JobSpec): ShardHolding? {
+    override fun findHolder(job: JobSpec): ShardHolding? = findHolding(ownShard(job))
+
+    override fun findHolding(shardId: ShardId): ShardHolding? =
+        shards.host(shardId)?.holding ?: directory.holdings[shardId]?.takeIf(::isUsable)
+
+    private fun ownShard(job: JobSpec): ShardId {
         val ids = directory.shardsOf(self.failureDomain)
-        val id = ids[Math.floorMod(job.id.value.hashCode(), ids.size)]
-        shards.host(id)?.let { return it.holding }
-        return directory.holdings[id]?.takeIf(::isUsable)
+        return ids[Math.floorMod(job.id.value.hashCode(), ids.size)]
+    }
+
+    override fun findLighterHolders(job: JobSpec): List<ShardHolding> {
+        val ownPercent = loads.percent(ownShard(job), job.service) ?: Int.MAX_VALUE
+        val limitPercent = maxOf(ownPercent - LEAST_DIFFERENCE_PERCENT, ROOM_PERCENT)
+        val lighter = findOtherHolders(job).filter { (loadPercent(it, job) ?: 0) < limitPercent }
+        // The better of two, because many relays learn of the same shard at the same time.
+        val firstTwo = lighter.take(2).sortedBy { loadPercent(it, job) ?: ROOM_PERCENT }
+        return firstTwo + lighter.drop(2)
     }
 
-    override fun findOtherHolders(job: JobSpec): List<ShardHolding> {
+    private fun loadPercent(
+        holding: ShardHolding,
+        job: JobSpec,
+    ): Int? = loads.percent(holding.shardId, job.service)
+
+    /** All holders of shards in other failure domains that are believed to work, in an order that differs by job. */
+    fun findOtherHolders(job: JobSpec): List<ShardHolding> {
         val others = directory.holdings.values.filter { it.shardId.failureDomain != self.failureDomain && isUsable(it) }
         if (others.isEmpty()) return others
         // Each job begins at another failure domain, so that one with room does not get them all.
@@ -106,6 +126,12 @@
         }
 
     private companion object {
+        /** Loads that differ by less are taken as equal; a job of several tasks changes them by as much. */
+        const val LEAST_DIFFERENCE_PERCENT = 5
+
+        /** Load up to which a shard is likely to have room for a job of several tasks. */
+        const val ROOM_PERCENT = 90
+
         /** The holder answers at the deadline itself; this covers the way back. */
         const val ANSWER_SLACK_MILLIS = 100L
 
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/PeerWatch.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/PeerWatch.kt
@@ -12,6 +12,7 @@
     private val shards: HeldShards,
     private val directory: FleetDirectory,
     private val news: FleetNews,
+    private val loads: ShardLoads,
     private val loop: ControlLoop,
     private val onAnswered: () -> Unit,
 ) {
@@ -52,7 +53,13 @@
         val holdings = directory.shardsOf(self.failureDomain).map { directory.holdings[it] }
         val searching = holdings.any { it == null || shards.election.isSuspected(it, now) }
         val neighbours = directory.members.values.filter { searching && it.failureDomain == self.failureDomain }
-        return (holdings.mapNotNull { it?.holder } + holdersAsked + neighbours).distinctBy { it.instanceId }
+        // Holders tell each other their loads, and their relays with them.
+        val otherHolders = if (shards.held.isEmpty()) emptyList() else directory.holdings.values.map { it.holder }
+        return (
+            holdings.mapNotNull {
+                it?.holder
+            } + holdersAsked + neighbours + otherHolders
+        ).distinctBy { it.instanceId }
     }
 
     private fun ping(holder: FleetMember) {
@@ -61,6 +68,7 @@
             when (reply) {
                 is PeerReply.Answered -> {
                     news.learn(reply.message.news)
+                    loads.learn(reply.message.loads)
                     val ascribed =
                         directory.holdings.values
                             .filter { it.holder.instanceId == holder.instanceId }
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/RealFleetInstance.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/RealFleetInstance.kt
@@ -39,6 +39,7 @@
     private val metrics = FleetMetrics()
     private val directory = FleetDirectory()
     private val peers = PeerClient(components.peerClient)
+    private val loads = ShardLoads(loop)
     private val fleetMirror = StoreMirror(FleetKeys.ROOT, components.store, loop, onChange = ::onFleetChanged)
     private val targetMirror =
         StoreMirror(
@@ -61,20 +62,21 @@
             directory,
             components.targets,
             peers,
+            loads,
             metrics,
             System::currentTimeMillis,
             ::targetsOf,
             ::followTargets,
         )
     private val news = FleetNews(fleetMirror, configurationMirror)
-    private val peerWatch = PeerWatch(self, peers, shards, directory, news, loop, ::openCallerServer)
-    private val holders = HolderAccess(self, shards, directory, peers, loop)
+    private val peerWatch = PeerWatch(self, peers, shards, directory, news, loads, loop, ::openCallerServer)
+    private val holders = HolderAccess(self, shards, directory, peers, loads, loop)
     private val relay = JobRelay(loop, holders, metrics)
     private val keptHolders = RealKeptHolders(directory.shardsOf(self.failureDomain), shards, directory, holders, peers)
     private val keptRequests = KeptJobRequests(loop, keptHolders, components.store)
     private val registration = MemberRegistration(self, components.store, loop, fleetMirror::learn)
     private val callerApi = CallerApi(components.callerCodec, relay, loop, keptRequests)
-    private val peerApi = PeerApi(self.incarnation, shards, loop, news::after, peerWatch::onAsked)
+    private val peerApi = PeerApi(self.incarnation, shards, loop, loads, news::after, peerWatch::onAsked)
 
     @Volatile
     private var draining = false
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/peer/PeerApi.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/peer/PeerApi.kt
@@ -5,6 +5,7 @@
 import io.jackdawring.core.shard.JobState
 import io.jackdawring.fleet.ControlLoop
 import io.jackdawring.fleet.HeldShards
+import io.jackdawring.fleet.ShardLoads
 import io.jackdawring.fleet.kept.KeepMessage
 import io.jackdawring.fleet.kept.KeepReply
 import io.jackdawring.fleet.kept.KeptStateMessage
@@ -23,6 +24,7 @@
     private val incarnation: String,
     private val shards: HeldShards,
     private val loop: ControlLoop,
+    private val loads: ShardLoads,
     private val newsAfter: (PingMessage) -> List<ItemMessage>,
     private val onAsked: (InstanceId) -> Unit,
 ) {
@@ -101,9 +103,8 @@
         message: PingMessage,
     ) {
         onAsked(InstanceId(message.sender))
-        exchange.respond(
-            json(PongMessage.serializer(), PongMessage(incarnation, shards.held.toList(), newsAfter(message))),
-        )
+        val pong = PongMessage(incarnation, shards.held.toList(), newsAfter(message), loads.messages())
+        exchange.respond(json(PongMessage.serializer(), pong))
     }
 
     private fun onHandOver(
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/peer/PeerMessages.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/peer/PeerMessages.kt
@@ -73,6 +73,15 @@
     val incarnation: String,
     val shards: List<ShardId>,
     val news: List<ItemMessage> = emptyList(),
+    val loads: List<LoadMessage> = emptyList(),
+)
+
+/** Load of a shard's targets by service in percent, as its holder told it [ageMillis] ago. */
+@Serializable
+internal data class LoadMessage(
+    val shardId: ShardId,
+    val percents: Map<String, Int>,
+    val ageMillis: Long,
 )
 
 /** An item of the store; [value] is its text. */
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/relay/RelayedJob.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/relay/RelayedJob.kt
@@ -63,25 +63,17 @@
     }
 
     private fun nextHolder(): ShardHolding? {
-        val taken = takenBy
+        takenBy?.let { return shards.findHolding(it) }
         val own = shards.findHolder(job)
-        if (taken !=
-            null
-        ) {
-            return (listOfNotNull(own) + shards.findOtherHolders(job)).firstOrNull { it.shardId == taken }
-        }
         if (own != null && own.shardId !in refusals) return own
-        return shards.findOtherHolders(job).take(OTHER_SHARDS).firstOrNull { it.shardId !in refusals }
+        if (refusals.size > OTHER_SHARDS) return null
+        return shards.findLighterHolders(job).firstOrNull { it.shardId !in refusals }
     }
 
     /** All shards expect the job to be late; one that has room now may take it all the same. */
     private fun askForRoom(now: Long) {
         val withRoom = refusals.entries.firstOrNull { it.value.hasRoom }?.key
-        val holding =
-            (listOfNotNull(shards.findHolder(job)) + shards.findOtherHolders(job)).firstOrNull {
-                it.shardId ==
-                    withRoom
-            }
+        val holding = withRoom?.let(shards::findHolding)
         if (admission == Admission.ON_TIME && holding != null) {
             admission = Admission.ON_TIME_OR_ROOM
             askHolder(holding, now)
@@ -238,7 +230,7 @@
         const val PATIENCE_SHARE = 8
 
         /** Bounds the messages of a job that no failure domain can take in time. */
-        const val OTHER_SHARDS = 3
+        const val OTHER_SHARDS = 2
 
         /** About the time that a take-over needs. */
         const val NO_HOLDER_RETRY_MILLIS = 1_000L
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/relay/ShardAccess.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/relay/ShardAccess.kt
@@ -1,6 +1,7 @@
 package io.jackdawring.fleet.relay
 
 import io.jackdawring.core.fleet.ShardHolding
+import io.jackdawring.core.fleet.ShardId
 import io.jackdawring.core.shard.JobOutcome
 import io.jackdawring.core.shard.JobRequest
 import io.jackdawring.core.shard.JobSpec
@@ -10,8 +11,15 @@
     /** The holder of the job's shard in the own failure domain, or null while none is known to work. */
     fun findHolder(job: JobSpec): ShardHolding?
 
-    /** Holders of shards in other failure domains that may take [job] instead, the first to ask first. */
-    fun findOtherHolders(job: JobSpec): List<ShardHolding>
+    /** The holder of [shardId], or null while none is known to work. */
+    fun findHolding(shardId: ShardId): ShardHolding?
+
+    /**
+     * Holders of shards in other failure domains that may take [job] instead, the first to ask first.
+     *
+     * Those that are known to be as loaded as the own failure domain are left out; they would refuse it as well.
+     */
+    fun findLighterHolders(job: JobSpec): List<ShardHolding>
 
     /** Asks the holder in [holding]; [onReply] is called at most once. */
     fun ask(
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/shard/ShardHost.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/shard/ShardHost.kt
@@ -34,6 +34,7 @@
     private val targets: TargetClient,
     private val loop: ControlLoop,
     private val log: DecisionLog,
+    private val onLoad: (Map<String, Int>) -> Unit,
     private val onFenced: () -> Unit,
     createKeptStore: (KeptJobStore.Listener) -> KeptJobStore,
 ) : ShardOutlet {
@@ -60,6 +61,7 @@
         dispatcher.tick(loop.nowMillis())
         log.examined(dispatcher.examined - examinedBefore)
         examinedBefore = dispatcher.examined
+        onLoad(dispatcher.loadPercents(loop.nowMillis()))
         return true
     }
 
--- a/fleet/src/test/kotlin/io/jackdawring/fleet/HolderAccessTest.kt
+++ b/fleet/src/test/kotlin/io/jackdawring/fleet/HolderAccessTest.kt
@@ -53,6 +53,7 @@
         private val directory = FleetDirectory()
         private val mirror = StoreMirror(FleetKeys.ROOT, store, loop) {}
         private val peers = PeerClient(http)
+        private val loads = ShardLoads(loop)
         private val shards =
             HeldShards(
                 SELF,
@@ -63,17 +64,29 @@
                 directory,
                 NoTargets,
                 peers,
+                loads,
                 FleetMetrics(),
                 { 0 },
                 { persistentListOf() },
             ) {}
-        val access = HolderAccess(SELF, shards, directory, peers, loop)
+        val access = HolderAccess(SELF, shards, directory, peers, loads, loop)
 
         init {
-            mirror.learn(StoreItem(FleetKeys.shard(ShardId(PEER.failureDomain, 0)), PEER.encode(), 1))
+            hold(PEER)
+        }
+
+        fun hold(member: FleetMember) {
+            mirror.learn(StoreItem(FleetKeys.shard(ShardId(member.failureDomain, 0)), member.encode(), 1))
             directory.update(mirror)
         }
 
+        fun learnLoads(percents: Map<String, Int>) =
+            percents.forEach { (domain, percent) ->
+                loads.learn(ShardId(FailureDomainId(domain), 0), mapOf(JOB.service to percent), ageMillis = 0)
+            }
+
+        fun lighter(job: JobSpec = JOB) = access.findLighterHolders(job).map { it.shardId.failureDomain.value }
+
         val isUsable: Boolean get() = access.findOtherHolders(JOB).isNotEmpty()
 
         fun ask() = access.ask(access.findOtherHolders(JOB).single(), REQUEST) {}
@@ -104,6 +117,65 @@
             }
         }
 
+    private class LoadRow(
+        val pattern: String,
+        val percents: Map<String, Int>,
+        val expected: Set<String>,
+    )
+
+    @TestFactory
+    fun `failure domains that are offered a refused job`() =
+        listOf(
+            LoadRow("nothing is known: all", emptyMap(), setOf("b", "c", "d")),
+            LoadRow(
+                "burst in the own one: all",
+                mapOf("a" to 180, "b" to 60, "c" to 70, "d" to 20),
+                setOf("b", "c", "d"),
+            ),
+            LoadRow("burst everywhere: none", mapOf("a" to 180, "b" to 178, "c" to 190, "d" to 250), emptySet()),
+            LoadRow("burst in all but one: that one", mapOf("a" to 180, "b" to 190, "c" to 190, "d" to 40), setOf("d")),
+            LoadRow("no load known of one: that one too", mapOf("a" to 180, "b" to 190, "d" to 40), setOf("c", "d")),
+            LoadRow(
+                "nearly full everywhere: those with room",
+                mapOf("a" to 85, "b" to 84, "c" to 95, "d" to 86),
+                setOf("b", "d"),
+            ),
+        ).map { row ->
+            DynamicTest.dynamicTest(row.pattern) {
+                val scene = Scene()
+                listOf("c", "d").forEach { scene.hold(member(it)) }
+                scene.learnLoads(row.percents)
+                assertEquals(row.expected, scene.lighter().toSet())
+            }
+        }
+
+    @TestFactory
+    fun `jobs that are refused at the same time`() =
+        listOf(
+            Triple("equal loads: spread over all", mapOf("b" to 50, "c" to 50, "d" to 50), 20..60),
+            Triple("unequal loads: the heaviest gets none", mapOf("b" to 50, "c" to 50, "d" to 80), 0..0),
+        ).map { (pattern, percents, expected) ->
+            DynamicTest.dynamicTest(pattern) {
+                val scene = Scene()
+                listOf("c", "d").forEach { scene.hold(member(it)) }
+                scene.learnLoads(percents + ("a" to 180))
+                val first = List(100) { scene.lighter(JOB.copy(id = JobId("job$it"))).first() }
+                assertEquals(true, first.count { it == "d" } in expected, "${first.groupingBy { it }.eachCount()}")
+            }
+        }
+
+    @TestFactory
+    fun `age of loads`() =
+        listOf(500L to setOf("d"), 700L to setOf("b", "c", "d")).map { (ageMillis, expected) ->
+            DynamicTest.dynamicTest("after $ageMillis ms") {
+                val scene = Scene()
+                listOf("c", "d").forEach { scene.hold(member(it)) }
+                scene.learnLoads(mapOf("a" to 180, "b" to 190, "c" to 190, "d" to 40))
+                scene.loop.clock.advance(ageMillis)
+                assertEquals(expected, scene.lighter().toSet())
+            }
+        }
+
     private object NoTargets : TargetClient {
         override fun start(
             target: ShardTarget,
@@ -130,8 +202,12 @@
 
     private companion object {
         val SELF = FleetMember(InstanceId("e1"), "1", FailureDomainId("a"), "10.0.0.1:1", 1.0)
-        val PEER = FleetMember(InstanceId("e2"), "1", FailureDomainId("b"), "10.0.0.2:1", 1.0)
+        val PEER = member("b")
         val JOB = JobSpec(JobId("j"), "q", "s", 0, 1, 1.6, 60, "", listOf(StepSpec(1, Resources(1_000), 100)))
+
+        fun member(domain: String) =
+            FleetMember(InstanceId("e-$domain"), "1", FailureDomainId(domain), "10.0.0.2:1", 1.0)
+
         val REQUEST = JobRequest(JOB, 1_000, Admission.ON_TIME, mayRun = false)
     }
 }
--- a/fleet/src/test/kotlin/io/jackdawring/fleet/relay/RelayedJobTest.kt
+++ b/fleet/src/test/kotlin/io/jackdawring/fleet/relay/RelayedJobTest.kt
@@ -34,11 +34,14 @@
     private class FakeShards : ShardAccess {
         var own: ShardHolding? = holding("a")
         var others = listOf(holding("b"), holding("c"))
+        var loaded = emptyList<ShardHolding>()
         val questions = ArrayList<Question>()
 
         override fun findHolder(job: JobSpec) = own
 
-        override fun findOtherHolders(job: JobSpec) = others
+        override fun findHolding(shardId: ShardId) = (listOfNotNull(own) + others).find { it.shardId == shardId }
+
+        override fun findLighterHolders(job: JobSpec) = others.filterNot { it in loaded }
 
         override fun ask(
             holding: ShardHolding,
@@ -90,6 +93,28 @@
                 assertEquals(listOf("a", "b", "c", "b"), asked)
                 assertEquals(Admission.ON_TIME_OR_ROOM, shards.questions.last().admission)
             },
+            Row("a burst everywhere: a refused job is not offered to failure domains that are as loaded") {
+                shards.loaded = shards.others
+                submit()
+                reply(NO_ROOM)
+                assertEquals(listOf("a"), asked)
+                assertIs<CallerAnswer.NotRun>(answer)
+            },
+            Row("a burst in one failure domain: a refused job is offered to two others at most") {
+                shards.others = listOf(holding("b"), holding("c"), holding("d"), holding("e"))
+                submit()
+                repeat(3) { reply(NO_ROOM) }
+                assertEquals(listOf("a", "b", "c"), asked)
+                assertIs<CallerAnswer.NotRun>(answer)
+            },
+            Row("a job stays with the shard that took it, however loaded that is") {
+                shards.own = null
+                submit()
+                shards.loaded = shards.others
+                reply(HolderReply.Lost("reset"))
+                loop.clock.advance(20)
+                assertEquals(listOf("b", "b"), asked)
+            },
             Row("a lost answer keeps the job at its shard") {
                 submit()
                 reply(HolderReply.Lost("reset"))
