Do not take the own pause for the silence of others

Cause: an instance that was paused or starved of processor time judged its holder and its relays by the time since their last message, before it had read what had arrived meanwhile. A holder dropped the jobs of all its relays after a pause of 700 ms, and members replaced holders that had answered all the time.

Ruled out: a longer silence, which leaves jobs of lost relays running when their callers send them again.

Change: a round that runs late shifts the times of the last messages. For relays the shift is at most 300 ms, so that a lost relay's jobs still end before callers try again.

--- a/core/src/main/kotlin/io/jackdawring/core/fleet/ShardElection.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/fleet/ShardElection.kt
@@ -62,6 +62,12 @@
         contacts.getOrPut(instanceId) { Contact(nowMillis) }.refusalsInRow++
     }
 
+    /** Notes that this instance itself did nothing for [pausedMillis], in which it could hear nobody. */
+    fun onPaused(
+        pausedMillis: Long,
+        nowMillis: Long,
+    ) = contacts.values.forEach { it.heardAtMillis = minOf(nowMillis, it.heardAtMillis + pausedMillis) }
+
     /** Whether the holder in [holding] is believed not to work as its holder. */
     fun isSuspected(
         holding: ShardHolding,
--- /dev/null
+++ b/core/src/test/kotlin/io/jackdawring/core/fleet/RelayContactsTest.kt
@@ -0,0 +1,51 @@
+package io.jackdawring.core.fleet
+
+import io.jackdawring.core.InstanceId
+import org.junit.jupiter.api.DynamicTest
+import org.junit.jupiter.api.TestFactory
+import kotlin.test.assertEquals
+
+/** Guards against jobs that are dropped because their holder was paused, and jobs that run on for a lost relay. */
+class RelayContactsTest {
+    private class Row(
+        val pattern: String,
+        val expectedSilent: Boolean,
+        val atMillis: Long,
+        val before: RelayContacts.() -> Unit,
+    )
+
+    private val rows =
+        listOf(
+            Row("a relay that was heard lately", false, 600) { onHeard(RELAY, 0) },
+            Row("a relay that is silent", true, 700) { onHeard(RELAY, 0) },
+            Row("a relay that is silent is told once", false, 900) {
+                onHeard(RELAY, 0)
+                takeSilent(800)
+            },
+            Row("the holder was paused and has not read the messages of its relays", false, 900) {
+                onHeard(RELAY, 0)
+                onPaused(pausedMillis = 800, nowMillis = 900)
+            },
+            Row("the holder was paused for longer than callers wait to send again", true, 1_300) {
+                onHeard(RELAY, 0)
+                onPaused(pausedMillis = 1_250, nowMillis = 1_300)
+            },
+            Row("a relay that stays silent after the pause", true, 1_000) {
+                onHeard(RELAY, 0)
+                onPaused(pausedMillis = 800, nowMillis = 900)
+            },
+        )
+
+    @TestFactory
+    fun `silence of a relay`() =
+        rows.map { row ->
+            DynamicTest.dynamicTest(row.pattern) {
+                val contacts = RelayContacts().apply(row.before)
+                assertEquals(row.expectedSilent, RELAY in contacts.takeSilent(row.atMillis))
+            }
+        }
+
+    private companion object {
+        val RELAY = InstanceId("r")
+    }
+}
--- a/core/src/test/kotlin/io/jackdawring/core/fleet/ShardElectionTest.kt
+++ b/core/src/test/kotlin/io/jackdawring/core/fleet/ShardElectionTest.kt
@@ -39,6 +39,15 @@
         return election.shouldClaim(shard, holding, members, atMillis)
     }
 
+    private fun claimsAfterPause(atMillis: Long): Boolean {
+        val election = ShardElection(self)
+        election.onHeard(InstanceId("e1"), true, 0)
+        election.onPaused(pausedMillis = 2_000, nowMillis = 2_050)
+        // The vacancy is noted by an earlier question.
+        (2_050L until atMillis step 50).forEach { election.shouldClaim(shard, holdBy(members[0]), members, it) }
+        return election.shouldClaim(shard, holdBy(members[0]), members, atMillis)
+    }
+
     private val rows =
         listOf(
             Row("a holder that answers keeps its shard", false) {
@@ -50,6 +59,12 @@
                 election.onHeard(InstanceId("e1"), true, 0)
                 (1L..1_000L step 50).any { election.shouldClaim(shard, holdBy(members[0]), members, it) }
             },
+            Row("an instance that was paused itself does not replace the holder it could not hear", false) {
+                claimsAfterPause(atMillis = 2_100)
+            },
+            Row("a holder that stays silent after the pause is replaced", true) {
+                (2_100L..3_000L step 50).any { claimsAfterPause(it) }
+            },
             Row("one refused connection is no reason", false) {
                 claims(holdBy(members[0]), 300) { onRefused(InstanceId("e1"), 0) }
             },
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/PeerWatch.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/PeerWatch.kt
@@ -1,10 +1,14 @@
 package io.jackdawring.fleet
 
+import io.github.oshai.kotlinlogging.KotlinLogging
 import io.jackdawring.core.InstanceId
 import io.jackdawring.core.fleet.FleetMember
+import io.jackdawring.core.fleet.RelayContacts
 import io.jackdawring.fleet.peer.PeerClient
 import io.jackdawring.fleet.peer.PeerReply
 
+private val logger = KotlinLogging.logger("io.jackdawring.fleet")
+
 /** Asks the holders of the own failure domain for signs of life, and notes which relays are silent; control thread. */
 internal class PeerWatch(
     private val self: FleetMember,
@@ -16,24 +20,34 @@
     private val loop: ControlLoop,
     private val onAnswered: () -> Unit,
 ) {
-    private val lastAsked = HashMap<InstanceId, Long>()
+    private val relays = RelayContacts()
+    private var lastRoundMillis = loop.nowMillis()
 
     /** Notes a message of [sender]. */
     fun onAsked(sender: InstanceId) {
         val now = loop.nowMillis()
-        lastAsked[sender] = now
+        relays.onHeard(sender, now)
         shards.election.onAsked(sender, now)
     }
 
     /** Pings the holders that this instance depends on and drops the jobs of silent relays. */
     fun round(holdersAsked: Collection<FleetMember>) {
-        pingHolders(holdersAsked)
         val now = loop.nowMillis()
-        val silent = lastAsked.filterValues { now - it >= RELAY_SILENCE_MILLIS }.keys.toList()
-        silent.forEach {
-            lastAsked.remove(it)
-            shards.onRelaySilent(it)
-        }
+        noteOwnPause(now - lastRoundMillis - PING_INTERVAL_MILLIS, now)
+        lastRoundMillis = now
+        pingHolders(holdersAsked)
+        relays.takeSilent(now).forEach(shards::onRelaySilent)
+    }
+
+    /** Silence of others proves nothing for a time in which this instance itself did not run. */
+    private fun noteOwnPause(
+        pausedMillis: Long,
+        now: Long,
+    ) {
+        if (pausedMillis < SHORTEST_PAUSE_MILLIS) return
+        logger.info { "this instance was paused for $pausedMillis ms" }
+        relays.onPaused(pausedMillis, now)
+        shards.election.onPaused(pausedMillis, now)
     }
 
     /** Pings the holders of the own failure domain and [holdersAsked]. */
@@ -92,7 +106,7 @@
         /** Three pings fit into the silence after which a holder is suspected. */
         const val PING_INTERVAL_MILLIS = 150L
 
-        /** Below the time after which callers send a job again, so that nothing of it runs any more then. */
-        private const val RELAY_SILENCE_MILLIS = 700L
+        /** Delay of a round that is more than the usual jitter of timers. */
+        private const val SHORTEST_PAUSE_MILLIS = 100L
     }
 }
