Bound the allowance for own pauses, and group the sums of a service's backlog

Cause: each own pause moved the time of a relay's last message, so that a holder that is paused again and again (rounds of 300 ms in place of 150 ms) noticed a lost relay only after 1,400 ms. Callers send a job again after 1,300 ms, and it could run elsewhere beside the runs of the lost relay.

Change: the allowance is counted since the last message and is at most 300 ms in all. RelayContactsTest: the row for repeated pauses failed before.

The sums over the waiting tasks of a service are one class; behaviour stays as it is.

--- a/core/src/main/kotlin/io/jackdawring/core/shard/RealShardDispatcher.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/RealShardDispatcher.kt
@@ -199,12 +199,8 @@
         service: String,
         usable: List<HeldTarget>,
     ): Int? {
-        val capacity =
-            usable.sumOf {
-                it.facts.capacity.cpuMillis
-                    .toLong()
-            }
-        val free = usable.sumOf { it.free.cpuMillis.toLong() }
+        val capacity = usable.fold(0L) { sum, target -> sum + target.facts.capacity.cpuMillis }
+        val free = usable.fold(0L) { sum, target -> sum + target.free.cpuMillis }
         return if (capacity > 0) (PERCENT * (capacity - free + waiting.demand(service)) / capacity).toInt() else null
     }
 
--- a/core/src/main/kotlin/io/jackdawring/core/shard/WaitingTasks.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/WaitingTasks.kt
@@ -1,6 +1,5 @@
 package io.jackdawring.core.shard
 
-import java.util.TreeMap
 import java.util.TreeSet
 
 /**
@@ -28,17 +27,7 @@
     /** Tasks that last come first: they have no objective to miss, and take a place once. */
     private val lasting = newQueue()
     private val byKey = HashMap<TaskKey, Entry>()
-
-    /** Number of waiting tasks by service and by the processor capacity that they need. */
-    private val demands = HashMap<String, TreeMap<Int, Int>>()
-
-    /** Number of tasks whose jobs can be in time, by service and by the span in which they must start. */
-    private val startSpans = HashMap<String, TreeMap<Long, Int>>()
-
-    /** Declared work of the waiting tasks by service, in thousandths of a core times milliseconds. */
-    private val workByService = HashMap<String, Long>()
-
-    private val demandByService = HashMap<String, Long>()
+    private val backlogs = HashMap<String, ServiceBacklog>()
 
     private fun newQueue() =
         TreeSet<Entry>(
@@ -57,32 +46,19 @@
     fun add(task: HeldTask) {
         if (task.waiting) return
         task.waiting = true
-        workByService.merge(task.job.spec.service, work(task), Long::plus)
-        demandByService.merge(
-            task.job.spec.service,
-            task.spec.demand.cpuMillis
-                .toLong(),
-            Long::plus,
-        )
-        demands.getOrPut(task.job.spec.service, ::TreeMap).merge(task.spec.demand.cpuMillis, 1, Int::plus)
+        backlogOf(task).add(task)
         enqueue(task)
     }
 
     fun remove(task: HeldTask) {
         if (!task.waiting) return
         task.waiting = false
-        workByService.merge(task.job.spec.service, -work(task), Long::plus)
-        demandByService.merge(
-            task.job.spec.service,
-            -task.spec.demand.cpuMillis
-                .toLong(),
-            Long::plus,
-        )
-        demands[task.job.spec.service]
-            ?.computeIfPresent(task.spec.demand.cpuMillis) { _, count -> (count - 1).takeIf { it > 0 } }
+        backlogOf(task).remove(task)
         dequeue(task)
     }
 
+    private fun backlogOf(task: HeldTask) = backlogs.getOrPut(task.job.spec.service, ::ServiceBacklog)
+
     private fun enqueue(task: HeldTask) {
         val prospect = task.job.prospect
         val entry = Entry(task, prospect, latestStart(task) + allowanceMillis(task.job))
@@ -104,8 +80,7 @@
         change: Int,
     ) {
         if (entry.task.spec.lasting || entry.prospect != Prospect.IN_TIME) return
-        val spans = startSpans.getOrPut(entry.task.job.spec.service, ::TreeMap)
-        spans.merge(Math.floorDiv(entry.latestStartMillis, SPAN_MILLIS), change) { a, b -> (a + b).takeIf { it > 0 } }
+        backlogOf(entry.task).countStart(entry.latestStartMillis, change)
     }
 
     /** Time past the objective within which the job is useful by its prospect. */
@@ -128,18 +103,17 @@
         moved.forEach(::enqueue)
     }
 
-    fun work(service: String): Long = workByService[service] ?: 0
+    /** Declared work of the waiting tasks of [service], in thousandths of a core times milliseconds. */
+    fun work(service: String): Long = backlogs[service]?.work ?: 0
 
     /** Processor capacity that the waiting tasks of [service] need, in thousandths of a core. */
-    fun demand(service: String): Long = demandByService[service] ?: 0
-
-    private fun work(task: HeldTask): Long = task.spec.estimateMillis * task.spec.demand.cpuMillis
+    fun demand(service: String): Long = backlogs[service]?.cpuMillis ?: 0
 
     /** Least processor capacity that a waiting task needs, in thousandths of a core; null if none waits. */
-    val smallestCpuMillis: Int? get() = demands.keys.mapNotNull(::smallestCpuMillis).minOrNull()
+    val smallestCpuMillis: Int? get() = backlogs.values.mapNotNull { it.smallestCpuMillis }.minOrNull()
 
     /** The same for the tasks that wait for [service]. */
-    fun smallestCpuMillis(service: String): Int? = demands[service]?.let { if (it.isEmpty()) null else it.firstKey() }
+    fun smallestCpuMillis(service: String): Int? = backlogs[service]?.smallestCpuMillis
 
     /** The waiting tasks in order; tasks may be removed meanwhile. */
     fun inOrder(): Sequence<HeldTask> = (sequenceOf(lasting) + entries.values.asSequence()).flatMap(::walk)
@@ -165,13 +139,6 @@
     }
 
     /** About the number of the tasks that [before] gives. */
-    fun countBefore(job: HeldJob): Int {
-        val span = Math.floorDiv(latestStart(job.steps.first().first()), SPAN_MILLIS)
-        return startSpans[job.spec.service]?.headMap(span, true)?.values?.sum() ?: 0
-    }
-
-    private companion object {
-        /** Resolution of the count of tasks; short against the latency objectives. */
-        const val SPAN_MILLIS = 64L
-    }
+    fun countBefore(job: HeldJob): Int =
+        backlogs[job.spec.service]?.countStartsUntil(latestStart(job.steps.first().first())) ?: 0
 }
--- a/core/src/test/kotlin/io/jackdawring/core/fleet/RelayContactsTest.kt
+++ b/core/src/test/kotlin/io/jackdawring/core/fleet/RelayContactsTest.kt
@@ -24,15 +24,25 @@
             },
             Row("the holder was paused and has not read the messages of its relays", false, 900) {
                 onHeard(RELAY, 0)
-                onPaused(pausedMillis = 800, nowMillis = 900)
+                onPaused(pausedMillis = 800)
             },
             Row("the holder was paused for longer than callers wait to send again", true, 1_300) {
                 onHeard(RELAY, 0)
-                onPaused(pausedMillis = 1_250, nowMillis = 1_300)
+                onPaused(pausedMillis = 1_250)
+            },
+            Row("the holder is paused again and again: a lost relay is still noticed in time", true, 1_000) {
+                onHeard(RELAY, 0)
+                repeat(8) { onPaused(pausedMillis = 150) }
+            },
+            Row("the holder is paused again and again: a relay that goes on is kept", false, 2_000) {
+                (0L..1_900L step 100).forEach {
+                    onPaused(pausedMillis = 150)
+                    onHeard(RELAY, it)
+                }
             },
             Row("a relay that stays silent after the pause", true, 1_000) {
                 onHeard(RELAY, 0)
-                onPaused(pausedMillis = 800, nowMillis = 900)
+                onPaused(pausedMillis = 800)
             },
         )
 
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/PeerWatch.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/PeerWatch.kt
@@ -46,7 +46,7 @@
     ) {
         if (pausedMillis < SHORTEST_PAUSE_MILLIS) return
         logger.info { "this instance was paused for $pausedMillis ms" }
-        relays.onPaused(pausedMillis, now)
+        relays.onPaused(pausedMillis)
         shards.election.onPaused(pausedMillis, now)
     }
 
@@ -69,11 +69,8 @@
         val neighbours = directory.members.values.filter { searching && it.failureDomain == self.failureDomain }
         // Holders tell each other their loads, and their relays with them.
         val otherHolders = if (shards.held.isEmpty()) emptyList() else directory.holdings.values.map { it.holder }
-        return (
-            holdings.mapNotNull {
-                it?.holder
-            } + holdersAsked + neighbours + otherHolders
-        ).distinctBy { it.instanceId }
+        val ownHolders = holdings.mapNotNull { it?.holder }
+        return (ownHolders + holdersAsked + neighbours + otherHolders).distinctBy { it.instanceId }
     }
 
     private fun ping(holder: FleetMember) {
