--- a/load/src/main/kotlin/io/jackdawring/load/bench/ShardBench.kt
+++ b/load/src/main/kotlin/io/jackdawring/load/bench/ShardBench.kt
@@ -86,7 +86,7 @@
     private var jobs = 0L
     private var ends = 0L
     private var runningTasks = 1
-    private val ticks get() = maxOf(1, runningTasks * TICK_MILLIS / RUN_MILLIS)
+    private val endsPerTick get() = maxOf(1, runningTasks * TICK_MILLIS / RUN_MILLIS)
     private var nowMillis = 0L
     val costs = listOf("job", "refusal", "start", "end", "tick").associateWith { EventCost() }
 
@@ -116,7 +116,7 @@
         if (dispatcher.waitingTasks <= waiting) timed("job") { submit(patient = true) }
         acceptStarts()
         timed("refusal") { submit(patient = false) }
-        if (ends % ticks == 0L) timed("tick") { dispatcher.tick(nowMillis) }
+        if (ends % endsPerTick == 0L) timed("tick") { dispatcher.tick(nowMillis) }
     }
 
     private fun acceptStarts() {
