--- a/cli/src/main/kotlin/io/jackdawring/cli/Command.kt
+++ b/cli/src/main/kotlin/io/jackdawring/cli/Command.kt
@@ -24,6 +24,12 @@
     /** Whether a missing required setting is an error before [run]. */
     open val checkRequired: Boolean get() = true
 
+    /** Whether [run] configures the logging of the process itself. */
+    open val configuresLogging: Boolean get() = false
+
+    /** Whether the command line may end with the name; its flags are then not parsed, which shortens the start. */
+    open val needsNoArguments: Boolean get() = false
+
     abstract fun run(
         context: CommandContext,
         settings: ResolvedSettings,
--- a/cli/src/main/kotlin/io/jackdawring/cli/CommandLine.kt
+++ b/cli/src/main/kotlin/io/jackdawring/cli/CommandLine.kt
@@ -18,36 +18,37 @@
 
 /** Finds the subcommand of a command line, parses its flags and settings, and runs it. */
 class CommandLine(
-    private val commands: () -> List<Command>,
+    private val commands: List<CommandFactory>,
+    private val prepare: (Command) -> Unit = {},
 ) {
     fun run(
         arguments: List<String>,
         context: CommandContext,
     ): ExitCode {
-        val available = commands()
         if (arguments.isEmpty()) return usageError(context, "a subcommand is missing", null)
         if (arguments.first() in setOf("--help", "-h")) return run(listOf("help"), context)
         if (arguments.first() == "--version") return run(listOf("version"), context)
-        val command =
-            available.filter { arguments.take(it.wordCount) == it.name.split(' ') }.maxByOrNull { it.wordCount }
-                ?: return unknownCommand(arguments, available, context)
-        return runCommand(command, arguments.drop(command.wordCount), context)
+        val factory =
+            commands.filter { arguments.take(it.wordCount) == it.name.split(' ') }.maxByOrNull { it.wordCount }
+                ?: return unknownCommand(arguments, context)
+        return runCommand(factory.create(), arguments.drop(factory.wordCount), context)
     }
 
     private fun unknownCommand(
         arguments: List<String>,
-        available: List<Command>,
         context: CommandContext,
     ): ExitCode {
-        val group = available.filter { it.name.startsWith(arguments.first() + " ") }
+        val group = commands.filter { it.name.startsWith(arguments.first() + " ") }
         if (group.isEmpty()) {
             val word = arguments.first()
-            return usageError(context, "unknown subcommand '$word'", nearestWord(word, available.map { it.name }))
+            return usageError(context, "unknown subcommand '$word'", nearestWord(word, commands.map { it.name }))
         }
         val rest = arguments.getOrNull(1)
         if (rest == null || rest == "--help" || rest == "-h") {
             val stream = if (rest == null) context.err else context.out
-            group.forEach { stream.println("${it.name.padEnd(COMMAND_WIDTH)}${it.summary}") }
+            group.map { it.create() }.forEach {
+                stream.println("${it.name.padEnd(COMMAND_WIDTH)}${it.summary}")
+            }
             return if (rest == null) ExitCode.USAGE else ExitCode.OK
         }
         val name = "${arguments.first()} $rest"
@@ -59,6 +60,7 @@
         arguments: List<String>,
         context: CommandContext,
     ): ExitCode {
+        if (arguments.isEmpty() && command.needsNoArguments) return execute(command, context)
         val parser = parser(command)
         try {
             parser.parseArgument(splitAssignments(arguments))
@@ -84,6 +86,7 @@
                     return ExitCode.USAGE
                 }
         return try {
+            prepare(command)
             command.run(context, settings)
         } catch (e: UsageException) {
             usageError(context, "${command.name}: ${e.message}", null)
@@ -189,7 +192,7 @@
     }
 }
 
-private val Command.wordCount: Int get() = name.count { it == ' ' } + 1
+private val CommandFactory.wordCount: Int get() = name.count { it == ' ' } + 1
 
 /** All flags that [this] accepts. */
 internal fun CmdLineParser.flags(): List<String> =
--- a/cli/src/main/kotlin/io/jackdawring/cli/Commands.kt
+++ b/cli/src/main/kotlin/io/jackdawring/cli/Commands.kt
@@ -22,28 +22,37 @@
 import io.jackdawring.cli.commands.SubmitCommand
 import io.jackdawring.cli.commands.VersionCommand
 
-/** All subcommands in the order of the help text; new objects each time, because parsing modifies them. */
-internal fun allCommands(): List<Command> =
+/** Creates the subcommand with [name]; a new object each time, because parsing modifies it. */
+class CommandFactory(
+    val name: String,
+    val create: () -> Command,
+)
+
+/** The subcommands in the order of the help text. */
+internal val commandFactories =
     listOf(
-        ServeCommand(),
-        InstanceCommand(),
-        InstanceCheckCommand(),
-        InstanceBeliefsCommand(),
-        ConfigCheckCommand(),
-        ConfigPublishCommand(),
-        ConfigShowCommand(),
-        StatusCommand(),
-        BurnCommand(),
-        SubmitCommand(),
-        LoadCommand(),
-        StandinPlatformCommand(),
-        StandinTargetCommand(),
-        ScenariosCommand(),
-        BenchCommand(),
-        DemoCommand(),
-        PlatformDemoCommand(),
-        SettingsCommand(),
-        CompletionBashCommand(::allCommands),
-        VersionCommand(),
-        HelpCommand(::allCommands),
+        CommandFactory("serve") { ServeCommand() },
+        CommandFactory("instance") { InstanceCommand() },
+        CommandFactory("instance check") { InstanceCheckCommand() },
+        CommandFactory("instance beliefs") { InstanceBeliefsCommand() },
+        CommandFactory("config check") { ConfigCheckCommand() },
+        CommandFactory("config publish") { ConfigPublishCommand() },
+        CommandFactory("config show") { ConfigShowCommand() },
+        CommandFactory("status") { StatusCommand() },
+        CommandFactory("burn") { BurnCommand() },
+        CommandFactory("submit") { SubmitCommand() },
+        CommandFactory("load") { LoadCommand() },
+        CommandFactory("standin platform") { StandinPlatformCommand() },
+        CommandFactory("standin target") { StandinTargetCommand() },
+        CommandFactory("scenarios") { ScenariosCommand() },
+        CommandFactory("bench") { BenchCommand() },
+        CommandFactory("demo") { DemoCommand() },
+        CommandFactory("platform-demo") { PlatformDemoCommand() },
+        CommandFactory("settings") { SettingsCommand() },
+        CommandFactory("completion bash") { CompletionBashCommand(::allCommands) },
+        CommandFactory("version") { VersionCommand() },
+        CommandFactory("help") { HelpCommand(::allCommands) },
     )
+
+/** New objects of all subcommands, in the order of the help text. */
+internal fun allCommands(): List<Command> = commandFactories.map { it.create() }
--- a/cli/src/main/kotlin/io/jackdawring/cli/Main.kt
+++ b/cli/src/main/kotlin/io/jackdawring/cli/Main.kt
@@ -4,15 +4,14 @@
 import ch.qos.logback.classic.Logger
 import io.jackdawring.cli.client.RealApiClient
 import io.jackdawring.server.logging.LogFormat
+import io.jackdawring.server.logging.UnconfiguredLogback
 import io.jackdawring.server.logging.configureLogging
 import org.slf4j.LoggerFactory
 import kotlin.system.exitProcess
 
 /** Entry point of the binary. */
 fun main(args: Array<String>) {
-    configureLogging(LogFormat.TEXT)
-    // Hides state changes, of which the demo would log hundreds; a server configures its own logging.
-    (LoggerFactory.getLogger("io.jackdawring") as Logger).level = Level.WARN
+    UnconfiguredLogback.select()
     val context =
         CommandContext(
             out = System.out,
@@ -25,5 +24,12 @@
             client = RealApiClient(),
             clock = RealProcessClock,
         )
-    exitProcess(CommandLine(::allCommands).run(args.toList(), context).code)
+    exitProcess(CommandLine(commandFactories, ::prepareLogging).run(args.toList(), context).code)
+}
+
+/** Sends warnings to the terminal; state changes are hidden, because a demo would log hundreds. */
+private fun prepareLogging(command: Command) {
+    if (command.configuresLogging) return
+    configureLogging(LogFormat.TEXT)
+    (LoggerFactory.getLogger("io.jackdawring") as Logger).level = Level.WARN
 }
--- a/cli/src/main/kotlin/io/jackdawring/cli/commands/InstanceCommand.kt
+++ b/cli/src/main/kotlin/io/jackdawring/cli/commands/InstanceCommand.kt
@@ -30,6 +30,10 @@
     )
     var settingsFile: String? = null
 
+    override val configuresLogging: Boolean get() = true
+
+    override val needsNoArguments: Boolean get() = true
+
     override fun run(
         context: CommandContext,
         settings: ResolvedSettings,
--- a/cli/src/main/kotlin/io/jackdawring/cli/commands/ServeCommand.kt
+++ b/cli/src/main/kotlin/io/jackdawring/cli/commands/ServeCommand.kt
@@ -21,6 +21,8 @@
             "--failure-domain a --platform 127.0.0.1:7400 --operator-listen 127.0.0.1:7412",
         SettingTable.serve,
     ) {
+    override val configuresLogging: Boolean get() = true
+
     override fun run(
         context: CommandContext,
         settings: ResolvedSettings,
--- a/cli/src/test/kotlin/io/jackdawring/cli/CliRun.kt
+++ b/cli/src/test/kotlin/io/jackdawring/cli/CliRun.kt
@@ -39,7 +39,7 @@
             client = client,
             clock = VirtualClock(),
         )
-    val exitCode = CommandLine(::allCommands).run(arguments.toList(), context)
+    val exitCode = CommandLine(commandFactories).run(arguments.toList(), context)
     return CliRun(exitCode, out.toString(), err.toString())
 }
 
--- a/cli/src/test/kotlin/io/jackdawring/cli/CommandLineTest.kt
+++ b/cli/src/test/kotlin/io/jackdawring/cli/CommandLineTest.kt
@@ -75,6 +75,23 @@
         ExitCode.entries.forEach { assertContains(help, it.meaning) }
     }
 
+    /** Guards against a subcommand that is found under another name than its help shows. */
+    @TestFactory
+    fun `a subcommand is found under its own name`(): List<DynamicTest> =
+        commandFactories.map { factory ->
+            dynamicTest(factory.name) { assertEquals(factory.name, factory.create().name) }
+        }
+
+    /** Guards against flags without effect on a subcommand that also runs without any. */
+    @Test
+    fun `instance reads its settings file from the environment or from the flag`() {
+        val fromVariable = runCli("instance", environment = mapOf("JACKDAWRING_NODE_FILE" to "/no/such/file"))
+        assertContains(fromVariable.err, "cannot read settings file /no/such/file")
+        val fromFlag = runCli("instance", "--settings", "/no/other/file")
+        assertContains(fromFlag.err, "cannot read settings file /no/other/file")
+        assertContains(runCli("instance").err, "neither --settings nor JACKDAWRING_NODE_FILE names a settings file")
+    }
+
     private val serve = arrayOf("serve", "--instance-id", "e1", "--failure-domain", "a")
     private val keys = mapOf("JACKDAWRING_SESSION_KEYS" to "k1:" + "0f".repeat(16))
 
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/RealFleetInstance.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/RealFleetInstance.kt
@@ -19,6 +19,7 @@
 import kotlinx.collections.immutable.ImmutableCollection
 import kotlinx.collections.immutable.toImmutableList
 import java.util.UUID
+import java.util.concurrent.ThreadLocalRandom
 
 private val logger = KotlinLogging.logger("io.jackdawring.fleet")
 
@@ -31,7 +32,7 @@
     private val self =
         FleetMember(
             options.instanceId,
-            UUID.randomUUID().toString(),
+            newIncarnation(),
             options.failureDomain,
             options.peerAddress,
             options.weight,
@@ -279,3 +280,6 @@
         const val DRAIN_POLL_MILLIS = 20L
     }
 }
+
+/** An id that no other process has; it is no secret, and a secure random source would prolong the start. */
+private fun newIncarnation(): String = with(ThreadLocalRandom.current()) { UUID(nextLong(), nextLong()) }.toString()
--- a/server/src/main/kotlin/io/jackdawring/server/logging/Logging.kt
+++ b/server/src/main/kotlin/io/jackdawring/server/logging/Logging.kt
@@ -7,7 +7,6 @@
 import ch.qos.logback.core.Appender
 import ch.qos.logback.core.ConsoleAppender
 import ch.qos.logback.core.encoder.Encoder
-import net.logstash.logback.encoder.LogstashEncoder
 import org.slf4j.Logger
 import org.slf4j.LoggerFactory
 
@@ -67,7 +66,7 @@
     format: LogFormat,
 ): Encoder<ILoggingEvent> =
     when (format) {
-        LogFormat.JSON -> LogstashEncoder()
+        LogFormat.JSON -> JsonLineEncoder()
         LogFormat.TEXT -> PatternLayoutEncoder().apply { pattern = "%d{HH:mm:ss.SSS} %-5level %msg %kvp%n" }
     }.apply {
         context = loggerContext
