Report readiness only while callers are accepted

Cause: readiness followed the shard alone.

Change: the listener is opened on every change of the held shards, and readiness requires it. CallerListener has both rules; its first row fails with the former rule.

--- /dev/null
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/CallerListener.kt
@@ -0,0 +1,37 @@
+package io.jackdawring.fleet
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.jackdawring.server.http.HttpServer
+
+private val logger = KotlinLogging.logger("io.jackdawring.fleet")
+
+/** Opens the listener for callers once jobs can be served, so that no caller reaches an instance that refuses it. */
+internal class CallerListener(
+    private val loop: ControlLoop,
+    private val canServe: () -> Boolean,
+    private val open: () -> HttpServer,
+) {
+    private val startedAtMillis = loop.nowMillis()
+
+    /** Null until it is opened. */
+    @Volatile
+    var server: HttpServer? = null
+        private set
+
+    /** Whether callers are accepted and their jobs can be served. */
+    val isReady: Boolean get() = server != null && canServe()
+
+    /** Opens the listener if jobs can be served now; called after every change that may allow it. */
+    fun openIfPossible() {
+        if (server != null) return
+        val ageMillis = loop.nowMillis() - startedAtMillis
+        if (!canServe() && ageMillis < STARTUP_LIMIT_MILLIS) return
+        server = open()
+        logger.info { "accepting callers $ageMillis ms after start" }
+    }
+
+    private companion object {
+        /** After this time, an instance that cannot serve jobs accepts callers all the same and answers with an error. */
+        const val STARTUP_LIMIT_MILLIS = 3_000L
+    }
+}
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/RealFleetInstance.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/RealFleetInstance.kt
@@ -14,7 +14,6 @@
 import io.jackdawring.fleet.store.StoreMirror
 import io.jackdawring.server.http.HttpExchange
 import io.jackdawring.server.http.HttpResponseMessage
-import io.jackdawring.server.http.HttpServer
 import io.jackdawring.server.http.HttpServerOptions
 import kotlinx.collections.immutable.ImmutableCollection
 import kotlinx.collections.immutable.toImmutableList
@@ -67,10 +66,11 @@
             metrics,
             System::currentTimeMillis,
             ::targetsOf,
-            ::updateTargetWatch,
+            ::onHeldChanged,
         )
     private val gossip = StoreGossip(fleetMirror, configurationMirror)
-    private val peerHealth = PeerHealthMonitor(self, peers, shards, directory, gossip, loads, loop, ::openCallerServer)
+    private val peerHealth =
+        PeerHealthMonitor(self, peers, shards, directory, gossip, loads, loop, ::openCallerListener)
     private val shardClient = RealShardClient(self, shards, directory, peers, loads, loop)
     private val relay = JobRelay(loop, shardClient, metrics)
     private val durableJobClient =
@@ -97,9 +97,10 @@
     private val startedAtMillis = loop.nowMillis()
     private var configuredAtMillis = 0L
 
-    /** Started once jobs can be served, so that callers do not reach an instance that would refuse them. */
-    @Volatile
-    private var callerServer: HttpServer? = null
+    private val callerListener =
+        CallerListener(loop, ::canServe) {
+            components.callerTransport.serverFactory().start(options.callerAddress, callerApi::handle)
+        }
 
     init {
         logger.info {
@@ -116,7 +117,7 @@
         registration.maintain(fleetMirror[FleetKeys.member(self.instanceId.value)])
         peerHealth.runRound(shardClient.holdersWithPendingRequests)
         maintainShards()
-        openCallerServer()
+        openCallerListener()
         return true
     }
 
@@ -131,11 +132,14 @@
         if (holdsShards) targetMirror.start() else targetMirror.stop()
     }
 
-    private fun openCallerServer() {
-        if (callerServer != null || draining) return
-        if (!isReady() && loop.nowMillis() - startedAtMillis < STARTUP_LIMIT_MILLIS) return
-        callerServer = components.callerTransport.serverFactory().start(options.callerAddress, callerApi::handle)
-        logger.info { "accepting callers ${loop.nowMillis() - startedAtMillis} ms after start" }
+    /** A new holder can serve callers at once, whichever of the claim's answer and the watch arrives first. */
+    private fun onHeldChanged() {
+        updateTargetWatch()
+        openCallerListener()
+    }
+
+    private fun openCallerListener() {
+        if (!draining) callerListener.openIfPossible()
     }
 
     private fun onFleetChanged() {
@@ -143,8 +147,8 @@
         shards.onDirectoryChanged()
         shards.maintain()
         // Readiness requires an answer of the holder, so startup does not wait for the next round to ping it.
-        if (callerServer == null) peerHealth.pingHolders(shardClient.holdersWithPendingRequests)
-        openCallerServer()
+        if (callerListener.server == null) peerHealth.pingHolders(shardClient.holdersWithPendingRequests)
+        openCallerListener()
     }
 
     private fun onTargetsChanged() {
@@ -169,12 +173,12 @@
         if (current != null && decoded.version <= current.version) return
         callerApi.configuration = decoded
         configuredAtMillis = loop.nowMillis()
-        openCallerServer()
+        openCallerListener()
         logger.info { "applied configuration version ${decoded.version}, store revision ${item.revision}" }
     }
 
     private fun onReadyRequest(exchange: HttpExchange) {
-        exchange.respond(HttpResponseMessage(if (isReady()) STATUS_OK else STATUS_UNAVAILABLE))
+        exchange.respond(HttpResponseMessage(if (callerListener.isReady) STATUS_OK else STATUS_UNAVAILABLE))
     }
 
     private fun onMetricsRequest(exchange: HttpExchange) {
@@ -195,7 +199,7 @@
                 self.failureDomain.value,
                 self.incarnation,
                 now - startedAtMillis,
-                isReady(),
+                callerListener.isReady,
                 draining,
                 callerApi.configuration?.let {
                     FleetStatus.Configuration(
@@ -218,7 +222,7 @@
         return peerJson.encodeToString(FleetStatus.serializer(), status)
     }
 
-    private fun isReady(): Boolean {
+    private fun canServe(): Boolean {
         if (draining || callerApi.configuration == null) return false
         return directory.shardsOf(self.failureDomain).all { id ->
             shards.host(id) != null ||
@@ -226,22 +230,22 @@
         }
     }
 
-    private val requestsInProgress: Int get() = callerServer?.requestsInProgress ?: 0
+    private val requestsInProgress: Int get() = callerListener.server?.requestsInProgress ?: 0
 
     override fun drain() {
         logger.info { "draining: handing over shards, $requestsInProgress requests in progress" }
         draining = true
         loop.execute { shards.handOverAll() }
         val startedAt = loop.nowMillis()
-        callerServer?.closeAfterAnswers()
+        callerListener.server?.closeAfterAnswers()
         Thread.sleep(minOf(BALANCER_REMOVAL_MILLIS, options.stopGraceMillis / 2))
-        callerServer?.stopAccepting()
-        callerServer?.closeIdleConnections()
+        callerListener.server?.stopAccepting()
+        callerListener.server?.closeIdleConnections()
         while ((requestsInProgress > 0 || holdsShards) &&
             loop.nowMillis() - startedAt < options.stopGraceMillis - EXIT_MARGIN_MILLIS
         ) {
             // A request that arrives on a keep-alive connection now might not finish before the exit.
-            callerServer?.closeIdleConnections()
+            callerListener.server?.closeIdleConnections()
             Thread.sleep(DRAIN_POLL_MILLIS)
         }
         logger.info {
@@ -250,7 +254,7 @@
     }
 
     override fun close() {
-        callerServer?.close()
+        callerListener.server?.close()
         peerServer.close()
         readyServer.close()
         metricsServer?.close()
@@ -269,9 +273,6 @@
         /** A target must get no starts 2 s after it began to drain, which leaves time for several watches. */
         const val TARGET_BATCH_DELAY_MILLIS = 400L
 
-        /** After this time, an instance that is not ready accepts callers all the same and answers with an error. */
-        const val STARTUP_LIMIT_MILLIS = 3_000L
-
         /** The load balancer checks once a second and removes an instance after two failed checks. */
         const val BALANCER_REMOVAL_MILLIS = 2_600L
 
--- /dev/null
+++ b/fleet/src/test/kotlin/io/jackdawring/fleet/CallerListenerTest.kt
@@ -0,0 +1,60 @@
+package io.jackdawring.fleet
+
+import io.jackdawring.server.http.HttpServer
+import org.junit.jupiter.api.DynamicTest
+import org.junit.jupiter.api.DynamicTest.dynamicTest
+import org.junit.jupiter.api.TestFactory
+import kotlin.test.assertEquals
+
+/** Guards against callers that are sent to an instance whose listener is closed or that cannot serve them. */
+class CallerListenerTest {
+    private class Row(
+        val name: String,
+        val canServe: Boolean,
+        val ageMillis: Long,
+        val opens: Boolean,
+        val expectedOpen: Boolean,
+        val expectedReady: Boolean,
+    )
+
+    private val rows =
+        listOf(
+            Row(
+                "jobs can be served, but the listener is closed",
+                true,
+                0,
+                false,
+                expectedOpen = false,
+                expectedReady = false,
+            ),
+            Row("jobs can be served", true, 0, true, expectedOpen = true, expectedReady = true),
+            Row("jobs cannot be served yet", false, 2_999, true, expectedOpen = false, expectedReady = false),
+            Row("jobs cannot be served for long", false, 3_000, true, expectedOpen = true, expectedReady = false),
+        )
+
+    @TestFactory
+    fun `the listener opens once jobs can be served, and readiness requires both`(): List<DynamicTest> =
+        rows.map { row ->
+            dynamicTest(row.name) {
+                val loop = FakeControlLoop()
+                val listener = CallerListener(loop, { row.canServe }, { FakeHttpServer() })
+                loop.clock.advance(row.ageMillis)
+                if (row.opens) listener.openIfPossible()
+                assertEquals(row.expectedOpen, listener.server != null)
+                assertEquals(row.expectedReady, listener.isReady)
+            }
+        }
+
+    private class FakeHttpServer : HttpServer {
+        override val address = "127.0.0.1:1"
+        override val requestsInProgress = 0
+
+        override fun stopAccepting() = Unit
+
+        override fun closeAfterAnswers() = Unit
+
+        override fun closeIdleConnections() = Unit
+
+        override fun close() = Unit
+    }
+}
