Take a run for hung only on the word of its target

Cause: the limit of a run was judged by the holder's clock alone. A holder that was busy, had just started or was behind with its polls took its own lateness for a hang, stopped sound runs and suspended sound targets. Several runs that hung together counted as repeated faults and doubled the suspension.

Change: after the limit, the target is asked at once which runs it has, and only a run in the answer to a poll sent after the limit counts as hung. Faults during a suspension do not prolong it.

Both new rows of ShardLoadPatternTest fail without the change.

--- a/core/src/main/kotlin/io/jackdawring/core/shard/HangDetector.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/HangDetector.kt
@@ -1,6 +1,11 @@
 package io.jackdawring.core.shard
 
-/** Stops runs that greatly exceed their expected duration, and counts them as faults of their target. */
+/**
+ * Stops runs that greatly exceed their expected duration, and counts them as faults of their target.
+ *
+ * A run counts as hung only if its target lists it in the answer to a poll that was sent after the limit: a holder that
+ * is busy learns of ends late.
+ */
 internal class HangDetector(
     private val control: TargetControl,
 ) {
@@ -19,7 +24,12 @@
         val task = run.owner ?: return
         if (task.spec.longRunning || run.state != TrackedRun.State.RUNNING || run.expectedMillis <= 0) return
         val limit = (HANG_FACTOR * run.expectedMillis + HANG_SLACK_MILLIS) shl task.hangCount
-        if (nowMillis - run.sentAtMillis < limit) return
+        val limitAtMillis = run.sentAtMillis + limit
+        if (nowMillis < limitAtMillis) return
+        if (run.listedByPollSentAtMillis < limitAtMillis) {
+            control.confirmRuns(run.target, limitAtMillis, nowMillis)
+            return
+        }
         // The limit doubles with each hang, so that a task that is longer than declared ends eventually.
         task.hangCount = minOf(task.hangCount + 1, MAX_DOUBLINGS)
         control.recordFault(run.target, "run took over $HANG_FACTOR times its estimate", FAULTS_TO_SUSPEND, nowMillis)
--- a/core/src/main/kotlin/io/jackdawring/core/shard/TargetControl.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/TargetControl.kt
@@ -73,6 +73,16 @@
         nowMillis: Long,
     ) = stopper.stop(run, reason, nowMillis)
 
+    /** Asks [target] which runs it has, unless a poll sent after [sinceMillis] is in flight. */
+    fun confirmRuns(
+        target: TrackedTarget,
+        sinceMillis: Long,
+        nowMillis: Long,
+    ) {
+        val isAsked = target.pollInFlight && target.pollSentAtMillis >= sinceMillis
+        if (target.contact == TrackedTarget.Contact.HELD && !isAsked) poller.pollNow(target, nowMillis, waitMillis = 0)
+    }
+
     fun onStart(
         id: TargetId,
         request: StartRequest,
@@ -289,6 +299,7 @@
         nowMillis: Long,
     ) {
         run.recordCheckpoint(entry.checkpoint)
+        run.listedByPollSentAtMillis = run.target.pollSentAtMillis
         if (run.state == TrackedRun.State.UNCERTAIN) onAccepted(run, nowMillis)
         // A confirmed stop does not affect a start request that reaches the target later.
         val listedAfterStop =
--- a/core/src/main/kotlin/io/jackdawring/core/shard/TargetHealth.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/TargetHealth.kt
@@ -42,6 +42,8 @@
         faultsToSuspend: Int,
     ): Boolean {
         consecutiveFaults++
+        // Several runs that fail together are one sign; only a fault after the suspension doubles the next one.
+        if (isSuspended(nowMillis)) return false
         if (consecutiveFaults < faultsToSuspend && suspensions == 0) return false
         val lengthMillis = min(MAX_SUSPENSION_MILLIS, FIRST_SUSPENSION_MILLIS shl min(suspensions, MAX_DOUBLINGS))
         suspensions++
--- a/core/src/main/kotlin/io/jackdawring/core/shard/TargetPoller.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/TargetPoller.kt
@@ -9,10 +9,11 @@
     val maxLeaseMillis =
         options.leaseMillis + options.leaseMillis / CLOCK_DRIFT_DIVISOR + options.stopMillis + LEASE_MARGIN_MILLIS
 
-    /** Sends a poll unless one is in flight or the next one is not due. */
+    /** Sends a poll unless one is in flight or the next one is not due; it waits [waitMillis] for the end of a run. */
     fun poll(
         target: TrackedTarget,
         nowMillis: Long,
+        waitMillis: Long = options.pollWaitMillis,
     ) {
         if (target.pollInFlight || nowMillis < target.nextPollAtMillis) return
         val sinceAnswerMillis = nowMillis - target.lastAnswerAtMillis
@@ -28,7 +29,7 @@
         target.pollSequence++
         target.pollSentAtMillis = nowMillis
         target.nextPollAtMillis = nowMillis + if (held) 0 else SILENT_POLL_INTERVAL_MILLIS
-        val wait = if (held) options.pollWaitMillis else 0
+        val wait = if (held) waitMillis else 0
         effects.poll(target.registration, PollRequest(target.pollSequence, leaseUntil, acknowledged, wait))
     }
 
@@ -36,10 +37,11 @@
     fun pollNow(
         target: TrackedTarget,
         nowMillis: Long,
+        waitMillis: Long = options.pollWaitMillis,
     ) {
         target.pollInFlight = false
         target.nextPollAtMillis = minOf(target.nextPollAtMillis, nowMillis)
-        poll(target, nowMillis)
+        poll(target, nowMillis, waitMillis)
     }
 
     /** Stops starts and lease renewals for [target] until it answers a poll. */
--- a/core/src/main/kotlin/io/jackdawring/core/shard/TrackedRun.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/TrackedRun.kt
@@ -41,6 +41,9 @@
     /** Polls that are sent after this time list the run, unless it is over. */
     var listedAfterMillis = Long.MAX_VALUE
 
+    /** Time at which the last poll was sent whose answer lists the run. */
+    var listedByPollSentAtMillis = Long.MIN_VALUE
+
     /** Why a stop was requested; null while the run should continue. */
     var stopReason: String? = null
     var stopSentAtMillis = Long.MIN_VALUE
--- a/testing/src/main/kotlin/io/jackdawring/testing/shard/FakeShard.kt
+++ b/testing/src/main/kotlin/io/jackdawring/testing/shard/FakeShard.kt
@@ -121,7 +121,9 @@
                 schedule(1) { awaitEnd(fake, incarnation, request, untilMillis) }
                 return
             }
-            schedule(LATENCY_MILLIS) { reply { it.onPoll(fake.registration.id, request, seen, nowMillis) } }
+            schedule(LATENCY_MILLIS + fake.answerDelayMillis) {
+                reply { it.onPoll(fake.registration.id, request, seen, nowMillis) }
+            }
         }
 
         private fun poll(
--- a/testing/src/main/kotlin/io/jackdawring/testing/shard/FakeShardTarget.kt
+++ b/testing/src/main/kotlin/io/jackdawring/testing/shard/FakeShardTarget.kt
@@ -46,6 +46,9 @@
     /** Delay of the next poll, as if its connection were slow to open. */
     var firstPollDelayMillis = 0L
 
+    /** Additional delay of the answers to polls, as if the holder were slow to read them. */
+    var answerDelayMillis = 0L
+
     internal class Run(
         val key: TaskKey,
         val attempt: Int,
--- a/testing/src/test/kotlin/io/jackdawring/testing/shard/ShardLoadPatternTest.kt
+++ b/testing/src/test/kotlin/io/jackdawring/testing/shard/ShardLoadPatternTest.kt
@@ -3,6 +3,7 @@
 import io.jackdawring.core.shard.Admission
 import io.jackdawring.core.shard.JobId
 import io.jackdawring.core.shard.JobOutcome
+import io.jackdawring.core.shard.ShardDecision
 import io.jackdawring.core.shard.TaskKey
 import io.jackdawring.core.shard.WaiterId
 import io.jackdawring.testing.shard.FakeShard.Companion.job
@@ -25,6 +26,13 @@
         speed: (Int) -> Double = { 1.0 },
     ) = FakeShard(List(count) { FakeShardTarget("t$it", speed = speed(it)) }).also { it.runFor(50) }
 
+    private fun FakeShard.suspensions() =
+        decisions
+            .filterIsInstance<ShardDecision.TargetChanged>()
+            .filter {
+                it.state == "suspended"
+            }.map { it.targetId.value }
+
     private fun FakeShard.outcome(waiter: WaiterId) = answers[waiter]?.outcome
 
     private val rows =
@@ -101,6 +109,22 @@
                 shard.runFor(1_000)
                 assertEquals(JobOutcome.Completed, shard.outcome(waiter))
             },
+            Row("a busy holder reads the answers of sound targets late: none is suspended") {
+                val shard = shard(count = 4)
+                shard.targets.forEach { it.answerDelayMillis = 350 }
+                val waiters = List(2) { shard.submit(job("a$it", tasks = 4, estimateMillis = 60)) }
+                shard.runFor(2_000)
+                assertEquals(List(2) { JobOutcome.Completed }, waiters.map { shard.outcome(it) })
+                assertEquals(emptyList(), shard.suspensions())
+                assertEquals(8, shard.starts.size)
+            },
+            Row("three runs of one target hang at once: it is suspended once") {
+                val shard = shard(count = 2)
+                shard.targets[0].mode = Mode.HANGS
+                shard.submit(job("a", tasks = 6, estimateMillis = 60, cpuMillis = 10_000))
+                shard.runFor(1_000)
+                assertEquals(listOf("t0"), shard.suspensions())
+            },
             Row("a job whose runs all fail ends as failed after its attempts") {
                 val shard = shard()
                 shard.targets.forEach { it.mode = Mode.FAILS }
