Replace a holder that has ended one round sooner

Cause: after a loss of all instances the first one that ran waited for two rounds of 150 ms until a second connection to the former holder was refused, and then 150 ms for each better-ranked member, running or not.

Change: a refused connection is tried again after 30 ms and the claim follows at once; members that refuse connections do not count in the rank. A member that was queried and never heard from is no successor for a hand-over.

The new rows of ShardElectionTest fail without the change.

--- a/core/src/main/kotlin/io/jackdawring/core/fleet/ShardElection.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/fleet/ShardElection.kt
@@ -6,8 +6,8 @@
  * Decides when this entry instance tries to become the holder of a shard of its failure domain.
  *
  * A holder is suspected if nothing was received from it for [SUSPECT_AFTER_MILLIS], if it refuses connections or if it
- * denies that it is the holder. Members try in descending order of weight, each [RANK_DELAY_MILLIS] after the previous
- * one; the store's compare-and-swap decides between concurrent attempts.
+ * denies that it is the holder. Members that accept connections try in descending order of weight, each
+ * [RANK_DELAY_MILLIS] after the previous one; the store's compare-and-swap decides between concurrent attempts.
  */
 class ShardElection(
     private val self: FleetMember,
@@ -19,7 +19,8 @@
         var consecutiveRefusals: Int = 0,
         var consecutiveDenials: Int = 0,
     ) {
-        fun isLive(nowMillis: Long) = consecutiveRefusals == 0 && nowMillis - lastHeardMillis < SUSPECT_AFTER_MILLIS
+        fun isLive(nowMillis: Long) =
+            heardFrom && consecutiveRefusals == 0 && nowMillis - lastHeardMillis < SUSPECT_AFTER_MILLIS
     }
 
     private val memberStates = HashMap<InstanceId, MemberState>()
@@ -55,12 +56,14 @@
         return memberState
     }
 
-    /** Records that [instanceId] refused a connection. */
+    /** Records that [instanceId] refused a connection; returns whether one more refusal decides on a suspicion. */
     fun onRefused(
         instanceId: InstanceId,
         nowMillis: Long,
-    ) {
-        memberStates.getOrPut(instanceId) { MemberState(nowMillis) }.consecutiveRefusals++
+    ): Boolean {
+        val memberState = memberStates.getOrPut(instanceId) { MemberState(nowMillis) }
+        memberState.consecutiveRefusals++
+        return memberState.consecutiveRefusals == REFUSALS_FOR_SUSPICION - 1
     }
 
     /** Records that this instance was paused for [pausedMillis] and could receive nothing in that time. */
@@ -128,9 +131,14 @@
             it.failureDomain == self.failureDomain &&
                 it.instanceId != suspect?.instanceId &&
                 it.instanceId != self.instanceId &&
-                preference.compare(it, self) < 0
+                preference.compare(it, self) < 0 &&
+                !refusesConnections(it)
         }
 
+    /** Whether the last attempt to connect to [member] was refused, so that it cannot claim a shard now. */
+    private fun refusesConnections(member: FleetMember) =
+        (memberStates[member.instanceId]?.consecutiveRefusals ?: 0) > 0
+
     private companion object {
         /** Three missed pings, which are sent every 150 ms. */
         const val SUSPECT_AFTER_MILLIS = 450L
--- a/core/src/test/kotlin/io/jackdawring/core/fleet/ShardElectionTest.kt
+++ b/core/src/test/kotlin/io/jackdawring/core/fleet/ShardElectionTest.kt
@@ -79,6 +79,13 @@
             },
             Row("a vacant shard is first left to the higher-ranked member", false) { claims(null, 100) },
             Row("a vacant shard is claimed after the delay of this member's rank", true) { claims(null, 160) },
+            Row(
+                "members that refuse connections, as after a loss of all, do not delay the claim of one that runs",
+                true,
+            ) {
+                val election = ShardElection(self).apply { onRefused(InstanceId("e1"), 0) }
+                election.shouldClaim(shard, null, members, 0)
+            },
             Row("an earlier incarnation of this instance is replaced at once, whatever the rank", true) {
                 ShardElection(self).shouldClaim(shard, heldBy(member("e2", incarnation = "0")), members, 0)
             },
@@ -115,13 +122,16 @@
 
     @TestFactory
     fun `successors are live members of the failure domain, highest weight first`() =
-        listOf(
-            "nobody heard from" to emptyList<String>(),
-            "all heard from" to listOf("e1", "e3"),
-        ).map { (name, expected) ->
+        listOf<Triple<String, List<String>, ShardElection.() -> Unit>>(
+            Triple("nobody heard from", emptyList()) {},
+            Triple("all heard from", listOf("e1", "e3")) { members.forEach { onPeerRequest(it.instanceId, 0) } },
+            Triple(
+                "a holder that was queried and has not answered",
+                emptyList(),
+            ) { isSuspected(heldBy(members[0]), 0) },
+        ).map { (name, expected, before) ->
             DynamicTest.dynamicTest(name) {
-                val election = ShardElection(self)
-                if (expected.isNotEmpty()) members.forEach { election.onPeerRequest(it.instanceId, 0) }
+                val election = ShardElection(self).apply(before)
                 assertEquals(expected, election.successors(members, 100).map { it.instanceId.value })
             }
         }
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/PeerHealthMonitor.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/PeerHealthMonitor.kt
@@ -95,7 +95,7 @@
                 }
 
                 is PeerReply.NotSent -> {
-                    shards.election.onRefused(holder.instanceId, now)
+                    onRefused(holder, now)
                 }
 
                 is PeerReply.Rejected, is PeerReply.Cancelled, is PeerReply.NoResponse -> {
@@ -105,7 +105,22 @@
         }
     }
 
+    /** Tries to connect again soon, so that a shard whose holder has ended is not vacant until the next round. */
+    private fun onRefused(
+        member: FleetMember,
+        now: Long,
+    ) {
+        if (shards.election.onRefused(member.instanceId, now)) {
+            loop.schedule(REFUSAL_RETRY_MILLIS) { ping(member) }
+        } else {
+            shards.maintain()
+        }
+    }
+
     companion object {
+        /** Short compared with the start of a process, which takes several hundred milliseconds. */
+        private const val REFUSAL_RETRY_MILLIS = 30L
+
         /** A holder is suspected after three missed pings. */
         const val PING_INTERVAL_MILLIS = 150L
 
