Serve jobs late that cannot be served on time, after those that can

Hypothesis: a refusal ends the service of a caller, while many refused jobs could still end within three times their objective.

Change: a shard admits a job that it cannot serve on time if it can end while its result is useful, behind all jobs that are on time, as it does for durable jobs. Once a job that has not started can no longer be useful, it is refused at once. The relay asks the shard with the earliest forecast.

--- a/core/src/main/kotlin/io/jackdawring/core/shard/CompletionForecast.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/CompletionForecast.kt
@@ -27,9 +27,10 @@
         sample: TrackedTask,
     ) = Slot(target, freeAtMillis, freeAtMillis + durations.onTargetMillis(sample, target, options.offRackFactor))
 
-    /** Expected time at which the job completes, or null if no target can run it. */
+    /** Expected time at which the job completes if it waits as one that is [timeliness]; null if no target can run it. */
     fun completionMillis(
         job: TrackedJob,
+        timeliness: Timeliness,
         targets: Collection<TrackedTarget>,
         waiting: WaitingTasks,
         nowMillis: Long,
@@ -40,11 +41,11 @@
         val slots = slots(sample, everyNth(stride, job.sequence, targets), nowMillis)
         if (slots.isEmpty() && stride > 1) slots.addAll(slots(sample, targets, nowMillis))
         if (slots.isEmpty()) return null
-        val ahead = waiting.ahead(job).take(MAX_TASKS * stride).toList()
+        val ahead = waiting.ahead(job, timeliness).take(MAX_TASKS * stride).toList()
         fill(slots, everyNth(stride, 0, ahead), sample, nowMillis)
         val completion = fill(slots, everyNth(stride, 0, own), sample, nowMillis)
         if (ahead.size < MAX_TASKS * stride) return completion
-        val unseen = (waiting.countAhead(job) - ahead.size).coerceAtLeast(0)
+        val unseen = (waiting.countAhead(job, timeliness) - ahead.size).coerceAtLeast(0)
         return nowMillis + (completion - nowMillis) * (1 + unseen.toDouble() / ahead.size)
     }
 
--- a/core/src/main/kotlin/io/jackdawring/core/shard/JobOutcome.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/JobOutcome.kt
@@ -13,12 +13,12 @@
     /**
      * No task of the job has started or will start; the caller may retry after [retryAfterMillis].
      *
-     * [hasRoom] is whether a target had free capacity for the first task, although the job would miss its objective.
+     * [canBeLate] is whether the shard could serve the job, although not within its objective.
      */
     data class NotRun(
         val reason: String,
         val retryAfterMillis: Long,
-        val hasRoom: Boolean = false,
+        val canBeLate: Boolean = false,
     ) : JobOutcome
 
     /** The holder gave the job up; a task of it may have started. */
--- a/core/src/main/kotlin/io/jackdawring/core/shard/RealShardDispatcher.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/RealShardDispatcher.kt
@@ -17,7 +17,7 @@
     private val durable = lifecycle.durable
     private val selector = TargetSelector(lifecycle.durations, options.offRackFactor)
     private val forecast = CompletionForecast(lifecycle.durations, options, control.cost)
-    private val admissionCheck = JobAdmissionCheck(control, selector)
+    private val admissionCheck = JobAdmissionCheck(control, selector, forecast, waiting)
     private val placement = Placement(options, control, lifecycle.durations, selector, waiting)
     private val preemption = Preemption(options, control, lifecycle.durations)
     private val copies = SpeculativeCopies(options, control, lifecycle.durations, selector)
@@ -78,16 +78,30 @@
             return
         }
         lifecycle.previousRuns.claim(job)
-        val completion = forecast.completionMillis(job, control.targets, waiting, nowMillis)
-        val undecidable = job.started || admissionCheck.isWarmingUp(nowMillis)
-        val refusal = if (undecidable) null else admissionCheck.refusal(job, completion, request.admission, nowMillis)
-        if (refusal != null) {
-            effects.report(ShardDecision.JobAnswered(spec.id, spec.queue, refusal, 0, spec.objectiveMillis))
-            effects.answer(waiter, refusal)
-            return
+        when (val decision = admissionCheck.decide(job, request.admission, nowMillis)) {
+            is AdmissionDecision.Refused -> {
+                effects.report(
+                    ShardDecision.JobAnswered(spec.id, spec.queue, decision.outcome, 0, spec.objectiveMillis),
+                )
+                effects.answer(waiter, decision.outcome)
+            }
+
+            is AdmissionDecision.Admitted -> {
+                start(job, decision, waiter, nowMillis)
+            }
         }
+    }
+
+    private fun start(
+        job: TrackedJob,
+        decision: AdmissionDecision.Admitted,
+        waiter: WaiterId,
+        nowMillis: Long,
+    ) {
+        val spec = job.spec
+        job.timeliness = decision.timeliness
         lifecycle.add(job, waiter)
-        val forecastMillis = completion?.let { it.toLong() - nowMillis } ?: -1
+        val forecastMillis = decision.completionMillis?.let { it.toLong() - nowMillis } ?: -1
         effects.report(
             ShardDecision.JobAdmitted(spec.id, spec.queue, forecastMillis, spec.objectiveMillis, waiting.size),
         )
@@ -259,9 +273,28 @@
         when {
             orphanSince != null && nowMillis - orphanSince >= options.orphanTimeoutMillis -> abandon(job, nowMillis)
             nowMillis >= job.deadlineMillis -> giveUp(job, nowMillis)
+            isHopeless(job, nowMillis) -> refuseLate(job, nowMillis)
         }
     }
 
+    /** Whether [job] was admitted as a late one and can no longer end while its result is useful. */
+    private fun isHopeless(
+        job: TrackedJob,
+        nowMillis: Long,
+    ): Boolean {
+        if (job.timeliness != Timeliness.LATE || job.started) return false
+        return nowMillis > waiting.latestStartMillis(job.steps.first().first())
+    }
+
+    private fun refuseLate(
+        job: TrackedJob,
+        nowMillis: Long,
+    ) = lifecycle.finish(
+        job,
+        JobOutcome.NotRun("jobs that are on time come first", job.spec.objectiveMillis),
+        nowMillis,
+    )
+
     private fun giveUp(
         job: TrackedJob,
         nowMillis: Long,
--- a/core/src/main/kotlin/io/jackdawring/core/shard/TrackedJob.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/TrackedJob.kt
@@ -36,6 +36,10 @@
     val isSaving: Boolean get() = progressVersion > savedVersion
 
     val objectiveAtMillis: Long = arrivedAtMillis + spec.objectiveMillis
+
+    /** Time after which a result is of little use to the caller. */
+    val latestUsefulMillis: Long =
+        minOf(deadlineMillis, arrivedAtMillis + Timeliness.LATE_FACTOR * spec.objectiveMillis)
     val isComplete: Boolean get() = openTasks.all { it == 0 }
 
     fun tasks(): Sequence<TrackedTask> = steps.asSequence().flatten()
--- a/core/src/main/kotlin/io/jackdawring/core/shard/WaitingTasks.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/WaitingTasks.kt
@@ -7,8 +7,8 @@
  *
  * Tasks are ordered by the latest time at which they must start to meet their job's objective; urgent queues have short
  * objectives. Durable jobs that miss their objective come after all others: serving a backlog strictly in the order
- * of the objectives makes every job miss its own. Jobs that a caller waits for are refused on arrival instead, and
- * keep their position once they are admitted.
+ * of the objectives makes every job miss its own. Jobs that a caller waits for are refused on arrival instead, or
+ * admitted as late ones, and keep their position once they are admitted.
  */
 internal class WaitingTasks(
     private val latestStart: (TrackedTask) -> Long,
@@ -85,8 +85,10 @@
     }
 
     /** Time past the objective that the [Timeliness] of the job still allows. */
-    private fun allowanceMillis(job: TrackedJob): Long =
-        if (job.timeliness == Timeliness.ON_TIME) 0 else (Timeliness.LATE_FACTOR - 1) * job.spec.objectiveMillis
+    private fun allowanceMillis(
+        job: TrackedJob,
+        timeliness: Timeliness = job.timeliness,
+    ): Long = if (timeliness == Timeliness.ON_TIME) 0 else (Timeliness.LATE_FACTOR - 1) * job.spec.objectiveMillis
 
     /** Lowers the [Timeliness] of durable jobs of which a waiting task would start too late at [nowMillis]. */
     fun demoteLateJobs(nowMillis: Long) {
@@ -128,18 +130,33 @@
     /** Latest time at which a waiting task must start to end in time for its [Timeliness]. */
     fun latestStartMillis(task: TrackedTask): Long = byKey.getValue(task.key).latestStartMillis
 
-    /** Tasks of the same service, in order, that are placed before the first step of [job], which is not queued yet. */
-    fun ahead(job: TrackedJob): Sequence<TrackedTask> {
-        val latestMillis = latestStart(job.steps.first().first())
-        return queues
-            .getValue(Timeliness.ON_TIME)
+    /**
+     * Tasks of the same service, in order, that are placed before the first step of [job], which is not queued yet, if
+     * it is queued as one that is [timeliness].
+     */
+    fun ahead(
+        job: TrackedJob,
+        timeliness: Timeliness,
+    ): Sequence<TrackedTask> {
+        val latestMillis = latestStart(job.steps.first().first()) + allowanceMillis(job, timeliness)
+        return Timeliness.entries
             .asSequence()
-            .takeWhile { it.latestStartMillis <= latestMillis }
-            .map { it.task }
+            .filter { it <= timeliness }
+            .flatMap { earlier ->
+                val queue = queues.getValue(earlier).asSequence()
+                if (earlier < timeliness) queue else queue.takeWhile { it.latestStartMillis <= latestMillis }
+            }.map { it.task }
             .filter { it.job.spec.service == job.spec.service }
     }
 
     /** Approximate number of the tasks that [ahead] returns. */
-    fun countAhead(job: TrackedJob): Int =
-        backlogs[job.spec.service]?.countStartsUntil(latestStart(job.steps.first().first())) ?: 0
+    fun countAhead(
+        job: TrackedJob,
+        timeliness: Timeliness,
+    ): Int =
+        if (timeliness == Timeliness.ON_TIME) {
+            backlogs[job.spec.service]?.countStartsUntil(latestStart(job.steps.first().first())) ?: 0
+        } else {
+            ahead(job, timeliness).count()
+        }
 }
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/relay/RelayedJob.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/relay/RelayedJob.kt
@@ -53,7 +53,7 @@
         when {
             holding != null -> sendTo(holding, now)
             now >= deadlineMillis -> answer(unservedAnswer("no holder until the caller's deadline"))
-            acceptedBy == null && refusals.isNotEmpty() -> retryWithFreeCapacity(now)
+            acceptedBy == null && refusals.isNotEmpty() -> requestLateService(now)
             acceptedBy == null && now - arrivedAtMillis > job.objectiveMillis / HOLDER_WAIT_DIVISOR ->
                 answer(
                     unservedAnswer("no entry instance holds the targets"),
@@ -70,12 +70,12 @@
         return shards.findLessLoadedHolders(job).firstOrNull { it.shardId !in refusals }
     }
 
-    /** Every shard forecasts that the job will be late; one with free capacity now may admit it all the same. */
-    private fun retryWithFreeCapacity(now: Long) {
-        val withRoom = refusals.entries.firstOrNull { it.value.hasRoom }?.key
-        val holding = withRoom?.let(shards::findHolding)
+    /** Every shard forecasts that the job will be late; the one that expects it first may serve it all the same. */
+    private fun requestLateService(now: Long) {
+        val earliest = refusals.filterValues { it.canBeLate }.minByOrNull { it.value.retryAfterMillis }?.key
+        val holding = earliest?.let(shards::findHolding)
         if (admission == Admission.ON_TIME && holding != null) {
-            admission = Admission.ON_TIME_OR_ROOM
+            admission = Admission.ON_TIME_OR_LATE
             sendTo(holding, now)
         } else {
             val refusal = refusals.values.first()
@@ -170,7 +170,7 @@
                 answer(unservedAnswer(refusal.reason))
             }
 
-            admission == Admission.ON_TIME_OR_ROOM -> {
+            admission == Admission.ON_TIME_OR_LATE -> {
                 answer(CallerAnswer.NotRun(refusal.reason, refusal.retryAfterMillis))
             }
 
--- a/testing/src/main/kotlin/io/jackdawring/testing/shard/FakeShard.kt
+++ b/testing/src/main/kotlin/io/jackdawring/testing/shard/FakeShard.kt
@@ -301,7 +301,7 @@
     fun submit(
         job: JobSpec,
         remainingMillis: Long = 2_000,
-        admission: Admission = Admission.ON_TIME_OR_ROOM,
+        admission: Admission = Admission.ON_TIME_OR_LATE,
         mayRun: Boolean = false,
     ): WaiterId {
         jobs[job.id] = job
