Start a job elsewhere rather than let it wait

Hypothesis: a failure domain has some 25 places, so bursts of a second make jobs wait there while others have places free.

Change: as long as a less loaded failure domain is known, a shard admits a job only if its forecast lies within 75% of the objective; otherwise the relay offers it to up to two others, and last to the one with the earliest forecast, on time or late. Without a less loaded one, the local shard decides at once, which takes one message in place of two.

--- a/core/src/main/kotlin/io/jackdawring/core/shard/Admission.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/Admission.kt
@@ -6,10 +6,11 @@
 /** Condition under which a shard admits a job. */
 @Serializable
 enum class Admission {
-    /** The job is forecast to meet its latency objective. */
-    ON_TIME,
+    /** The job is forecast to meet its latency objective with a margin, as it does if it hardly waits. */
+    @SerialName("ON_TIME")
+    EARLY,
 
-    /** As [ON_TIME], or the shard can serve the job late, after the jobs that it can serve on time. */
+    /** The job is forecast to meet its latency objective, or to be useful although late, after those that meet it. */
     @SerialName("ON_TIME_OR_ROOM")
     ON_TIME_OR_LATE,
 }
--- a/core/src/main/kotlin/io/jackdawring/core/shard/JobAdmissionCheck.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/JobAdmissionCheck.kt
@@ -14,19 +14,30 @@
     ): AdmissionDecision {
         val completion = forecast.completionMillis(job, Timeliness.ON_TIME, control.targets, waiting, nowMillis)
         val undecidable = job.started || isWarmingUp(nowMillis)
-        if (undecidable || completion != null && completion <= job.objectiveAtMillis) {
+        if (undecidable || completion != null && completion <= limitMillis(job, admission)) {
             return AdmissionDecision.Admitted(Timeliness.ON_TIME, completion)
         }
         if (completion == null) {
             return AdmissionDecision.Refused(JobOutcome.NotRun("no target can run it now", NO_TARGET_RETRY_MILLIS))
         }
-        val canBeLate = hasRoom(job, nowMillis) || canBeUseful(job, completion, nowMillis)
-        if (canBeLate && admission == Admission.ON_TIME_OR_LATE) {
-            return AdmissionDecision.Admitted(Timeliness.LATE, completion)
+        return when {
+            admission == Admission.EARLY -> refusal(job, completion, nowMillis)
+            hasRoom(job, nowMillis) || canBeUseful(job, completion, nowMillis) ->
+                AdmissionDecision.Admitted(Timeliness.LATE, completion)
+            else -> refusal(job, completion, nowMillis)
         }
-        return AdmissionDecision.Refused(refusal(job, completion, canBeLate, nowMillis))
     }
 
+    /** Latest forecast with which [job] is admitted as one that is on time. */
+    private fun limitMillis(
+        job: TrackedJob,
+        admission: Admission,
+    ): Double =
+        when (admission) {
+            Admission.EARLY -> job.arrivedAtMillis + EARLY_SHARE * job.spec.objectiveMillis
+            Admission.ON_TIME_OR_LATE -> job.objectiveAtMillis.toDouble()
+        }
+
     /** Whether [job] ends while its result is useful if it waits until no job that is on time does. */
     private fun canBeUseful(
         job: TrackedJob,
@@ -48,12 +59,13 @@
     private fun refusal(
         job: TrackedJob,
         completionMillis: Double,
-        canBeLate: Boolean,
         nowMillis: Long,
-    ): JobOutcome.NotRun {
+    ): AdmissionDecision.Refused {
+        val lateMillis = (completionMillis - job.objectiveAtMillis).toLong()
         val forecastMillis = completionMillis.toLong() - nowMillis
-        val reason = "forecast of $forecastMillis ms exceeds the objective of ${job.spec.objectiveMillis} ms"
-        return JobOutcome.NotRun(reason, (completionMillis - job.objectiveAtMillis).toLong(), canBeLate)
+        val relation = if (lateMillis > 0) "exceeds" else "is close to"
+        val reason = "forecast of $forecastMillis ms $relation the objective of ${job.spec.objectiveMillis} ms"
+        return AdmissionDecision.Refused(JobOutcome.NotRun(reason, maxOf(0, lateMillis), lateMillis))
     }
 
     private fun hasRoom(
@@ -70,6 +82,9 @@
     }
 
     private companion object {
+        /** Share of the objective within which the forecast of a job that hardly waits lies on most targets. */
+        const val EARLY_SHARE = 0.75
+
         /** Time for the targets to answer the first poll of a new holder. */
         const val WARM_UP_MILLIS = 250L
 
--- a/core/src/main/kotlin/io/jackdawring/core/shard/JobOutcome.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/JobOutcome.kt
@@ -13,12 +13,13 @@
     /**
      * No task of the job has started or will start; the caller may retry after [retryAfterMillis].
      *
-     * [canBeLate] is whether the shard could serve the job, although not within its objective.
+     * [lateMillis] is the time by which the forecast of this shard exceeds the job's objective, negative if it does not;
+     * null if no target can run the job.
      */
     data class NotRun(
         val reason: String,
         val retryAfterMillis: Long,
-        val canBeLate: Boolean = false,
+        val lateMillis: Long? = null,
     ) : JobOutcome
 
     /** The holder gave the job up; a task of it may have started. */
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/peer/PeerMessages.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/peer/PeerMessages.kt
@@ -24,13 +24,13 @@
     val kind: Kind,
     val reason: String = "",
     val retryAfterMillis: Long = 0,
-    val canBeLate: Boolean = false,
+    val lateMillis: Long? = null,
 ) {
     fun toOutcome(): JobOutcome =
         when (kind) {
             Kind.COMPLETED -> JobOutcome.Completed
             Kind.FAILED -> JobOutcome.Failed(reason)
-            Kind.NOT_RUN -> JobOutcome.NotRun(reason, retryAfterMillis, canBeLate)
+            Kind.NOT_RUN -> JobOutcome.NotRun(reason, retryAfterMillis, lateMillis)
             Kind.GIVEN_UP -> JobOutcome.GivenUp(reason)
             Kind.MOVED -> JobOutcome.Moved
         }
@@ -47,7 +47,7 @@
                         Kind.NOT_RUN,
                         outcome.reason,
                         outcome.retryAfterMillis,
-                        outcome.canBeLate,
+                        outcome.lateMillis,
                     )
                 is JobOutcome.GivenUp -> OutcomeMessage(Kind.GIVEN_UP, outcome.reason)
                 is JobOutcome.Moved -> OutcomeMessage(Kind.MOVED)
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/relay/RelayedJob.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/relay/RelayedJob.kt
@@ -15,8 +15,9 @@
 /**
  * One job of a caller until it is answered.
  *
- * The job is sent to its shard in the local failure domain. A shard that refuses it has run nothing of it, so it is
- * offered to other failure domains next. A shard that may have run some of it is retried until it answers.
+ * The job is sent to its shard in the local failure domain. If that one expects it to wait for long, it is offered to
+ * less loaded failure domains; if all expect that, the one that expects it first may serve it all the same. A shard that
+ * refuses a job has run nothing of it. A shard that may have run some of it is retried until it answers.
  */
 internal class RelayedJob(
     private val job: JobSpec,
@@ -35,7 +36,7 @@
 
     /** Shard that accepted the job or may have; null while there is none. */
     private var acceptedBy: ShardId? = null
-    private var admission = Admission.ON_TIME
+    private var lastAdmission = Admission.EARLY
     private var ended = false
 
     fun start() = sendNext()
@@ -51,9 +52,9 @@
         val now = loop.nowMillis()
         val holding = nextHolder()
         when {
-            holding != null -> sendTo(holding, now)
+            holding != null -> sendTo(holding, nextAdmission(), now)
             now >= deadlineMillis -> answer(unservedAnswer("no holder until the caller's deadline"))
-            acceptedBy == null && refusals.isNotEmpty() -> requestLateService(now)
+            acceptedBy == null && refusals.isNotEmpty() -> sendLastOffer(now)
             acceptedBy == null && now - arrivedAtMillis > job.objectiveMillis / HOLDER_WAIT_DIVISOR ->
                 answer(
                     unservedAnswer("no entry instance holds the targets"),
@@ -66,17 +67,29 @@
         acceptedBy?.let { return shards.findHolding(it) }
         val local = shards.findLocalHolder(job)
         if (local != null && local.shardId !in refusals) return local
+        return nextOther()
+    }
+
+    private fun nextOther(): ShardHolding? {
         if (refusals.size > MAX_OTHER_SHARDS) return null
         return shards.findLessLoadedHolders(job).firstOrNull { it.shardId !in refusals }
     }
 
-    /** Every shard forecasts that the job will be late; the one that expects it first may serve it all the same. */
-    private fun requestLateService(now: Long) {
-        val earliest = refusals.filterValues { it.canBeLate }.minByOrNull { it.value.retryAfterMillis }?.key
-        val holding = earliest?.let(shards::findHolding)
-        if (admission == Admission.ON_TIME && holding != null) {
-            admission = Admission.ON_TIME_OR_LATE
-            sendTo(holding, now)
+    /** A shard is asked to serve the job early as long as there is another one that may do so instead. */
+    private fun nextAdmission(): Admission {
+        val hasOthers = acceptedBy == null && (refusals.isNotEmpty() || nextOther() != null)
+        return if (hasOthers) Admission.EARLY else Admission.ON_TIME_OR_LATE
+    }
+
+    /** Asks the shard with the earliest forecast to serve the job, although it has to wait there. */
+    private fun sendLastOffer(now: Long) {
+        val holding =
+            refusals.entries
+                .filter { it.value.lateMillis != null }
+                .sortedBy { it.value.lateMillis }
+                .firstNotNullOfOrNull { shards.findHolding(it.key) }
+        if (lastAdmission == Admission.EARLY && holding != null) {
+            sendTo(holding, Admission.ON_TIME_OR_LATE, now)
         } else {
             val refusal = refusals.values.first()
             answer(CallerAnswer.NotRun(refusal.reason, refusal.retryAfterMillis))
@@ -85,8 +98,10 @@
 
     private fun sendTo(
         holding: ShardHolding,
+        admission: Admission,
         now: Long,
     ) {
+        lastAdmission = admission
         val number = ++requestNumber
         val previous = pendingRequest
         pendingRequest =
@@ -170,7 +185,7 @@
                 answer(unservedAnswer(refusal.reason))
             }
 
-            admission == Admission.ON_TIME_OR_LATE -> {
+            lastAdmission == Admission.ON_TIME_OR_LATE -> {
                 answer(CallerAnswer.NotRun(refusal.reason, refusal.retryAfterMillis))
             }
 
--- a/fleet/src/test/kotlin/io/jackdawring/fleet/RealShardClientTest.kt
+++ b/fleet/src/test/kotlin/io/jackdawring/fleet/RealShardClientTest.kt
@@ -208,6 +208,6 @@
         fun member(domain: String) =
             FleetMember(InstanceId("e-$domain"), "1", FailureDomainId(domain), "10.0.0.2:1", 1.0)
 
-        val REQUEST = JobRequest(JOB, 1_000, Admission.ON_TIME, mayRun = false)
+        val REQUEST = JobRequest(JOB, 1_000, Admission.EARLY, mayRun = false)
     }
 }
--- a/fleet/src/test/kotlin/io/jackdawring/fleet/relay/RelayedJobTest.kt
+++ b/fleet/src/test/kotlin/io/jackdawring/fleet/relay/RelayedJobTest.kt
@@ -81,30 +81,45 @@
             },
             Row("a refused job is offered to the other failure domains, then answered as not run") {
                 submit()
-                repeat(3) { reply(NO_ROOM) }
-                assertEquals(listOf("a", "b", "c"), sentTo)
+                repeat(4) { reply(lateBy(100)) }
+                assertEquals(listOf("a", "b", "c", "a"), sentTo)
                 assertIs<CallerAnswer.NotRun>(answer)
             },
-            Row("a shard with free capacity admits the job when every shard forecasts it to be late") {
+            Row("a burst in one failure domain: a job that would wait there starts at once in another one") {
+                submit()
+                reply(lateBy(-10))
+                reply(JobOutcome.Completed)
+                assertEquals(listOf("a", "b"), sentTo)
+                assertEquals(listOf(Admission.EARLY, Admission.EARLY), shards.sentJobs.map { it.admission })
+                assertIs<CallerAnswer.Ended>(answer)
+            },
+            Row("a burst everywhere: the shard with the earliest forecast serves the job") {
                 submit()
-                reply(NO_ROOM)
-                reply(ROOM)
-                reply(NO_ROOM)
+                reply(lateBy(100))
+                reply(lateBy(-10))
+                reply(lateBy(50))
                 assertEquals(listOf("a", "b", "c", "b"), sentTo)
                 assertEquals(Admission.ON_TIME_OR_LATE, shards.sentJobs.last().admission)
             },
+            Row("targets that cannot run a job are not asked twice") {
+                submit()
+                repeat(3) { reply(JobOutcome.NotRun("no target can run it now", 1_000)) }
+                assertEquals(listOf("a", "b", "c"), sentTo)
+                assertIs<CallerAnswer.NotRun>(answer)
+            },
             Row("a burst everywhere: a refused job is not offered to failure domains that are as loaded") {
                 shards.loaded = shards.others
                 submit()
-                reply(NO_ROOM)
+                assertEquals(Admission.ON_TIME_OR_LATE, shards.sentJobs.single().admission)
+                reply(lateBy(100))
                 assertEquals(listOf("a"), sentTo)
                 assertIs<CallerAnswer.NotRun>(answer)
             },
             Row("a burst in one failure domain: a refused job is offered to two others at most") {
                 shards.others = listOf(holding("b"), holding("c"), holding("d"), holding("e"))
                 submit()
-                repeat(3) { reply(NO_ROOM) }
-                assertEquals(listOf("a", "b", "c"), sentTo)
+                repeat(4) { reply(lateBy(100)) }
+                assertEquals(listOf("a", "b", "c", "a"), sentTo)
                 assertIs<CallerAnswer.NotRun>(answer)
             },
             Row("a job stays with the shard that accepted it, however loaded that is") {
@@ -125,7 +140,7 @@
                 submit()
                 reply(HolderReply.Lost("reset"))
                 loop.clock.advance(20)
-                reply(NO_ROOM)
+                reply(lateBy(100))
                 assertIs<CallerAnswer.GivenUp>(answer)
             },
             Row("a job whose shard has moved is sent to the new holder") {
@@ -182,11 +197,11 @@
 
     private companion object {
         const val WAIT_MILLIS = 2_000L
-        val NO_ROOM = JobOutcome.NotRun("full", 100)
-        val ROOM = JobOutcome.NotRun("late", 100, canBeLate = true)
         val JOB =
             JobSpec(JobId("j"), "q", "s", 0, 1, 1.6, 60, "", listOf(StepSpec(1, Resources(1_000), 100)))
 
+        fun lateBy(millis: Long) = JobOutcome.NotRun("full", maxOf(0, millis), lateMillis = millis)
+
         fun holding(domain: String) =
             ShardHolding(
                 ShardId(FailureDomainId(domain), 0),
--- a/load/src/main/kotlin/io/jackdawring/load/bench/ShardBench.kt
+++ b/load/src/main/kotlin/io/jackdawring/load/bench/ShardBench.kt
@@ -142,7 +142,7 @@
         val id = JobId((jobs++).toString())
         val baseObjectiveMillis = if (acceptable) ACCEPTABLE_MILLIS else -RUN_MILLIS
         val spec = JobSpec(id, "q", ScriptedTargets.SERVICE, 0, 3, 1.0, baseObjectiveMillis, PAYLOAD, listOf(step))
-        val request = JobRequest(spec, WAIT_MILLIS, Admission.ON_TIME, mayRun = false)
+        val request = JobRequest(spec, WAIT_MILLIS, Admission.EARLY, mayRun = false)
         dispatcher.submit(request, WaiterId(jobs), nowMillis)
     }
 
--- a/testing/src/test/kotlin/io/jackdawring/testing/shard/DecisionCostTest.kt
+++ b/testing/src/test/kotlin/io/jackdawring/testing/shard/DecisionCostTest.kt
@@ -31,14 +31,14 @@
                 TARGETS,
                 { addAwaited(jobs = 100, estimateMillis = 900) },
             ) {
-                submit(job("refused$it", estimateMillis = 1), admission = Admission.ON_TIME)
+                submit(job("refused$it", estimateMillis = 1), admission = Admission.EARLY)
             },
             Row(
                 "many full targets, urgent jobs arrive and are rejected",
                 500,
                 { addAwaited(jobs = 800, estimateMillis = 900) },
             ) {
-                submit(job("refused$it", estimateMillis = 1), admission = Admission.ON_TIME)
+                submit(job("refused$it", estimateMillis = 1), admission = Admission.EARLY)
             },
         )
 
--- a/testing/src/test/kotlin/io/jackdawring/testing/shard/ShardLoadPatternTest.kt
+++ b/testing/src/test/kotlin/io/jackdawring/testing/shard/ShardLoadPatternTest.kt
@@ -58,13 +58,13 @@
                 shard.runFor(1_300)
                 assertEquals(JobOutcome.Completed, shard.outcome(waiter))
             },
-            Row("wide job on a nearly full shard: admitted only with ON_TIME_OR_LATE") {
+            Row("wide job on a nearly full shard: not admitted as an early one") {
                 val shard = shard(count = 1)
                 shard.submit(job("a", tasks = 1, estimateMillis = 500))
                 shard.runFor(20)
-                val strict = shard.submit(job("b", tasks = 8, estimateMillis = 60), admission = Admission.ON_TIME)
+                val strict = shard.submit(job("b", tasks = 8, estimateMillis = 60), admission = Admission.EARLY)
                 val lax = shard.submit(job("c", tasks = 8, estimateMillis = 60), admission = Admission.ON_TIME_OR_LATE)
-                assertTrue((shard.outcome(strict) as JobOutcome.NotRun).canBeLate)
+                assertTrue((shard.outcome(strict) as JobOutcome.NotRun).lateMillis!! > 0)
                 shard.runFor(800)
                 assertEquals(JobOutcome.Completed, shard.outcome(lax))
             },
@@ -129,7 +129,7 @@
                 val shard = shard(count = 4)
                 val burst = List(12) { shard.submit(job("b$it", tasks = 2, estimateMillis = 200)) }
                 shard.runFor(300)
-                val fresh = shard.submit(job("f", tasks = 2, estimateMillis = 200), admission = Admission.ON_TIME)
+                val fresh = shard.submit(job("f", tasks = 2, estimateMillis = 200))
                 shard.runFor(1_500)
                 assertEquals(12, burst.count { shard.outcome(it) == JobOutcome.Completed })
                 assertEquals(JobOutcome.Completed, shard.outcome(fresh))
@@ -146,7 +146,7 @@
                 shard.submit(job("a", tasks = 2, estimateMillis = 200))
                 shard.runFor(100)
                 val late = shard.submit(job("b", tasks = 2, estimateMillis = 60))
-                repeat(40) { shard.submit(job("c$it", estimateMillis = 900), admission = Admission.ON_TIME) }
+                repeat(40) { shard.submit(job("c$it", estimateMillis = 900), admission = Admission.EARLY) }
                 shard.runFor(600)
                 assertIs<JobOutcome.NotRun>(shard.outcome(late))
             },
