Accept callers while the holder is slow to answer

Cause: after a loss of all instances, an instance that had everything opened its listener only with the holder's first answer.

Change: the listener opens if the holder has not refused a connection for 50 ms; readiness still waits for its answer. The new row of CallerListenerTest and the test of ShardElectionTest fail without the change.

--- a/core/src/main/kotlin/io/jackdawring/core/fleet/ShardElection.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/fleet/ShardElection.kt
@@ -91,6 +91,17 @@
         nowMillis: Long,
     ): Boolean = !isSuspected(holding, nowMillis) && memberStates[holding.holder.instanceId]?.heardFrom == true
 
+    /** As [isConfirmed], or the holder has not refused a connection for a while and may only be slow to answer. */
+    fun isPresumedAlive(
+        holding: ShardHolding,
+        nowMillis: Long,
+    ): Boolean {
+        if (isSuspected(holding, nowMillis)) return false
+        val memberState = memberStates[holding.holder.instanceId] ?: return false
+        val wasAsked = nowMillis - memberState.lastHeardMillis >= PRESUMED_ALIVE_MILLIS
+        return memberState.heardFrom || wasAsked && memberState.consecutiveRefusals == 0
+    }
+
     /** Whether this instance, which does not hold [shardId], should try to take it now. */
     fun shouldClaim(
         shardId: ShardId,
@@ -139,22 +150,25 @@
     private fun refusesConnections(member: FleetMember) =
         (memberStates[member.instanceId]?.consecutiveRefusals ?: 0) > 0
 
-    private companion object {
+    companion object {
+        /** A host without the process refuses a connection within a few milliseconds. */
+        const val PRESUMED_ALIVE_MILLIS = 50L
+
         /** Three missed pings, which are sent every 150 ms. */
-        const val SUSPECT_AFTER_MILLIS = 450L
+        private const val SUSPECT_AFTER_MILLIS = 450L
 
         /** A single refusal may come from a process that is just restarting. */
-        const val REFUSALS_FOR_SUSPICION = 2
+        private const val REFUSALS_FOR_SUSPICION = 2
 
         /** A single denial may have been sent before the holder learned that its claim succeeded. */
-        const val DENIALS_FOR_SUSPICION = 2
+        private const val DENIALS_FOR_SUSPICION = 2
 
         /** Time for the higher-ranked member to take the shard and for that update to arrive. */
-        const val RANK_DELAY_MILLIS = 150L
+        private const val RANK_DELAY_MILLIS = 150L
 
         /** Limits the load of failing claims on an overloaded store. */
-        const val ATTEMPT_INTERVAL_MILLIS = 300L
-        val preference: Comparator<FleetMember> =
+        private const val ATTEMPT_INTERVAL_MILLIS = 300L
+        private val preference: Comparator<FleetMember> =
             compareByDescending<FleetMember> {
                 it.weight
             }.thenBy { it.instanceId.value }
--- a/core/src/test/kotlin/io/jackdawring/core/fleet/ShardElectionTest.kt
+++ b/core/src/test/kotlin/io/jackdawring/core/fleet/ShardElectionTest.kt
@@ -120,6 +120,22 @@
             }
         }
 
+    /** Guards against callers that find all listeners closed after a loss of all, because the holder is slow to answer. */
+    @TestFactory
+    fun `a holder is presumed alive before its answer unless it refuses connections`() =
+        listOf<Triple<String, Boolean, ShardElection.() -> Unit>>(
+            Triple("never asked", false) {},
+            Triple("asked just now", false) { isSuspected(heldBy(members[0]), 190) },
+            Triple("asked a while ago", true) { isSuspected(heldBy(members[0]), 150) },
+            Triple("asked too long ago", false) { isSuspected(heldBy(members[0]), -300) },
+            Triple("refused a connection", false) { onRefused(InstanceId("e1"), 100) },
+            Triple("answered", true) { onHeartbeat(InstanceId("e1"), true, 200) },
+        ).map { (name, expected, before) ->
+            DynamicTest.dynamicTest(name) {
+                assertEquals(expected, ShardElection(self).apply(before).isPresumedAlive(heldBy(members[0]), 200))
+            }
+        }
+
     @TestFactory
     fun `successors are live members of the failure domain, highest weight first`() =
         listOf<Triple<String, List<String>, ShardElection.() -> Unit>>(
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/CallerListener.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/CallerListener.kt
@@ -5,9 +5,15 @@
 
 private val logger = KotlinLogging.logger("io.jackdawring.fleet")
 
-/** Opens the listener for callers once jobs can be served, so that no caller reaches an instance that refuses it. */
+/**
+ * Opens the listener for callers once jobs can be served, so that no caller reaches an instance that refuses it.
+ *
+ * A balancer that has no ready instance left sends its callers to any, where a closed listener costs them more time than
+ * a wait for a holder that is presumably alive; readiness is reported only once the holder has answered.
+ */
 internal class CallerListener(
     private val loop: ControlLoop,
+    private val canAccept: () -> Boolean,
     private val canServe: () -> Boolean,
     private val open: () -> HttpServer,
 ) {
@@ -25,7 +31,7 @@
     fun openIfPossible() {
         if (server != null) return
         val ageMillis = loop.nowMillis() - startedAtMillis
-        if (!canServe() && ageMillis < STARTUP_LIMIT_MILLIS) return
+        if (!canAccept() && ageMillis < STARTUP_LIMIT_MILLIS) return
         server = open()
         logger.info { "accepting callers $ageMillis ms after start" }
     }
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/RealFleetInstance.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/RealFleetInstance.kt
@@ -2,6 +2,8 @@
 
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.jackdawring.core.fleet.FleetMember
+import io.jackdawring.core.fleet.ShardElection
+import io.jackdawring.core.fleet.ShardHolding
 import io.jackdawring.core.fleet.ShardId
 import io.jackdawring.core.shard.ShardTarget
 import io.jackdawring.fleet.durable.DurableJobRequests
@@ -98,7 +100,7 @@
     private var configuredAtMillis = 0L
 
     private val callerListener =
-        CallerListener(loop, ::canServe) {
+        CallerListener(loop, { canServe(::isPresumedAlive) }, { canServe(::isConfirmed) }) {
             components.callerTransport.serverFactory().start(options.callerAddress, callerApi::handle)
         }
 
@@ -147,7 +149,10 @@
         shards.onDirectoryChanged()
         shards.maintain()
         // Readiness requires an answer of the holder, so startup does not wait for the next round to ping it.
-        if (callerListener.server == null) peerHealth.pingHolders(shardClient.holdersWithPendingRequests)
+        if (callerListener.server == null) {
+            peerHealth.pingHolders(shardClient.holdersWithPendingRequests)
+            loop.schedule(ShardElection.PRESUMED_ALIVE_MILLIS, ::openCallerListener)
+        }
         openCallerListener()
     }
 
@@ -222,14 +227,18 @@
         return peerJson.encodeToString(FleetStatus.serializer(), status)
     }
 
-    private fun canServe(): Boolean {
+    /** Whether jobs can be served, with holders in the local failure domain that fulfil [isUsable]. */
+    private fun canServe(isUsable: (ShardHolding) -> Boolean): Boolean {
         if (draining || callerApi.configuration == null) return false
         return directory.shardsOf(self.failureDomain).all { id ->
-            shards.host(id) != null ||
-                directory.holdings[id]?.let { shards.election.isConfirmed(it, loop.nowMillis()) } == true
+            shards.host(id) != null || directory.holdings[id]?.let(isUsable) == true
         }
     }
 
+    private fun isConfirmed(holding: ShardHolding) = shards.election.isConfirmed(holding, loop.nowMillis())
+
+    private fun isPresumedAlive(holding: ShardHolding) = shards.election.isPresumedAlive(holding, loop.nowMillis())
+
     private val requestsInProgress: Int get() = callerListener.server?.requestsInProgress ?: 0
 
     override fun drain() {
--- a/fleet/src/test/kotlin/io/jackdawring/fleet/CallerListenerTest.kt
+++ b/fleet/src/test/kotlin/io/jackdawring/fleet/CallerListenerTest.kt
@@ -10,6 +10,7 @@
 class CallerListenerTest {
     private class Row(
         val name: String,
+        val canAccept: Boolean,
         val canServe: Boolean,
         val ageMillis: Long,
         val opens: Boolean,
@@ -19,17 +20,11 @@
 
     private val rows =
         listOf(
-            Row(
-                "jobs can be served, but the listener is closed",
-                true,
-                0,
-                false,
-                expectedOpen = false,
-                expectedReady = false,
-            ),
-            Row("jobs can be served", true, 0, true, expectedOpen = true, expectedReady = true),
-            Row("jobs cannot be served yet", false, 2_999, true, expectedOpen = false, expectedReady = false),
-            Row("jobs cannot be served for long", false, 3_000, true, expectedOpen = true, expectedReady = false),
+            Row("jobs can be served, but the listener is closed", true, true, 0, false, false, false),
+            Row("jobs can be served", true, true, 0, true, true, true),
+            Row("the holder has not answered yet", true, false, 0, true, true, false),
+            Row("jobs cannot be served yet", false, false, 2_999, true, false, false),
+            Row("jobs cannot be served for long", false, false, 3_000, true, true, false),
         )
 
     @TestFactory
@@ -37,7 +32,7 @@
         rows.map { row ->
             dynamicTest(row.name) {
                 val loop = FakeControlLoop()
-                val listener = CallerListener(loop, { row.canServe }, { FakeHttpServer() })
+                val listener = CallerListener(loop, { row.canAccept }, { row.canServe }, { FakeHttpServer() })
                 loop.clock.advance(row.ageMillis)
                 if (row.opens) listener.openIfPossible()
                 assertEquals(row.expectedOpen, listener.server != null)
