--- a/core/src/main/kotlin/io/jackdawring/core/fleet/ShardElection.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/fleet/ShardElection.kt
@@ -6,8 +6,8 @@
  * Decides when this entry instance tries to become the holder of a shard of its failure domain.
  *
  * A holder is suspected if nothing was received from it for [SUSPECT_AFTER_MILLIS], if it refuses connections or if it
- * denies that it is the holder. Members try in descending order of weight, each [RANK_DELAY_MILLIS] after the previous
- * one; the store's compare-and-swap decides between concurrent attempts.
+ * denies that it is the holder. Members that accept connections try in descending order of weight, each
+ * [RANK_DELAY_MILLIS] after the previous one; the store's compare-and-swap decides between concurrent attempts.
  */
 class ShardElection(
     private val self: FleetMember,
@@ -19,7 +19,8 @@
         var consecutiveRefusals: Int = 0,
         var consecutiveDenials: Int = 0,
     ) {
-        fun isLive(nowMillis: Long) = consecutiveRefusals == 0 && nowMillis - lastHeardMillis < SUSPECT_AFTER_MILLIS
+        fun isLive(nowMillis: Long) =
+            heardFrom && consecutiveRefusals == 0 && nowMillis - lastHeardMillis < SUSPECT_AFTER_MILLIS
     }
 
     private val memberStates = HashMap<InstanceId, MemberState>()
@@ -55,12 +56,14 @@
         return memberState
     }
 
-    /** Records that [instanceId] refused a connection. */
+    /** Records that [instanceId] refused a connection; returns whether one more refusal decides on a suspicion. */
     fun onRefused(
         instanceId: InstanceId,
         nowMillis: Long,
-    ) {
-        memberStates.getOrPut(instanceId) { MemberState(nowMillis) }.consecutiveRefusals++
+    ): Boolean {
+        val memberState = memberStates.getOrPut(instanceId) { MemberState(nowMillis) }
+        memberState.consecutiveRefusals++
+        return memberState.consecutiveRefusals == REFUSALS_FOR_SUSPICION - 1
     }
 
     /** Records that this instance was paused for [pausedMillis] and could receive nothing in that time. */
@@ -88,6 +91,17 @@
         nowMillis: Long,
     ): Boolean = !isSuspected(holding, nowMillis) && memberStates[holding.holder.instanceId]?.heardFrom == true
 
+    /** As [isConfirmed], or the holder has not refused a connection for a while and may only be slow to answer. */
+    fun isPresumedAlive(
+        holding: ShardHolding,
+        nowMillis: Long,
+    ): Boolean {
+        if (isSuspected(holding, nowMillis)) return false
+        val memberState = memberStates[holding.holder.instanceId] ?: return false
+        val wasAsked = nowMillis - memberState.lastHeardMillis >= PRESUMED_ALIVE_MILLIS
+        return memberState.heardFrom || wasAsked && memberState.consecutiveRefusals == 0
+    }
+
     /** Whether this instance, which does not hold [shardId], should try to take it now. */
     fun shouldClaim(
         shardId: ShardId,
@@ -128,25 +142,33 @@
             it.failureDomain == self.failureDomain &&
                 it.instanceId != suspect?.instanceId &&
                 it.instanceId != self.instanceId &&
-                preference.compare(it, self) < 0
+                preference.compare(it, self) < 0 &&
+                !refusesConnections(it)
         }
 
-    private companion object {
+    /** Whether the last attempt to connect to [member] was refused, so that it cannot claim a shard now. */
+    private fun refusesConnections(member: FleetMember) =
+        (memberStates[member.instanceId]?.consecutiveRefusals ?: 0) > 0
+
+    companion object {
+        /** A host without the process refuses a connection within a few milliseconds. */
+        const val PRESUMED_ALIVE_MILLIS = 50L
+
         /** Three missed pings, which are sent every 150 ms. */
-        const val SUSPECT_AFTER_MILLIS = 450L
+        private const val SUSPECT_AFTER_MILLIS = 450L
 
         /** A single refusal may come from a process that is just restarting. */
-        const val REFUSALS_FOR_SUSPICION = 2
+        private const val REFUSALS_FOR_SUSPICION = 2
 
         /** A single denial may have been sent before the holder learned that its claim succeeded. */
-        const val DENIALS_FOR_SUSPICION = 2
+        private const val DENIALS_FOR_SUSPICION = 2
 
         /** Time for the higher-ranked member to take the shard and for that update to arrive. */
-        const val RANK_DELAY_MILLIS = 150L
+        private const val RANK_DELAY_MILLIS = 150L
 
         /** Limits the load of failing claims on an overloaded store. */
-        const val ATTEMPT_INTERVAL_MILLIS = 300L
-        val preference: Comparator<FleetMember> =
+        private const val ATTEMPT_INTERVAL_MILLIS = 300L
+        private val preference: Comparator<FleetMember> =
             compareByDescending<FleetMember> {
                 it.weight
             }.thenBy { it.instanceId.value }
--- a/core/src/main/kotlin/io/jackdawring/core/shard/Admission.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/Admission.kt
@@ -1,13 +1,16 @@
 package io.jackdawring.core.shard
 
+import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 
 /** Condition under which a shard admits a job. */
 @Serializable
 enum class Admission {
-    /** The job is forecast to meet its latency objective. */
-    ON_TIME,
+    /** The job is forecast to meet its latency objective with a margin, as it does if it hardly waits. */
+    @SerialName("ON_TIME")
+    EARLY,
 
-    /** As [ON_TIME], or a target has free capacity for the job's first task now. */
-    ON_TIME_OR_ROOM,
+    /** The job is forecast to meet its latency objective, or to be useful although late, after those that meet it. */
+    @SerialName("ON_TIME_OR_ROOM")
+    ON_TIME_OR_LATE,
 }
--- a/core/src/main/kotlin/io/jackdawring/core/shard/JobAdmissionCheck.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/JobAdmissionCheck.kt
@@ -1,37 +1,78 @@
 package io.jackdawring.core.shard
 
-/** Decides which jobs a shard refuses on arrival. */
+/** Decides which jobs a shard takes on arrival. */
 internal class JobAdmissionCheck(
     private val control: TargetControl,
     private val selector: TargetSelector,
+    private val forecast: CompletionForecast,
+    private val waiting: WaitingTasks,
 ) {
+    fun decide(
+        job: TrackedJob,
+        admission: Admission,
+        nowMillis: Long,
+    ): AdmissionDecision {
+        val completion = forecast.completionMillis(job, Timeliness.ON_TIME, control.targets, waiting, nowMillis)
+        val undecidable = job.started || isWarmingUp(nowMillis)
+        if (undecidable || completion != null && completion <= limitMillis(job, admission)) {
+            return AdmissionDecision.Admitted(Timeliness.ON_TIME, completion)
+        }
+        if (completion == null) {
+            return AdmissionDecision.Refused(JobOutcome.NotRun("no target can run it now", NO_TARGET_RETRY_MILLIS))
+        }
+        return when {
+            admission == Admission.EARLY -> refusal(job, completion, nowMillis)
+            hasRoom(job, nowMillis) || canBeUseful(job, completion, nowMillis) ->
+                AdmissionDecision.Admitted(Timeliness.LATE, completion)
+            else -> refusal(job, completion, nowMillis)
+        }
+    }
+
+    /** Latest forecast with which [job] is admitted as one that is on time. */
+    private fun limitMillis(
+        job: TrackedJob,
+        admission: Admission,
+    ): Double =
+        when (admission) {
+            Admission.EARLY -> job.arrivedAtMillis + EARLY_SHARE * job.spec.objectiveMillis
+            Admission.ON_TIME_OR_LATE -> job.objectiveAtMillis.toDouble()
+        }
+
+    /** Whether [job] ends while its result is useful if it waits until no job that is on time does. */
+    private fun canBeUseful(
+        job: TrackedJob,
+        onTimeCompletionMillis: Double,
+        nowMillis: Long,
+    ): Boolean {
+        // A late job does not end before one that is on time, and a forecast is costly.
+        if (onTimeCompletionMillis > job.latestUsefulMillis) return false
+        val completion = forecast.completionMillis(job, Timeliness.LATE, control.targets, waiting, nowMillis)
+        return completion != null && completion <= job.latestUsefulMillis
+    }
+
     /** Whether the first answers of the targets may still be outstanding, so that no free capacity is known. */
-    fun isWarmingUp(nowMillis: Long): Boolean {
+    private fun isWarmingUp(nowMillis: Long): Boolean {
         val since = control.firstListedAtMillis ?: return true
         return nowMillis - since < WARM_UP_MILLIS && control.targets.none { it.contact == TrackedTarget.Contact.HELD }
     }
 
-    /** The refusal of [job], or null if the job is admitted; [completionMillis] is null if no target can run it. */
-    fun refusal(
+    private fun refusal(
         job: TrackedJob,
-        completionMillis: Double?,
-        admission: Admission,
+        completionMillis: Double,
         nowMillis: Long,
-    ): JobOutcome.NotRun? {
-        if (completionMillis == null) return JobOutcome.NotRun("no target can run it now", NO_TARGET_RETRY_MILLIS)
+    ): AdmissionDecision.Refused {
         val lateMillis = (completionMillis - job.objectiveAtMillis).toLong()
-        if (lateMillis <= 0) return null
-        val hasRoom = hasRoom(job.steps.first().first(), nowMillis)
-        if (hasRoom && admission == Admission.ON_TIME_OR_ROOM) return null
         val forecastMillis = completionMillis.toLong() - nowMillis
-        val reason = "forecast of $forecastMillis ms exceeds the objective of ${job.spec.objectiveMillis} ms"
-        return JobOutcome.NotRun(reason, lateMillis, hasRoom)
+        val relation = if (lateMillis > 0) "exceeds" else "is close to"
+        val reason = "forecast of $forecastMillis ms $relation the objective of ${job.spec.objectiveMillis} ms"
+        return AdmissionDecision.Refused(JobOutcome.NotRun(reason, maxOf(0, lateMillis), lateMillis))
     }
 
     private fun hasRoom(
-        task: TrackedTask,
+        job: TrackedJob,
         nowMillis: Long,
     ): Boolean {
+        val task = job.steps.first().first()
         val candidates =
             control.byFreeCpu.candidates(
                 task.spec.demand.cpuMillis,
@@ -41,6 +82,9 @@
     }
 
     private companion object {
+        /** Share of the objective within which the forecast of a job that hardly waits lies on most targets. */
+        const val EARLY_SHARE = 0.75
+
         /** Time for the targets to answer the first poll of a new holder. */
         const val WARM_UP_MILLIS = 250L
 
