Do not count a holder that was never counted as having no waiting jobs

Cause: an unreachable holder without any earlier count added 0 to a total that was called complete. The count is now answered 503 until one is known. The new row of DurableJobRequestsTest fails without the change.

--- a/fleet/src/main/kotlin/io/jackdawring/fleet/durable/DurableJobRequests.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/durable/DurableJobRequests.kt
@@ -154,7 +154,7 @@
         val jobs = (answer as? DurableJobClient.CountAnswer.Known)?.jobs
         if (jobs != null) counts[key] = Count(jobs, loop.nowMillis())
         val isRecent = counts[key]?.let { loop.nowMillis() - it.atMillis <= COUNT_AGE_MILLIS } == true
-        return isRecent || answer is DurableJobClient.CountAnswer.Unreachable
+        return isRecent || answer is DurableJobClient.CountAnswer.Unreachable && key in counts
     }
 
     private fun retryLaterAnswer(reason: String) = CallerAnswer.TryLater(reason, RETRY_AFTER_MILLIS)
--- a/fleet/src/test/kotlin/io/jackdawring/fleet/durable/DurableJobRequestsTest.kt
+++ b/fleet/src/test/kotlin/io/jackdawring/fleet/durable/DurableJobRequestsTest.kt
@@ -207,6 +207,12 @@
                 count()
                 assertEquals(6, (answer as CallerAnswer.Pending).jobs)
             },
+            Row("waiting jobs are not counted without any count of an unreachable holder") {
+                reportCounts()
+                client.counts["b"] = DurableJobClient.CountAnswer.Unreachable
+                count()
+                assertIs<CallerAnswer.TryLater>(answer)
+            },
             Row("a recent count is used for a new holder that has not loaded its jobs") {
                 reportCounts()
                 count()
