Report a run as repeated only if its job is open

Cause: a run that ended without a result was counted as repeated although its job had ended; a job whose target called it invalid ended at the time of its start, so that its outcome expired early; a job that nobody waits for and that never started was logged as given up.

A job that a shard drops because its relay is silent is still answered as given up, whether it has started or not: its caller may have sent it elsewhere, and a relay that resumes must not offer it to another shard. The row of ShardLoadPatternTest for this guards the present behaviour; the row for repeated runs fails without the change.

--- a/core/src/main/kotlin/io/jackdawring/core/shard/JobLifecycle.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/JobLifecycle.kt
@@ -157,8 +157,8 @@
         val task = run.owner ?: return
         task.runs.remove(run)
         task.avoidedTarget = run.target
-        effects.report(ShardDecision.RunLost(run.key, run.attempt, run.target.id, reason))
         if (task.done || !isOpen(task.job)) return
+        effects.report(ShardDecision.RunLost(run.key, run.attempt, run.target.id, reason))
         if (run.checkpoint != null) saveProgress(task.job)
         if (task.spec.longRunning) task.delayStart(nowMillis - run.sentAtMillis, nowMillis)
         requeue(task)
@@ -169,10 +169,13 @@
         if (task.runs.isEmpty()) waiting.add(task)
     }
 
-    override fun onInvalid(run: TrackedRun) {
+    override fun onInvalid(
+        run: TrackedRun,
+        nowMillis: Long,
+    ) {
         val task = run.owner ?: return
         task.runs.remove(run)
-        if (isOpen(task.job)) fail(task.job, "the target says that the order is invalid", run.sentAtMillis)
+        if (isOpen(task.job)) fail(task.job, "the target says that the order is invalid", nowMillis)
     }
 
     override fun onUnknownEnd(
--- a/core/src/main/kotlin/io/jackdawring/core/shard/RealShardDispatcher.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/RealShardDispatcher.kt
@@ -124,6 +124,7 @@
     ) {
         val job = lifecycle.findByWaiter(waiter) ?: return
         withdraw(waiter, nowMillis)
+        // Not NotRun even if nothing started: the caller may have sent the job elsewhere, and the relay must not do so too.
         val outcome = JobOutcome.GivenUp("its relay fell silent")
         if (job.waiters.isEmpty()) lifecycle.recordOutcome(job.spec.id, outcome, nowMillis)
         effects.answer(waiter, outcome)
@@ -298,16 +299,18 @@
     private fun giveUp(
         job: TrackedJob,
         nowMillis: Long,
-    ) {
-        val reason = "the caller's deadline has passed"
-        val notRun = JobOutcome.NotRun(reason, job.spec.objectiveMillis)
-        lifecycle.finish(job, if (job.started) JobOutcome.GivenUp(reason) else notRun, nowMillis)
-    }
+    ) = lifecycle.finish(job, unservedOutcome(job, "the caller's deadline has passed"), nowMillis)
 
     private fun abandon(
         job: TrackedJob,
         nowMillis: Long,
-    ) = lifecycle.finish(job, JobOutcome.GivenUp("nobody waits for it"), nowMillis)
+    ) = lifecycle.finish(job, unservedOutcome(job, "nobody waits for it"), nowMillis)
+
+    /** Outcome of a job that ends without a result for [reason]. */
+    private fun unservedOutcome(
+        job: TrackedJob,
+        reason: String,
+    ): JobOutcome = if (job.started) JobOutcome.GivenUp(reason) else JobOutcome.NotRun(reason, job.spec.objectiveMillis)
 
     private fun place(nowMillis: Long) {
         lifecycle.resumeRecoveredJobs(nowMillis)
--- a/core/src/main/kotlin/io/jackdawring/core/shard/RunListener.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/RunListener.kt
@@ -21,7 +21,10 @@
     )
 
     /** The target rejected the start request as invalid; retries cannot succeed. */
-    fun onInvalid(run: TrackedRun)
+    fun onInvalid(
+        run: TrackedRun,
+        nowMillis: Long,
+    )
 
     /**
      * A run ended that no task owns, such as one of a previous holder or one that was given up as lost.
--- a/core/src/main/kotlin/io/jackdawring/core/shard/TargetControl.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/TargetControl.kt
@@ -139,7 +139,7 @@
 
             StartResult.Reason.INVALID -> {
                 remove(run)
-                listener.onInvalid(run)
+                listener.onInvalid(run, nowMillis)
                 return
             }
         }
--- a/testing/src/test/kotlin/io/jackdawring/testing/shard/ShardLoadPatternTest.kt
+++ b/testing/src/test/kotlin/io/jackdawring/testing/shard/ShardLoadPatternTest.kt
@@ -294,6 +294,24 @@
                 )
                 assertEquals(2, shard.starts.size)
             },
+            Row("a relay resumes after a pause: a job that had not started is not started for it either") {
+                val shard = shard(count = 1)
+                shard.submit(job("a", tasks = 2, estimateMillis = 200))
+                val waiting = shard.submit(job("b", estimateMillis = 900))
+                shard.expire(waiting)
+                shard.runFor(300)
+                assertIs<JobOutcome.GivenUp>(shard.outcome(waiting))
+                assertIs<JobOutcome.GivenUp>(shard.outcome(shard.submit(job("b", estimateMillis = 900), mayRun = true)))
+                assertEquals(2, shard.starts.size)
+            },
+            Row("a job ends while its run is lost: the run is not reported as repeated") {
+                val shard = shard(count = 1)
+                val waiter = shard.submit(job("a", estimateMillis = 900))
+                shard.runFor(50)
+                shard.withdraw(waiter)
+                shard.runFor(300)
+                assertEquals(emptyList(), shard.decisions.filterIsInstance<ShardDecision.RunLost>())
+            },
             Row("the holder is replaced and a job is not resubmitted: its runs are stopped") {
                 val shard = shard(count = 1)
                 shard.submit(job("a", tasks = 2, estimateMillis = 1_900))
