--- a/cli/src/main/kotlin/io/jackdawring/cli/Commands.kt
+++ b/cli/src/main/kotlin/io/jackdawring/cli/Commands.kt
@@ -22,12 +22,6 @@
 import io.jackdawring.cli.commands.SubmitCommand
 import io.jackdawring.cli.commands.VersionCommand
 
-/** Creates the subcommand with [name]; a new object each time, because parsing modifies it. */
-class CommandFactory(
-    val name: String,
-    val create: () -> Command,
-)
-
 /** The subcommands in the order of the help text. */
 internal val commandFactories =
     listOf(
--- a/core/src/main/kotlin/io/jackdawring/core/shard/RealShardDispatcher.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/RealShardDispatcher.kt
@@ -87,12 +87,12 @@
             }
 
             is AdmissionDecision.Admitted -> {
-                start(job, decision, waiter, nowMillis)
+                enqueue(job, decision, waiter, nowMillis)
             }
         }
     }
 
-    private fun start(
+    private fun enqueue(
         job: TrackedJob,
         decision: AdmissionDecision.Admitted,
         waiter: WaiterId,
