Wait for the long job itself in the test of rolling replacement

The test took any task in flight at the instance for one of its long job, but other callers' tasks are in flight there too. Beside a load average of 14 to 17, the instance began to drain before the long job arrived and refused it truthfully with 503, which the test reported as an aborted request. It now waits for a start of that job at a target, which is stricter; the rest of the test is unchanged.

--- a/cli/src/test/kotlin/io/jackdawring/cli/process/RollingReplacementTest.kt
+++ b/cli/src/test/kotlin/io/jackdawring/cli/process/RollingReplacementTest.kt
@@ -58,7 +58,7 @@
             load.use {
                 cluster.entries.toList().forEachIndexed { index, old ->
                     balancer += cluster.start("e${index + 5}", old.domain)
-                    longJobs += replace(old, balancer, "long-${old.id}")
+                    longJobs += replace(cluster, old, balancer, "long-${old.id}")
                 }
             }
             val sent = load.sent + longJobs
@@ -83,6 +83,7 @@
 
     /** Stops [old] while a job runs there, which delays the exit of its process; returns that job. */
     private fun replace(
+        cluster: Cluster,
         old: Cluster.Entry,
         balancer: MutableList<Cluster.Entry>,
         id: String,
@@ -90,7 +91,8 @@
         val session = assertNotNull(Http.openSession(old.callers))
         val job = Job(id, tasks = 2, runMillis = 1_500)
         val running = Http.submit(old.callers, session, job)
-        awaitTrue("$id runs") { old.status().tasksInFlight > 0 }
+        // The tasks in flight at the instance may all be those of other callers.
+        awaitTrue("$id runs") { cluster.starts(job) > 0 }
         old.terminate()
         awaitTrue("${old.id} drains") { old.status().draining }
         val refused = Http.submit(old.callers, session, Job("$id-late")).get()
