Log runs found without a job, unanswered starts and stops

Five hypotheses for two runs of a task at a time could not be told apart: the logs had neither a run that a target lists without a job nor the stop of a run. Three lines and three counters for these; no decision changes.

--- a/core/src/main/kotlin/io/jackdawring/core/shard/RunStopper.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/RunStopper.kt
@@ -12,6 +12,7 @@
         if (run.stopReason != null) return
         run.stopReason = reason
         run.state = TrackedRun.State.STOPPING
+        effects.report(ShardDecision.RunStopRequested(run.key, run.attempt, run.target.id, reason))
         send(run, nowMillis)
     }
 
--- a/core/src/main/kotlin/io/jackdawring/core/shard/ShardDecision.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/ShardDecision.kt
@@ -38,6 +38,29 @@
         val reason: String,
     ) : ShardDecision
 
+    /** A target lists a run that this holder has not started, or has given up; no job has claimed it yet. */
+    data class RunFound(
+        val task: TaskKey,
+        val attempt: Int,
+        val targetId: TargetId,
+    ) : ShardDecision
+
+    /** A start was not answered; the target may carry it out now, later or never. */
+    data class StartUnanswered(
+        val task: TaskKey,
+        val attempt: Int,
+        val targetId: TargetId,
+        val reason: String,
+    ) : ShardDecision
+
+    /** The stop of a run was requested. */
+    data class RunStopRequested(
+        val task: TaskKey,
+        val attempt: Int,
+        val targetId: TargetId,
+        val reason: String,
+    ) : ShardDecision
+
     /** The holder's view of a target changed. */
     data class TargetChanged(
         val targetId: TargetId,
--- a/core/src/main/kotlin/io/jackdawring/core/shard/TargetControl.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/TargetControl.kt
@@ -161,6 +161,7 @@
         nowMillis: Long,
     ) {
         if (run.state == TrackedRun.State.STARTING) run.state = TrackedRun.State.UNCERTAIN
+        effects.report(ShardDecision.StartUnanswered(run.key, run.attempt, run.target.id, detail))
         poller.markSilent(run.target, detail, nowMillis)
     }
 
@@ -330,6 +331,7 @@
         run.listedAfterMillis = nowMillis
         run.recordCheckpoint(entry.checkpoint)
         add(run)
+        effects.report(ShardDecision.RunFound(run.key, run.attempt, target.id))
     }
 
     /** Whether a run of [key] is, or may be, on a target. */
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/metrics/FleetMetrics.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/metrics/FleetMetrics.kt
@@ -36,6 +36,9 @@
     private val durableJobs =
         registry.counter("jackdawring_kept_jobs", "Changes of kept jobs at held shards, by new state.", "state")
     private val repeatedRuns = registry.counter("jackdawring_repeated_runs", "Runs that were over without a result.")
+    private val foundRuns = registry.counter("jackdawring_found_runs", "Runs found on targets without a job.")
+    private val unansweredStarts = registry.counter("jackdawring_unanswered_starts", "Starts that were not answered.")
+    private val stopRequests = registry.counter("jackdawring_stop_requests", "Runs whose stop was requested.")
     private val examinations =
         registry.counter(
             "jackdawring_decision_examinations",
@@ -76,6 +79,12 @@
 
     fun runRepeated() = repeatedRuns.inc()
 
+    fun runFound() = foundRuns.inc()
+
+    fun startUnanswered() = unansweredStarts.inc()
+
+    fun stopRequested() = stopRequests.inc()
+
     fun decisionsExamined(count: Long) = examinations.inc(count)
 
     fun targetChanged(state: String) = targetChanges.labelValues(state).inc()
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/shard/DecisionLog.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/shard/DecisionLog.kt
@@ -1,8 +1,10 @@
 package io.jackdawring.fleet.shard
 
 import io.github.oshai.kotlinlogging.KotlinLogging
+import io.jackdawring.core.TargetId
 import io.jackdawring.core.shard.JobOutcome
 import io.jackdawring.core.shard.ShardDecision
+import io.jackdawring.core.shard.TaskKey
 import io.jackdawring.fleet.metrics.FleetMetrics
 
 private val logger = KotlinLogging.logger("io.jackdawring.decision")
@@ -21,6 +23,9 @@
             is ShardDecision.JobAnswered -> onAnswered(decision)
             is ShardDecision.DurableJobChanged -> onDurableJobChanged(decision)
             is ShardDecision.RunLost -> onLost(decision)
+            is ShardDecision.RunFound -> onFound(decision)
+            is ShardDecision.StartUnanswered -> onStartUnanswered(decision)
+            is ShardDecision.RunStopRequested -> onStopRequested(decision)
             is ShardDecision.TargetChanged -> onTargetChanged(decision)
         }
     }
@@ -61,16 +66,39 @@
 
     private fun onLost(decision: ShardDecision.RunLost) {
         metrics.runRepeated()
-        log(
-            "run ended without a result",
-            "job" to decision.task.jobId.value,
-            "task" to "${decision.task.step}.${decision.task.index}",
-            "attempt" to decision.attempt,
-            "target" to decision.targetId.value,
-            "reason" to decision.reason,
-        )
+        logRun("run ended without a result", decision.task, decision.attempt, decision.targetId, decision.reason)
     }
 
+    private fun onFound(decision: ShardDecision.RunFound) {
+        metrics.runFound()
+        logRun("run without a job found", decision.task, decision.attempt, decision.targetId, "listed by the target")
+    }
+
+    private fun onStartUnanswered(decision: ShardDecision.StartUnanswered) {
+        metrics.startUnanswered()
+        logRun("start not answered", decision.task, decision.attempt, decision.targetId, decision.reason)
+    }
+
+    private fun onStopRequested(decision: ShardDecision.RunStopRequested) {
+        metrics.stopRequested()
+        logRun("stopping run", decision.task, decision.attempt, decision.targetId, decision.reason)
+    }
+
+    private fun logRun(
+        text: String,
+        task: TaskKey,
+        attempt: Int,
+        targetId: TargetId,
+        reason: String,
+    ) = log(
+        text,
+        "job" to task.jobId.value,
+        "task" to "${task.step}.${task.index}",
+        "attempt" to attempt,
+        "target" to targetId.value,
+        "reason" to reason,
+    )
+
     private fun onTargetChanged(decision: ShardDecision.TargetChanged) {
         metrics.targetChanged(decision.state)
         log("target ${decision.state}", "target" to decision.targetId.value, "reason" to decision.reason)
