Stop unclaimed runs before their callers send the jobs again

What callers saw: two runs of one task at a time. A holder fails while callers are connected to it; after 1.3 s they send their jobs again, to any failure domain. If the store is slow, its successor takes over late; it finds the runs, renews their leases and waited 700 ms for a relay to claim them.

Cause: the wait was counted from the moment the run was found, not from the failure of the previous holder.

Evidence: RunOverlapTest kills a holder and lets another one take over after 50 to 950 ms.

Change: runs that nobody claims are stopped 150 ms after they are found or 0.9 s after the previous holder was last known to hold the shard, whichever is later, and in any case before callers send their jobs again.

Ruled out: runs are over by their own lease if the take-over comes later than about 1.1 s.

--- a/core/src/main/kotlin/io/jackdawring/core/fleet/ShardElection.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/fleet/ShardElection.kt
@@ -18,6 +18,8 @@
         var heardFrom: Boolean = false,
         var consecutiveRefusals: Int = 0,
         var consecutiveDenials: Int = 0,
+        /** Time of the last reply in which the member held its shards; own pauses do not shift it. */
+        var lastHoldingMillis: Long? = null,
     ) {
         fun isLive(nowMillis: Long) =
             heardFrom && consecutiveRefusals == 0 && nowMillis - lastHeardMillis < SUSPECT_AFTER_MILLIS
@@ -35,8 +37,12 @@
     ) {
         val memberState = recordContact(instanceId, nowMillis)
         memberState.consecutiveDenials = if (holds) 0 else memberState.consecutiveDenials + 1
+        if (holds) memberState.lastHoldingMillis = nowMillis
     }
 
+    /** Time of the last reply in which [instanceId] held the shards assigned to it; null if there was none. */
+    fun lastHoldingMillis(instanceId: InstanceId): Long? = memberStates[instanceId]?.lastHoldingMillis
+
     /** Records a request from [instanceId], which shows that it is alive. */
     fun onPeerRequest(
         instanceId: InstanceId,
--- a/core/src/main/kotlin/io/jackdawring/core/shard/JobLifecycle.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/JobLifecycle.kt
@@ -104,6 +104,9 @@
 
     private fun isOpen(job: TrackedJob): Boolean = if (job.isDurable) durable.isOpen(job) else jobs[job.spec.id] === job
 
+    override fun awaitsRuns(jobId: JobId): Boolean =
+        previousRuns.isAwaitingRecovery(jobId) && (jobs[jobId] ?: durable.find(jobId)) != null
+
     private fun latestStartMillis(task: TrackedTask): Long {
         val criticalPathMillis = task.job.spec.criticalPathFromMillis(task.key.step)
         val expectedMillis = durations.unitSpeedMillis(task.job.spec.queue, criticalPathMillis)
--- a/core/src/main/kotlin/io/jackdawring/core/shard/RealShardDispatcher.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/RealShardDispatcher.kt
@@ -48,6 +48,8 @@
         nowMillis: Long,
     ) = control.inherit(targets, nowMillis)
 
+    override fun onPreviousHolderSeen(seenAtMillis: Long) = control.onPreviousHolderSeen(seenAtMillis)
+
     override fun submit(
         request: JobRequest,
         waiter: WaiterId,
--- a/core/src/main/kotlin/io/jackdawring/core/shard/RunListener.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/RunListener.kt
@@ -7,6 +7,9 @@
         nowMillis: Long,
     )
 
+    /** Whether an open job [jobId] waits until the runs of previous holders are known; its runs are then its own. */
+    fun awaitsRuns(jobId: JobId): Boolean
+
     /** The run failed, by the task's own fault or the target's. */
     fun onFailed(
         run: TrackedRun,
--- a/core/src/main/kotlin/io/jackdawring/core/shard/ShardDispatcher.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/ShardDispatcher.kt
@@ -31,6 +31,13 @@
         nowMillis: Long,
     )
 
+    /**
+     * Records that the previous holder, which has failed since, was last known to hold the shard at [seenAtMillis].
+     *
+     * Its callers send their jobs again soon after, so runs that no relay claims are stopped in time.
+     */
+    fun onPreviousHolderSeen(seenAtMillis: Long)
+
     /** Adds a request for a job, or joins it to the job if that is known; [ShardEffects.answer] gets the outcome. */
     fun submit(
         request: JobRequest,
--- a/core/src/main/kotlin/io/jackdawring/core/shard/ShardOptions.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/ShardOptions.kt
@@ -16,7 +16,9 @@
     val offRackFactor: Double,
     /** Wait time of a poll; well below the lease, so that one lost poll does not let it expire. */
     val pollWaitMillis: Long,
-    /** Time after which unclaimed runs of a previous holder are stopped; relays resend their jobs within it. */
+    /** Time after which a caller without an answer sends its job again, to any shard; platform. */
+    val resendAfterMillis: Long,
+    /** Time after the failure of a holder within which all relays have sent their jobs to its successor. */
     val adoptionTimeoutMillis: Long,
     /** Time for which an outcome is kept for retried requests. */
     val outcomeRetentionMillis: Long,
@@ -30,7 +32,8 @@
         var restoreMillis: Long = 100
         var offRackFactor: Double = 2.0
         var pollWaitMillis: Long = 400
-        var adoptionTimeoutMillis: Long = 700
+        var resendAfterMillis: Long = 1_300
+        var adoptionTimeoutMillis: Long = 900
         var outcomeRetentionMillis: Long = 10_000
         var orphanTimeoutMillis: Long = 150
 
@@ -41,6 +44,7 @@
                 restoreMillis,
                 offRackFactor,
                 pollWaitMillis,
+                resendAfterMillis,
                 adoptionTimeoutMillis,
                 outcomeRetentionMillis,
                 orphanTimeoutMillis,
--- a/core/src/main/kotlin/io/jackdawring/core/shard/TargetControl.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/TargetControl.kt
@@ -15,6 +15,7 @@
     private val poller = TargetPoller(options, effects)
     private val stopper = RunStopper(effects)
     private val index = RunIndex()
+    private val adoption = AdoptionWindow(options)
 
     val targets: Collection<TrackedTarget> get() = registry.targets
     val byFreeCpu: TargetsByFreeCpu get() = registry.byFreeCpu
@@ -45,10 +46,16 @@
         known: ImmutableCollection<ShardTarget>,
         nowMillis: Long,
     ) {
+        onPreviousHolderSeen(nowMillis)
         registry.inherit(known, nowMillis)
         targets.forEach { poller.poll(it, nowMillis) }
     }
 
+    /** Records that the previous holder was last known to hold the shard at [seenAtMillis]. */
+    fun onPreviousHolderSeen(seenAtMillis: Long) {
+        adoption.previousHolderSeenAtMillis = seenAtMillis
+    }
+
     fun start(
         task: TrackedTask,
         target: TrackedTarget,
@@ -368,8 +375,12 @@
         run: TrackedRun,
         nowMillis: Long,
     ) {
-        val unclaimed = run.owner == null && nowMillis - run.sentAtMillis >= options.adoptionTimeoutMillis
-        if (unclaimed) stop(run, "no job claimed the run", nowMillis)
+        val unclaimed = run.owner == null && !listener.awaitsRuns(run.key.jobId)
+        if (unclaimed &&
+            nowMillis >= adoption.endsAtMillis(run.sentAtMillis)
+        ) {
+            stop(run, "no job claimed the run", nowMillis)
+        }
         stopper.sendAgain(run, nowMillis)
     }
 
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/HeldShards.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/HeldShards.kt
@@ -65,7 +65,7 @@
         for (id in directory.shardsOf(self.failureDomain) + abandoned.find(directory, now)) {
             val holding = directory.holdings[id]
             if (id in hosts || id in claiming) continue
-            if (election.shouldClaim(id, holding, directory.members.values, now)) claim(id, holding?.revision ?: 0)
+            if (election.shouldClaim(id, holding, directory.members.values, now)) claimFrom(id, holding)
         }
         hosts.values.toList().forEach(::returnToOwnDomain)
     }
@@ -91,10 +91,19 @@
 
     fun onRelayFailed(relay: InstanceId) = hosts.values.forEach { it.expireAll(relay.value) }
 
+    /** Claims the shard [id], whose holder according to [previous] is missing or suspected. */
+    private fun claimFrom(
+        id: ShardId,
+        previous: ShardHolding?,
+    ) = claim(id, previous?.revision ?: 0) { taken ->
+        val seenAt = previous?.let { election.lastHoldingMillis(it.holder.instanceId) }
+        if (taken && seenAt != null) hosts[id]?.onPreviousHolderSeen(seenAt)
+    }
+
     private fun claim(
         id: ShardId,
         revision: Long,
-        onResult: (Boolean) -> Unit = {},
+        onResult: (Boolean) -> Unit,
     ) {
         claiming.add(id)
         val key = FleetKeys.shard(id)
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/shard/ShardHost.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/shard/ShardHost.kt
@@ -69,6 +69,9 @@
     /** Adds the targets that the previous holder knew. */
     fun inherit(targets: ImmutableCollection<ShardTarget>) = dispatcher.inherit(targets, loop.nowMillis())
 
+    /** Records that the previous holder, which has failed since, was last known to hold the shard at [seenAtMillis]. */
+    fun onPreviousHolderSeen(seenAtMillis: Long) = dispatcher.onPreviousHolderSeen(seenAtMillis)
+
     fun knownTargets(): List<ShardTarget> = dispatcher.knownTargets()
 
     /** Submits a job on behalf of [relay]; [onOutcome] is called at most once. */
--- a/testing/src/main/kotlin/io/jackdawring/testing/shard/FakeShard.kt
+++ b/testing/src/main/kotlin/io/jackdawring/testing/shard/FakeShard.kt
@@ -60,8 +60,18 @@
             fake: FakeShardTarget,
             request: StartRequest,
         ): StartResult? {
-            if (fake.mode == FakeShardTarget.Mode.SILENT) return null
+            if (fake.mode == FakeShardTarget.Mode.SILENT) {
+                fake.lateStartMillis?.let { schedule(it) { carryOut(fake, request) } }
+                return null
+            }
             if (nowMillis < fake.startingUntilMillis) return StartResult.NotSent("refused")
+            return carryOut(fake, request)
+        }
+
+        private fun carryOut(
+            fake: FakeShardTarget,
+            request: StartRequest,
+        ): StartResult {
             val step = stepOf(request.task)
             check(
                 request.task !in acknowledgedDone || step.longRunning,
@@ -80,7 +90,7 @@
         ) {
             if (!alive) return
             val fake = target(target)
-            val silent = fake.mode == FakeShardTarget.Mode.SILENT
+            val silent = fake.mode == FakeShardTarget.Mode.SILENT || fake.losesStops
             if (!silent) schedule(LATENCY_MILLIS) { fake.stop(task, attempt, nowMillis) }
             val result = if (silent) StopResult.Unknown("timed out") else StopResult.Accepted
             val delay = if (silent) TIMEOUT_MILLIS else 2 * LATENCY_MILLIS
@@ -183,7 +193,11 @@
         }
 
         private fun reply(action: (ShardDispatcher) -> Unit) {
-            if (alive) action(dispatcher)
+            if (nowMillis < pausedUntilMillis) {
+                schedule(pausedUntilMillis - nowMillis) { reply(action) }
+            } else if (alive) {
+                action(dispatcher)
+            }
         }
     }
 
@@ -220,6 +234,7 @@
 
     /** Time in which a new holder reads the stored jobs. */
     var readMillis = 10L
+    private var pausedUntilMillis = 0L
     private var holders = 0
     private var nextWaiter = 0L
     private var holder = Holder()
@@ -236,24 +251,42 @@
     ) = clock.schedule(delayMillis, action)
 
     private fun tick() {
-        holder.dispatcher.tick(nowMillis)
+        if (nowMillis < pausedUntilMillis) {
+            // A process reads its sockets before it runs its timers.
+            schedule(pausedUntilMillis - nowMillis + 1, ::tick)
+            return
+        }
+        if (holder.alive) holder.dispatcher.tick(nowMillis)
         schedule(TICK_MILLIS, ::tick)
     }
 
+    /** Pauses the process of the holder, which handles answers and timers only afterwards. */
+    fun pauseHolder(millis: Long) {
+        pausedUntilMillis = nowMillis + millis
+    }
+
+    /** Kills the holder; [replaceHolder] makes another one take over. */
+    fun killHolder() {
+        holder.alive = false
+    }
+
     /**
      * Replaces the holder by a new one that knows the [listed] targets.
      *
-     * With [handOver], the new holder also gets the targets that the old one knew.
+     * With [handOver], the new holder also gets the targets that the old one knew. [seenAtMillis] is the time at which
+     * it last saw the old one, if it did.
      */
     fun replaceHolder(
         listed: List<FakeShardTarget> = targets,
         handOver: Boolean = false,
+        seenAtMillis: Long? = null,
     ) {
         val known = holder.dispatcher.knownTargets()
         holder.alive = false
         holder = Holder()
         holder.dispatcher.updateTargets(listed.map { it.registration }.toImmutableList(), nowMillis)
         if (handOver) holder.dispatcher.inherit(known, nowMillis)
+        seenAtMillis?.let(holder.dispatcher::onPreviousHolderSeen)
         val reader = holder
         val attemptBase = ++holders * ATTEMPTS_PER_HOLDER
         schedule(readMillis) {
--- a/testing/src/main/kotlin/io/jackdawring/testing/shard/FakeShardTarget.kt
+++ b/testing/src/main/kotlin/io/jackdawring/testing/shard/FakeShardTarget.kt
@@ -46,6 +46,12 @@
     /** Delay of the next poll, as if its connection were slow to open. */
     var firstPollDelayMillis = 0L
 
+    /** Time after which a start that arrives while the target is silent is carried out; null if it never is. */
+    var lateStartMillis: Long? = null
+
+    /** Whether stop requests are lost, while all other requests arrive. */
+    var losesStops = false
+
     /** Additional delay of the answers to polls, as if the holder were slow to read them. */
     var answerDelayMillis = 0L
 
@@ -106,7 +112,7 @@
         val free = runs.values.fold(capacity) { free, run -> free - run.demand }
         val rejection =
             when {
-                request.leaseUntilMillis < clock -> StartResult.Reason.LATE
+                maxOf(request.leaseUntilMillis, leaseUntilMillis) < clock -> StartResult.Reason.LATE
                 request.attempt <= (endedAttempts[request.task] ?: 0) -> StartResult.Reason.OLD_ATTEMPT
                 !step.demand.fitsInto(free) -> StartResult.Reason.NO_ROOM
                 else -> null
--- /dev/null
+++ b/testing/src/test/kotlin/io/jackdawring/testing/shard/RunOverlapTest.kt
@@ -0,0 +1,65 @@
+package io.jackdawring.testing.shard
+
+import io.jackdawring.core.shard.JobOutcome
+import io.jackdawring.testing.shard.FakeShard.Companion.job
+import org.junit.jupiter.api.DynamicTest
+import org.junit.jupiter.api.TestFactory
+import kotlin.test.assertEquals
+
+/**
+ * Guards against runs that outlive their job's request, so that they overlap with runs of the same job elsewhere.
+ *
+ * A caller without an answer sends its job again after [RESEND_MILLIS], to any failure domain.
+ */
+class RunOverlapTest {
+    private fun shard(count: Int = 2) = FakeShard(List(count) { FakeShardTarget("t$it") }).also { it.runFor(50) }
+
+    private fun FakeShard.assertNothingRuns(afterMillis: Long) {
+        runFor(afterMillis)
+        assertEquals(0, runningTasks, "runs $afterMillis ms later")
+    }
+
+    /** Guards against a new holder that keeps runs alive although their caller may send the job again by then. */
+    @TestFactory
+    fun `runs that no relay claims from a new holder are over before their caller sends the job again`() =
+        listOf(50, 200, 400, 600, 800, 900, 950).flatMap { takeOverMillis ->
+            listOf(true, false).map { isSeen ->
+                val suffix = if (isSeen) "that it has seen" else "that it has never seen"
+                DynamicTest.dynamicTest("taken over after $takeOverMillis ms from a holder $suffix") {
+                    val shard = shard()
+                    shard.submit(job("a", tasks = 4, estimateMillis = 3_000), remainingMillis = 10_000)
+                    shard.runFor(100)
+                    val seenAtMillis = shard.nowMillis.takeIf { isSeen }
+                    shard.killHolder()
+                    shard.runFor(takeOverMillis.toLong())
+                    shard.replaceHolder(seenAtMillis = seenAtMillis)
+                    shard.assertNothingRuns(RESEND_MILLIS - takeOverMillis)
+                }
+            }
+        }
+
+    /** Guards against running tasks that are stopped although relays still send their jobs to the new holder. */
+    @TestFactory
+    fun `runs are adopted by a new holder whose relays learn of it late`() =
+        listOf(50 to 700, 200 to 600, 500 to 300, 700 to 120).map { (takeOverMillis, resendMillis) ->
+            DynamicTest.dynamicTest("taken over after $takeOverMillis ms, job sent $resendMillis ms later") {
+                val shard = shard()
+                shard.submit(job("a", tasks = 4, estimateMillis = 3_000), remainingMillis = 10_000)
+                shard.runFor(100)
+                val seenAtMillis = shard.nowMillis
+                shard.killHolder()
+                shard.runFor(takeOverMillis.toLong())
+                shard.replaceHolder(seenAtMillis = seenAtMillis)
+                shard.runFor(resendMillis.toLong())
+                val again = shard.submit(job("a", tasks = 4, estimateMillis = 3_000), 10_000, mayRun = true)
+                shard.runFor(4_000)
+                assertEquals(JobOutcome.Completed, shard.answers[again]?.outcome)
+                assertEquals(4, shard.starts.size)
+            }
+        }
+
+    private companion object {
+        /** Time after which a caller sends a job again whose connection is broken. */
+        const val RESEND_MILLIS = 1_300L
+    }
+}
