Do not renew the lease of a target that has not accepted a stop

What callers saw: two runs of one task at a time, where a run has to end because its caller is gone, its target does not get or answer the stop, and the caller sends the job again 1.3 s after it has gone.

Cause: polls went on renewing the lease of the target, which keeps the run alive for as long as stops are lost or late.

Change: from a stop request to its acceptance, polls and starts to that target do not extend its lease; after a stop that timed out, it gets no starts either. A target that accepts stops within a round trip is used as before. Tried and dropped: no starts while any stop is under way; a job that arrived within that round trip was refused (ShardLoadPatternTest, a job resubmitted while its stopped runs end).

--- a/core/src/main/kotlin/io/jackdawring/core/shard/TargetControl.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/TargetControl.kt
@@ -62,13 +62,11 @@
         expectedMillis: Long,
         nowMillis: Long,
     ) {
-        val offset = target.clockOffsetMillis ?: return
+        val leaseUntil = poller.leaseUntil(target, nowMillis) ?: return
         task.lastAttempt++
         val run = TrackedRun(task.key, task.lastAttempt, target, task, nowMillis, expectedMillis)
-        poller.extendLease(target, nowMillis)
         task.runs.add(run)
         add(run)
-        val leaseUntil = nowMillis + offset + options.leaseMillis
         val request = StartRequest(task.key, run.attempt, task.job.spec.payload, leaseUntil, task.checkpoint?.value)
         effects.start(target.registration, request)
     }
@@ -184,6 +182,8 @@
         when (result) {
             is StopResult.Accepted -> {
                 run.state = TrackedRun.State.STOPPING
+                run.isStopAccepted = true
+                run.isStopOverdue = false
                 run.listedAfterMillis = nowMillis
                 poller.pollNow(target, nowMillis)
             }
@@ -193,6 +193,7 @@
             }
 
             is StopResult.Unknown -> {
+                run.isStopOverdue = !run.isStopAccepted
                 poller.markSilent(target, result.detail, nowMillis)
             }
         }
--- a/core/src/main/kotlin/io/jackdawring/core/shard/TargetPoller.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/TargetPoller.kt
@@ -23,8 +23,7 @@
         val hasNewAck = acknowledged > target.confirmedAcknowledgedEnd
         if (target.pendingEnds.isNotEmpty() && !hasNewAck && sinceAnswerMillis < SAVE_POLL_INTERVAL_MILLIS) return
         val held = target.contact == TrackedTarget.Contact.HELD
-        val leaseUntil = target.clockOffsetMillis?.takeIf { held }?.let { nowMillis + it + options.leaseMillis }
-        if (leaseUntil != null) extendLease(target, nowMillis)
+        val leaseUntil = if (held && target.mayRenewLease) leaseUntil(target, nowMillis) else null
         target.pollInFlight = true
         target.pollSequence++
         target.pollSentAtMillis = nowMillis
@@ -58,12 +57,20 @@
         }
     }
 
-    /** Records that a request sent now asks for a lease. */
-    fun extendLease(
+    /**
+     * The lease to request from [target] now, on its clock, or null before its first answer.
+     *
+     * It is the current one unless the lease may be renewed.
+     */
+    fun leaseUntil(
         target: TrackedTarget,
         nowMillis: Long,
-    ) {
-        target.leaseExpiresAtMillis = maxOf(target.leaseExpiresAtMillis, nowMillis + maxLeaseMillis)
+    ): Long? {
+        val offset = target.clockOffsetMillis ?: return null
+        if (target.mayRenewLease) {
+            target.leaseExpiresAtMillis = maxOf(target.leaseExpiresAtMillis, nowMillis + maxLeaseMillis)
+        }
+        return target.leaseExpiresAtMillis - maxLeaseMillis + options.leaseMillis + offset
     }
 
     private companion object {
--- a/core/src/main/kotlin/io/jackdawring/core/shard/TargetSelector.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/TargetSelector.kt
@@ -61,7 +61,7 @@
             target.contact == TrackedTarget.Contact.HELD &&
                 target.isListed(nowMillis) &&
                 !target.registration.draining &&
-                !target.hasUnclaimedRuns &&
+                target.acceptsStarts &&
                 !target.health.isSuspended(nowMillis)
 
         /** Whether [target] may run [task], apart from its free capacity. */
--- a/core/src/main/kotlin/io/jackdawring/core/shard/TrackedRun.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/TrackedRun.kt
@@ -48,6 +48,14 @@
     var stopReason: String? = null
     var stopSentAtMillis = Long.MIN_VALUE
 
+    /** Whether the target has accepted a stop request. */
+    var isStopAccepted = false
+
+    /** Whether a stop request has timed out and none was accepted since. */
+    var isStopOverdue = false
+
+    val isStopUnanswered: Boolean get() = stopReason != null && !isStopAccepted
+
     fun expectedEndMillis(nowMillis: Long): Long =
         maxOf(sentAtMillis + expectedMillis, nowMillis + expectedMillis / MIN_REMAINING_DIVISOR)
 
--- a/core/src/main/kotlin/io/jackdawring/core/shard/TrackedTarget.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/TrackedTarget.kt
@@ -49,8 +49,11 @@
     /** Latest time on the monotonic clock at which a requested lease can expire. */
     var leaseExpiresAtMillis = Long.MIN_VALUE
 
-    /** Whether the target has runs that no job has claimed; it gets no starts until they are claimed or over. */
-    val hasUnclaimedRuns: Boolean get() = runs.values.any { it.owner == null }
+    /** Whether the target has no runs that no job has claimed, and no run that goes on although it should stop. */
+    val acceptsStarts: Boolean get() = runs.values.none { it.owner == null || it.isStopOverdue }
+
+    /** Whether the lease may be renewed; it is not while a run should stop, so that the run ends in any case. */
+    val mayRenewLease: Boolean get() = runs.values.none { it.isStopUnanswered }
 
     var free = registration.capacity
         private set
--- a/testing/src/test/kotlin/io/jackdawring/testing/shard/RunOverlapTest.kt
+++ b/testing/src/test/kotlin/io/jackdawring/testing/shard/RunOverlapTest.kt
@@ -12,6 +12,11 @@
  * A caller without an answer sends its job again after [RESEND_MILLIS], to any failure domain.
  */
 class RunOverlapTest {
+    private class Row(
+        val name: String,
+        val test: () -> Unit,
+    )
+
     private fun shard(count: Int = 2) = FakeShard(List(count) { FakeShardTarget("t$it") }).also { it.runFor(50) }
 
     private fun FakeShard.assertNothingRuns(afterMillis: Long) {
@@ -58,6 +63,22 @@
             }
         }
 
+    private val rows =
+        listOf(
+            // Guards against a run that continues under renewed leases because its stop is lost.
+            Row("the caller disconnects and the stops are lost: the lease ends before the caller sends the job again") {
+                val shard = shard()
+                val waiter = shard.submit(job("a", tasks = 4, estimateMillis = 3_000), remainingMillis = 10_000)
+                shard.runFor(100)
+                shard.targets.forEach { it.losesStops = true }
+                shard.withdraw(waiter)
+                shard.assertNothingRuns(RESEND_MILLIS)
+            },
+        )
+
+    @TestFactory
+    fun `runs are over before their job may start elsewhere`() = rows.map { DynamicTest.dynamicTest(it.name, it.test) }
+
     private companion object {
         /** Time after which a caller sends a job again whose connection is broken. */
         const val RESEND_MILLIS = 1_300L
