Stop the runs of a lost relay at once

What callers saw: two runs of one task at a time, where an entry instance is lost behind a cut and its caller sends the job again after 1.3 s.

Cause: bounds that do not add up. A relay counts as lost after 700 ms and up to 300 ms more after own pauses, checked every 150 ms; then its jobs were kept another 150 ms, and a tick of 20 ms, in case it replaced its connection, and a stop takes up to 50 ms: 1.37 s together.

Evidence: RunOverlapTest: before, the runs of a relay that was given up were still at work 100 ms later.

Change: a relay that fell silent does not replace its connection, so its jobs are dropped when it is given up: 1.2 s together.

--- a/core/src/main/kotlin/io/jackdawring/core/shard/RealShardDispatcher.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/RealShardDispatcher.kt
@@ -128,8 +128,11 @@
         withdraw(waiter, nowMillis)
         // Not NotRun even if nothing started: the caller may have sent the job elsewhere, and the relay must not do so too.
         val outcome = JobOutcome.GivenUp("its relay fell silent")
-        if (job.waiters.isEmpty()) lifecycle.recordOutcome(job.spec.id, outcome, nowMillis)
         effects.answer(waiter, outcome)
+        if (job.waiters.isNotEmpty()) return
+        lifecycle.recordOutcome(job.spec.id, outcome, nowMillis)
+        // A relay that fell silent does not replace its connection.
+        if (lifecycle.find(job.spec.id) === job) abandon(job, nowMillis)
     }
 
     override fun submitDurable(
--- a/testing/src/test/kotlin/io/jackdawring/testing/shard/RunOverlapTest.kt
+++ b/testing/src/test/kotlin/io/jackdawring/testing/shard/RunOverlapTest.kt
@@ -74,6 +74,14 @@
                 shard.withdraw(waiter)
                 shard.assertNothingRuns(RESEND_MILLIS)
             },
+            // Guards against runs that end too late because a lost relay gets time to reconnect.
+            Row("a relay is given up: its runs are stopped at once") {
+                val shard = shard()
+                val waiter = shard.submit(job("a", tasks = 4, estimateMillis = 3_000), remainingMillis = 10_000)
+                shard.runFor(100)
+                shard.expire(waiter)
+                shard.assertNothingRuns(100)
+            },
         )
 
     @TestFactory
