Cancel a job that another failure domain took over from this holder

What callers saw: two runs of one task at a time.

Cause: if the relay itself holds the shard, the refusal arrives while the request is still being sent. The request to the next failure domain became the pending one, and then the outer call overwrote it with the finished local request. Disconnecting the caller, answering it, and the resend after 700 ms then cancelled nothing. No fault is needed but a broken connection of a caller.

RelayedJobTest failed before: the cancelled request was the one to the local shard, and the resend cancelled none.

Change: a request is recorded as pending only if no reply has arrived during the call.

--- a/fleet/src/main/kotlin/io/jackdawring/fleet/relay/RelayedJob.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/relay/RelayedJob.kt
@@ -104,10 +104,12 @@
         lastAdmission = admission
         val number = ++requestNumber
         val previous = pendingRequest
-        pendingRequest =
+        val request =
             shards.submit(holding, JobRequest(job, maxOf(1, deadlineMillis - now), admission, acceptedBy != null)) {
                 if (number == requestNumber) onReply(holding.shardId, it)
             }
+        // A holder in this process may reply during the call, after which a later request is pending.
+        if (number == requestNumber) pendingRequest = request
         // Cancelled after the new request is sent, because a holder drops a job that no request waits for.
         previous?.cancel()
         loop.schedule(RESEND_MILLIS) { if (number == requestNumber && !ended) resend(holding.shardId) }
--- a/fleet/src/test/kotlin/io/jackdawring/fleet/relay/RelayedJobTest.kt
+++ b/fleet/src/test/kotlin/io/jackdawring/fleet/relay/RelayedJobTest.kt
@@ -35,6 +35,9 @@
         var local: ShardHolding? = holding("a")
         var others = listOf(holding("b"), holding("c"))
         var loaded = emptyList<ShardHolding>()
+
+        /** Reply of the local holder during the call, as if this process held the shard. */
+        var replyInCall: HolderReply? = null
         val sentJobs = ArrayList<SentJob>()
 
         override fun findLocalHolder(job: JobSpec) = local
@@ -50,6 +53,7 @@
         ): ShardClient.PendingRequest {
             val sentJob = SentJob(holding.shardId.failureDomain.value, request.admission, onReply)
             sentJobs.add(sentJob)
+            if (holding == local) replyInCall?.let(onReply)
             return ShardClient.PendingRequest { sentJob.cancelled = true }
         }
     }
@@ -122,6 +126,20 @@
                 assertEquals(listOf("a", "b", "c", "a"), sentTo)
                 assertIs<CallerAnswer.NotRun>(answer)
             },
+            // Guards against a job that runs on in another failure domain although its caller has gone.
+            Row("the relay refuses a job as holder and another one takes it: it is cancelled with its caller") {
+                shards.replyInCall = HolderReply.Decided(lateBy(-10))
+                val job = submit()
+                job.cancel()
+                assertEquals(listOf("b"), shards.sentJobs.filter { it.cancelled }.map { it.domain })
+            },
+            Row("the relay refuses a job as holder and another one takes it: a resent job replaces the first request") {
+                shards.replyInCall = HolderReply.Decided(lateBy(-10))
+                submit()
+                loop.clock.advance(750)
+                assertEquals(listOf("a", "b", "b"), sentTo)
+                assertEquals(listOf(true, false), shards.sentJobs.drop(1).map { it.cancelled })
+            },
             Row("a job stays with the shard that accepted it, however loaded that is") {
                 shards.local = null
                 submit()
