Start nothing after a pause until what arrived meanwhile is read

What callers saw: two runs of one task at a time. A process is paused or suspended for seconds; its callers and relays give up, and the callers send their jobs again elsewhere. When it wakes, it reads the requests from before and during the pause first, and starts them; that their senders have gone shows later in the same turn.

Cause: a holder placed tasks, and a relay sent jobs, on what it knew before the pause. Placement looked neither at the deadline of the caller nor at whether anybody still waits.

RunOverlapTest failed before: the paused holder started two tasks whose caller's deadline had passed, and a job that was cancelled in the same turn.

Change: PauseGuard detects a gap between ticks, or a jump of the time of day against the monotonic clock, of 0.5 s or more; for 50 ms after it, nothing is placed and no new job is relayed. Tasks of jobs that nobody waits for, or whose deadline has passed, are not placed at all.

--- /dev/null
+++ b/core/src/main/kotlin/io/jackdawring/core/PauseGuard.kt
@@ -0,0 +1,39 @@
+package io.jackdawring.core
+
+/**
+ * Detects that the process was paused, and for how long it must not act on what it knew before.
+ *
+ * Messages that arrived meanwhile are handled in any order; among them may be requests whose callers have given up and
+ * sent their jobs again. A pause shows as a gap between ticks, or, if the monotonic clock stood still, as a jump of
+ * [unixMillis], the time of day.
+ */
+class PauseGuard(
+    private val unixMillis: (() -> Long)? = null,
+) {
+    private var lastTickMillis = Long.MAX_VALUE
+    private var clockDifferenceMillis = Long.MAX_VALUE
+    private var settledAtMillis = Long.MIN_VALUE
+
+    /** Must be called several times in [MIN_PAUSE_MILLIS]. */
+    fun onTick(nowMillis: Long) {
+        if (isOverdue(nowMillis)) settledAtMillis = nowMillis + SETTLE_MILLIS
+        lastTickMillis = nowMillis
+        unixMillis?.let { clockDifferenceMillis = it() - nowMillis }
+    }
+
+    /** Whether the process may still have to handle what arrived during a pause. */
+    fun isCatchingUp(nowMillis: Long): Boolean = nowMillis < settledAtMillis || isOverdue(nowMillis)
+
+    private fun isOverdue(nowMillis: Long): Boolean =
+        nowMillis - lastTickMillis >= MIN_PAUSE_MILLIS ||
+            unixMillis != null &&
+            unixMillis() - nowMillis - clockDifferenceMillis >= MIN_PAUSE_MILLIS
+
+    companion object {
+        /** Well below the time after which callers send a job again, far above the interval of ticks. */
+        const val MIN_PAUSE_MILLIS = 500L
+
+        /** Time to read what arrived during a pause. */
+        const val SETTLE_MILLIS = 50L
+    }
+}
--- a/core/src/main/kotlin/io/jackdawring/core/shard/Placement.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/Placement.kt
@@ -24,6 +24,7 @@
             control.cost.add()
             if (candidates.isEmpty() || unmet.size == MAX_UNMET) return
             if (!task.spec.demand.fitsInto(free)) continue
+            if (!task.job.isAwaited(nowMillis)) continue
             // A run from an earlier submission of the job may still be stopping.
             if (control.isPresent(task.key) || nowMillis < task.earliestStartMillis) continue
             val requirements = Requirements(task.job.spec.service, task.spec.demand, task.spec.requiredLabel)
--- a/core/src/main/kotlin/io/jackdawring/core/shard/RealShardDispatcher.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/RealShardDispatcher.kt
@@ -1,5 +1,6 @@
 package io.jackdawring.core.shard
 
+import io.jackdawring.core.PauseGuard
 import io.jackdawring.core.TargetId
 import kotlinx.collections.immutable.ImmutableCollection
 import kotlinx.collections.immutable.ImmutableList
@@ -10,6 +11,7 @@
 internal class RealShardDispatcher(
     private val options: ShardOptions,
     private val effects: ShardEffects,
+    private val pauses: PauseGuard,
 ) : ShardDispatcher {
     private val lifecycle = JobLifecycle(options, effects)
     private val control = lifecycle.control
@@ -268,7 +270,7 @@
         lifecycle.removeExpired(nowMillis)
         place(nowMillis)
         preempt(nowMillis)
-        if (waiting.isEmpty) copies.start(nowMillis)
+        if (waiting.isEmpty && !pauses.isCatchingUp(nowMillis)) copies.start(nowMillis)
     }
 
     private fun checkJob(
@@ -319,7 +321,7 @@
 
     private fun place(nowMillis: Long) {
         lifecycle.resumeRecoveredJobs(nowMillis)
-        if (waiting.isEmpty) return
+        if (waiting.isEmpty || pauses.isCatchingUp(nowMillis)) return
         waiting.demoteLateJobs(nowMillis)
         placement.place(nowMillis)
     }
--- a/core/src/main/kotlin/io/jackdawring/core/shard/ShardDispatcher.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/ShardDispatcher.kt
@@ -1,5 +1,6 @@
 package io.jackdawring.core.shard
 
+import io.jackdawring.core.PauseGuard
 import io.jackdawring.core.TargetId
 import kotlinx.collections.immutable.ImmutableCollection
 import kotlinx.collections.immutable.ImmutableList
@@ -158,11 +159,12 @@
         fun create(
             options: ShardOptions,
             effects: ShardEffects,
+            pauses: PauseGuard,
         ): ShardDispatcher
 
         companion object {
             /** Creates instances of the default implementation. */
-            val Default: Factory = Factory { options, effects -> RealShardDispatcher(options, effects) }
+            val Default: Factory = Factory { options, effects, pauses -> RealShardDispatcher(options, effects, pauses) }
         }
     }
 }
--- a/core/src/main/kotlin/io/jackdawring/core/shard/TrackedJob.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/TrackedJob.kt
@@ -22,6 +22,10 @@
     /** Whether a start request for one of the tasks was, or may have been, sent by any holder. */
     var started = false
     var withoutWaitersSinceMillis: Long? = null
+
+    /** Whether somebody still waits for the job, or it is durable. */
+    fun isAwaited(nowMillis: Long): Boolean = isDurable || waiters.isNotEmpty() && nowMillis < deadlineMillis
+
     var timeliness = Timeliness.ON_TIME
 
     /** Final state of a durable job; null while the job is open. */
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/HeldShards.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/HeldShards.kt
@@ -2,6 +2,7 @@
 
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.jackdawring.core.InstanceId
+import io.jackdawring.core.PauseGuard
 import io.jackdawring.core.fleet.FleetMember
 import io.jackdawring.core.fleet.ShardElection
 import io.jackdawring.core.fleet.ShardHolding
@@ -44,6 +45,7 @@
     private val loads: ShardLoads,
     private val metrics: FleetMetrics,
     private val unixMillis: () -> Long,
+    private val pauses: PauseGuard,
     private val targetsOf: (ShardId) -> ImmutableCollection<ShardTarget>,
     private val onHeldChanged: () -> Unit,
 ) {
@@ -153,6 +155,7 @@
             holding,
             options.shard,
             ShardDispatcher.Factory.Default,
+            pauses,
             targetClient,
             loop,
             DecisionLog(FleetKeys.shard(holding.shardId), metrics),
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/RealFleetInstance.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/RealFleetInstance.kt
@@ -1,6 +1,7 @@
 package io.jackdawring.fleet
 
 import io.github.oshai.kotlinlogging.KotlinLogging
+import io.jackdawring.core.PauseGuard
 import io.jackdawring.core.fleet.FleetMember
 import io.jackdawring.core.fleet.ShardElection
 import io.jackdawring.core.fleet.ShardHolding
@@ -39,6 +40,7 @@
             options.weight,
         )
     private val metrics = FleetMetrics()
+    private val pauses = PauseGuard(System::currentTimeMillis)
     private val directory = FleetDirectory()
     private val peers = PeerClient(components.peerClient)
     private val loads = ShardLoads(loop)
@@ -67,6 +69,7 @@
             loads,
             metrics,
             System::currentTimeMillis,
+            pauses,
             ::targetsOf,
             ::onHeldChanged,
         )
@@ -74,7 +77,7 @@
     private val peerHealth =
         PeerHealthMonitor(self, peers, shards, directory, gossip, loads, loop, ::openCallerListener)
     private val shardClient = RealShardClient(self, shards, directory, peers, loads, loop)
-    private val relay = JobRelay(loop, shardClient, metrics)
+    private val relay = JobRelay(loop, shardClient, metrics, pauses)
     private val durableJobClient =
         RealDurableJobClient(directory.shardsOf(self.failureDomain), shards, directory, shardClient, peers)
     private val durableRequests = DurableJobRequests(loop, durableJobClient, components.store)
@@ -112,6 +115,10 @@
             fleetMirror.start()
             configurationMirror.start()
             loop.repeatEvery(PeerHealthMonitor.PING_INTERVAL_MILLIS, ::runRound)
+            loop.repeatEvery(PAUSE_TICK_MILLIS) {
+                pauses.onTick(loop.nowMillis())
+                true
+            }
         }
     }
 
@@ -285,6 +292,9 @@
         /** The load balancer checks once a second and removes an instance after two failed checks. */
         const val BALANCER_REMOVAL_MILLIS = 2_600L
 
+        /** Several of these fit into the shortest pause that is detected. */
+        const val PAUSE_TICK_MILLIS = 100L
+
         /** Time reserved for closing before the platform kills the process. */
         const val EXIT_MARGIN_MILLIS = 400L
         const val DRAIN_POLL_MILLIS = 20L
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/relay/JobRelay.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/relay/JobRelay.kt
@@ -1,5 +1,6 @@
 package io.jackdawring.fleet.relay
 
+import io.jackdawring.core.PauseGuard
 import io.jackdawring.core.shard.JobSpec
 import io.jackdawring.fleet.CallerAnswer
 import io.jackdawring.fleet.ControlLoop
@@ -10,8 +11,13 @@
     private val loop: ControlLoop,
     private val shards: ShardClient,
     private val metrics: FleetMetrics,
+    private val pauses: PauseGuard,
 ) {
-    /** Submits [job] for a caller that waits [waitMillis]; [onAnswer] is called at most once. */
+    /**
+     * Submits [job] for a caller that waits [waitMillis]; [onAnswer] is called at most once.
+     *
+     * After a pause of this process, the caller may have gone, which shows only once its connection is read.
+     */
     fun submit(
         job: JobSpec,
         waitMillis: Long,
@@ -20,5 +26,11 @@
         RelayedJob(job, waitMillis, loop, shards) { answer, ageMillis ->
             metrics.jobAnswered(job.queue, answer, ageMillis)
             onAnswer(answer)
-        }.also { it.start() }
+        }.also { relayed ->
+            if (pauses.isCatchingUp(loop.nowMillis())) {
+                loop.schedule(PauseGuard.SETTLE_MILLIS, relayed::start)
+            } else {
+                relayed.start()
+            }
+        }
 }
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/shard/ShardHost.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/shard/ShardHost.kt
@@ -1,5 +1,6 @@
 package io.jackdawring.fleet.shard
 
+import io.jackdawring.core.PauseGuard
 import io.jackdawring.core.fleet.ShardHolding
 import io.jackdawring.core.shard.JobId
 import io.jackdawring.core.shard.JobOutcome
@@ -31,6 +32,7 @@
     val holding: ShardHolding,
     options: ShardOptions,
     factory: ShardDispatcher.Factory,
+    pauses: PauseGuard,
     private val targets: TargetClient,
     private val loop: ControlLoop,
     private val log: DecisionLog,
@@ -43,7 +45,7 @@
         val onOutcome: (JobOutcome) -> Unit,
     )
 
-    private val dispatcher = factory.create(options, this)
+    private val dispatcher = factory.create(options, this, pauses)
     private val durableJobs = HostedDurableJobs(holding, dispatcher, loop, onFenced, createDurableStore)
     private val waiters = HashMap<WaiterId, Waiter>()
     private var nextWaiter = 0L
--- a/fleet/src/test/kotlin/io/jackdawring/fleet/RealShardClientTest.kt
+++ b/fleet/src/test/kotlin/io/jackdawring/fleet/RealShardClientTest.kt
@@ -2,6 +2,7 @@
 
 import io.jackdawring.core.FailureDomainId
 import io.jackdawring.core.InstanceId
+import io.jackdawring.core.PauseGuard
 import io.jackdawring.core.fleet.FleetMember
 import io.jackdawring.core.fleet.ShardId
 import io.jackdawring.core.shard.Admission
@@ -67,6 +68,7 @@
                 loads,
                 FleetMetrics(),
                 { 0 },
+                PauseGuard(),
                 { persistentListOf() },
             ) {}
         val client = RealShardClient(SELF, shards, directory, peers, loads, loop)
--- a/fleet/src/test/kotlin/io/jackdawring/fleet/durable/HostedDurableJobsTest.kt
+++ b/fleet/src/test/kotlin/io/jackdawring/fleet/durable/HostedDurableJobsTest.kt
@@ -2,6 +2,7 @@
 
 import io.jackdawring.core.FailureDomainId
 import io.jackdawring.core.InstanceId
+import io.jackdawring.core.PauseGuard
 import io.jackdawring.core.fleet.FleetMember
 import io.jackdawring.core.fleet.ShardHolding
 import io.jackdawring.core.fleet.ShardId
@@ -69,7 +70,7 @@
     private class OneJobDispatcher(
         var state: JobState?,
         var isSaved: Boolean,
-    ) : ShardDispatcher by ShardDispatcher.Factory.Default.create(shardOptions(), NoEffects) {
+    ) : ShardDispatcher by ShardDispatcher.Factory.Default.create(shardOptions(), NoEffects, PauseGuard()) {
         override fun durableJobState(jobId: JobId) = state
 
         override fun isEndUnsaved(jobId: JobId) = !isSaved
--- a/fleet/src/test/kotlin/io/jackdawring/fleet/relay/RelayedJobTest.kt
+++ b/fleet/src/test/kotlin/io/jackdawring/fleet/relay/RelayedJobTest.kt
@@ -2,6 +2,7 @@
 
 import io.jackdawring.core.FailureDomainId
 import io.jackdawring.core.InstanceId
+import io.jackdawring.core.PauseGuard
 import io.jackdawring.core.fleet.FleetMember
 import io.jackdawring.core.fleet.ShardHolding
 import io.jackdawring.core.fleet.ShardId
@@ -61,10 +62,11 @@
     private class Fixture {
         val loop = FakeControlLoop()
         val shards = FakeShardClient()
+        val pauses = PauseGuard()
         var answer: CallerAnswer? = null
         val sentTo get() = shards.sentJobs.map { it.domain }
 
-        fun submit() = JobRelay(loop, shards, FleetMetrics()).submit(JOB, WAIT_MILLIS) { answer = it }
+        fun submit() = JobRelay(loop, shards, FleetMetrics(), pauses).submit(JOB, WAIT_MILLIS) { answer = it }
 
         fun reply(reply: HolderReply) = shards.sentJobs.last().onReply(reply)
 
@@ -140,6 +142,23 @@
                 assertEquals(listOf("a", "b", "b"), sentTo)
                 assertEquals(listOf(true, false), shards.sentJobs.drop(1).map { it.cancelled })
             },
+            // Guards against a job that starts although its caller left during a pause of the relay.
+            Row("the relay was paused: a job whose caller has gone meanwhile is not sent") {
+                pauses.onTick(loop.nowMillis())
+                loop.clock.advance(2_000)
+                val job = submit()
+                loop.clock.advance(10)
+                job.cancel()
+                loop.clock.advance(500)
+                assertEquals(emptyList(), sentTo)
+            },
+            Row("the relay was paused: a job whose caller still waits is sent soon after") {
+                pauses.onTick(loop.nowMillis())
+                loop.clock.advance(2_000)
+                submit()
+                loop.clock.advance(60)
+                assertEquals(listOf("a"), sentTo)
+            },
             Row("a job stays with the shard that accepted it, however loaded that is") {
                 shards.local = null
                 submit()
--- a/load/src/main/kotlin/io/jackdawring/load/bench/ShardBench.kt
+++ b/load/src/main/kotlin/io/jackdawring/load/bench/ShardBench.kt
@@ -1,5 +1,6 @@
 package io.jackdawring.load.bench
 
+import io.jackdawring.core.PauseGuard
 import io.jackdawring.core.TargetId
 import io.jackdawring.core.shard.Admission
 import io.jackdawring.core.shard.JobId
@@ -82,7 +83,7 @@
 ) {
     private val random = Random(SEED)
     private val effects = ScriptedTargets(targets)
-    private val dispatcher = ShardDispatcher.Factory.Default.create(shardOptions(), effects)
+    private val dispatcher = ShardDispatcher.Factory.Default.create(shardOptions(), effects, PauseGuard())
     private var jobs = 0L
     private var ends = 0L
     private var runningTasks = 1
--- a/testing/src/main/kotlin/io/jackdawring/testing/shard/FakeShard.kt
+++ b/testing/src/main/kotlin/io/jackdawring/testing/shard/FakeShard.kt
@@ -1,5 +1,6 @@
 package io.jackdawring.testing.shard
 
+import io.jackdawring.core.PauseGuard
 import io.jackdawring.core.shard.Admission
 import io.jackdawring.core.shard.DurableJob
 import io.jackdawring.core.shard.EndedRun
@@ -32,7 +33,8 @@
     val targets: List<FakeShardTarget>,
 ) {
     private inner class Holder : ShardEffects {
-        val dispatcher = ShardDispatcher.Factory.Default.create(shardOptions(), this)
+        val pauses = PauseGuard()
+        val dispatcher = ShardDispatcher.Factory.Default.create(shardOptions(), this, pauses)
         var alive = true
 
         private fun target(registration: ShardTarget) = targets.first { it.registration.id == registration.id }
@@ -256,7 +258,10 @@
             schedule(pausedUntilMillis - nowMillis + 1, ::tick)
             return
         }
-        if (holder.alive) holder.dispatcher.tick(nowMillis)
+        if (holder.alive) {
+            holder.pauses.onTick(nowMillis)
+            holder.dispatcher.tick(nowMillis)
+        }
         schedule(TICK_MILLIS, ::tick)
     }
 
--- a/testing/src/test/kotlin/io/jackdawring/testing/shard/RunOverlapTest.kt
+++ b/testing/src/test/kotlin/io/jackdawring/testing/shard/RunOverlapTest.kt
@@ -1,5 +1,6 @@
 package io.jackdawring.testing.shard
 
+import io.jackdawring.core.shard.JobId
 import io.jackdawring.core.shard.JobOutcome
 import io.jackdawring.testing.shard.FakeShard.Companion.job
 import org.junit.jupiter.api.DynamicTest
@@ -82,6 +83,26 @@
                 shard.expire(waiter)
                 shard.assertNothingRuns(100)
             },
+            // Guards against a paused holder that starts a task whose caller has sent the job again.
+            Row("the holder is paused beyond the deadline of a waiting job: nothing of it starts") {
+                val shard = shard(count = 1)
+                shard.submit(job("a", tasks = 2, estimateMillis = 200), remainingMillis = 10_000)
+                shard.runFor(20)
+                shard.submit(job("b", tasks = 2, estimateMillis = 900), remainingMillis = 1_500)
+                shard.pauseHolder(2_000)
+                shard.runFor(2_500)
+                assertEquals(emptyList(), shard.starts.filter { it.first.jobId == JobId("b") })
+            },
+            // Guards against a paused holder that starts a job before it learns that the caller has gone.
+            Row("the holder is paused and reads a job and its cancellation afterwards: nothing of it starts") {
+                val shard = shard()
+                shard.pauseHolder(2_000)
+                shard.runFor(2_000)
+                val waiter = shard.submit(job("a"))
+                shard.withdraw(waiter)
+                shard.runFor(500)
+                assertEquals(emptyList(), shard.starts)
+            },
         )
 
     @TestFactory
