Reset the connection of an aborted request

What callers saw: two runs of one task at a time. A request that a cut of the network holds up is aborted by its sender after its time-out, arrives when the cut has healed, and is carried out then: a job that its caller has sent again elsewhere, or a start whose task has started elsewhere.

Cause: an aborted request closed its connection in the orderly way, which makes the network go on delivering what was written before the close.

RealHttpClientTest failed before: after a time-out and after a cancellation, the receiver saw the end of the stream and not a reset.

Change: SO_LINGER 0 before closing a connection with a request in progress, which drops what is unsent.

--- a/server/src/main/kotlin/io/jackdawring/server/http/HttpClientConnection.kt
+++ b/server/src/main/kotlin/io/jackdawring/server/http/HttpClientConnection.kt
@@ -1,9 +1,12 @@
 package io.jackdawring.server.http
 
+import io.github.oshai.kotlinlogging.KotlinLogging
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
+import io.netty.channel.ChannelException
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.channel.ChannelOption
 import io.netty.handler.codec.http.DefaultFullHttpRequest
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpDecoderConfig
@@ -18,6 +21,8 @@
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
 
+private val logger = KotlinLogging.logger("io.jackdawring.http")
+
 /** One connection of an [HttpConnectionPool] with at most one request at a time. */
 internal class HttpClientConnection(
     private val pool: HttpConnectionPool,
@@ -126,6 +131,7 @@
     ) {
         closing = true
         val failed = detachCall()
+        if (failed != null) discardUnsentBytes()
         channel.close()
         val written = writeObserver.bytesWritten
         failed?.complete(
@@ -133,6 +139,16 @@
         )
     }
 
+    /** Makes closing reset the connection, so that a request that the network holds up does not arrive later. */
+    private fun discardUnsentBytes() {
+        if (!channel.isOpen) return
+        try {
+            channel.config().setOption(ChannelOption.SO_LINGER, 0)
+        } catch (e: ChannelException) {
+            logger.debug { "connection to $address is closed without a reset: ${e.message}" }
+        }
+    }
+
     private fun detachCall(): PendingHttpCall? {
         val detached = call
         call = null
--- a/server/src/test/kotlin/io/jackdawring/server/http/RealHttpClientTest.kt
+++ b/server/src/test/kotlin/io/jackdawring/server/http/RealHttpClientTest.kt
@@ -1,14 +1,18 @@
 package io.jackdawring.server.http
 
 import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.DynamicTest
+import org.junit.jupiter.api.TestFactory
 import java.net.InetAddress
 import java.net.ServerSocket
+import java.net.SocketException
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertFailsWith
 import kotlin.test.assertIs
 import kotlin.test.assertTrue
 
@@ -70,6 +74,33 @@
         assertIs<HttpResult.NoResponse>(first.get(20, TimeUnit.SECONDS))
     }
 
+    /** Guards against an aborted request that arrives later, when its sender has acted as if it had not. */
+    @TestFactory
+    fun `an aborted request resets its connection`() =
+        listOf<Pair<String, (HttpCall) -> Unit>>("a time-out" to { }, "a cancelled call" to HttpCall::cancel)
+            .map { (name, abort) ->
+                DynamicTest.dynamicTest(name) {
+                    ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { listener ->
+                        val result = CompletableFuture<HttpResult>()
+                        val request = HttpRequestMessage("POST", "/x", body = "abc".encodeToByteArray())
+                        val address = "127.0.0.1:${listener.localPort}"
+                        val call =
+                            transport.client().send(
+                                address,
+                                request,
+                                timeoutMillis = 1_000,
+                            ) { result.complete(it) }
+                        listener.accept().use { connection ->
+                            val input = connection.getInputStream()
+                            repeat(5) { input.read() }
+                            abort(call)
+                            assertIs<HttpResult.NoResponse>(result.get(20, TimeUnit.SECONDS))
+                            assertFailsWith<SocketException> { while (input.read() >= 0) Unit }
+                        }
+                    }
+                }
+            }
+
     @Test
     fun `a response that arrived while the event loop was busy past the timeout is delivered`() {
         val busyTransport = HttpTransport(threads = 1)
