Let the fleet model reset aborted requests and detect pauses

The components of an entry instance take a PauseGuard now, and an aborted request that a cut holds up is dropped.

--- a/fleet/src/test/kotlin/io/jackdawring/fleet/model/FakeEntryInstance.kt
+++ b/fleet/src/test/kotlin/io/jackdawring/fleet/model/FakeEntryInstance.kt
@@ -2,6 +2,7 @@
 
 import io.jackdawring.core.FailureDomainId
 import io.jackdawring.core.InstanceId
+import io.jackdawring.core.PauseGuard
 import io.jackdawring.core.fleet.FleetMember
 import io.jackdawring.core.fleet.ShardId
 import io.jackdawring.core.shard.ShardTarget
@@ -33,6 +34,7 @@
 ) {
     val process = FakeProcess(fleet.clock)
     private val self = FleetMember(InstanceId(id), "$id-$incarnation", FailureDomainId(domain), id, weight)
+    private val pauses = PauseGuard { UNIX_MILLIS + fleet.clock.nowMillis }
     private val store = FakeStoreClient(id, process, fleet.store, fleet.links, fleet.clock, fleet.random)
     private val metrics = FleetMetrics()
     private val directory = FleetDirectory()
@@ -55,6 +57,7 @@
             loads,
             metrics,
             { UNIX_MILLIS + fleet.clock.nowMillis },
+            pauses,
             ::targetsOf,
             ::updateTargetWatch,
         )
@@ -64,7 +67,7 @@
     private val registration = MemberRegistration(self, store, process, fleetMirror::applyIfNewer)
     private val peerApi =
         PeerApi(self.incarnation, shards, process, loads, gossip::itemsNewerThan, peerHealth::onPeerRequest)
-    val relay = JobRelay(process, shardClient, metrics)
+    val relay = JobRelay(process, shardClient, metrics, pauses)
     var draining = false
         private set
 
@@ -77,6 +80,10 @@
         fleet.network.listen(id, process, peerApi::handle)
         fleetMirror.start()
         process.repeatEvery(PeerHealthMonitor.PING_INTERVAL_MILLIS, ::runRound)
+        process.repeatEvery(PAUSE_TICK_MILLIS) {
+            pauses.onTick(process.nowMillis())
+            true
+        }
     }
 
     private fun runRound(): Boolean {
@@ -115,6 +122,7 @@
 
     private companion object {
         const val UNIX_MILLIS = 1_700_000_000_000L
+        const val PAUSE_TICK_MILLIS = 100L
         const val TARGET_BATCH_DELAY_MILLIS = 400L
     }
 }
--- a/fleet/src/test/kotlin/io/jackdawring/fleet/model/FakePeerNetwork.kt
+++ b/fleet/src/test/kotlin/io/jackdawring/fleet/model/FakePeerNetwork.kt
@@ -80,6 +80,8 @@
         }
 
         private fun onConnected() {
+            // The client has reset the connection, which discards what a cut has held up.
+            if (completed) return
             val listening = servers[to]
             if (listening == null || !listening.process.alive) {
                 links.transmit(to, from) { client.receive { complete(HttpResult.NotSent("refused")) } }
