Count a run that ended late as a start of its job

What callers saw: jobs that get no answer until their deadline at a holder where another job arrived again after its target's answers were lost; and possibly 503 for a job of which a task has run.

Cause: an ended run of an earlier submission completed the first task of a job that waits as a late one, but the job still counted as not started. The check for late jobs then looked up a task that waits no more, and threw in each tick; the rest of the tick was skipped.

Evidence: ResentJobTest, a run of an earlier submission that is listed late: NoSuchElementException in each tick before.

Change: such an end marks the job as started, so that it is neither checked nor refused as one that has not run.

--- a/core/src/main/kotlin/io/jackdawring/core/shard/JobLifecycle.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/JobLifecycle.kt
@@ -200,6 +200,7 @@
         end: EndedRun,
         nowMillis: Long,
     ) {
+        task.job.started = true
         if (task.spec.longRunning) return
         if (end.ending == EndedRun.Ending.DONE) {
             completeLate(task, nowMillis)
