Count unclaimed runs from the last holder that took in jobs

What callers saw: as with one change of the holder: two runs of one task at a time, where two holders fail one after the other within a second.

Cause: each successor counted the time for unclaimed runs from when it had last seen its direct predecessor, which may itself have taken the shard over a moment ago and kept the run of the holder before.

ShardElectionTest has the rows.

Change: a holder that is followed within 1.3 s does not count; the one before it does.

--- a/core/src/main/kotlin/io/jackdawring/core/fleet/ShardElection.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/fleet/ShardElection.kt
@@ -25,7 +25,16 @@
             heardFrom && consecutiveRefusals == 0 && nowMillis - lastHeardMillis < SUSPECT_AFTER_MILLIS
     }
 
+    /** A holder of a shard, and when its predecessor was last known to hold the shard. */
+    private class Succession(
+        val revision: Long,
+        val holder: InstanceId,
+        val sinceMillis: Long,
+        val predecessorSeenAtMillis: Long?,
+    )
+
     private val memberStates = HashMap<InstanceId, MemberState>()
+    private val successions = HashMap<ShardId, Succession>()
     private val vacantSince = HashMap<ShardId, Long>()
     private val nextAttempt = HashMap<ShardId, Long>()
 
@@ -40,8 +49,33 @@
         if (holds) memberState.lastHoldingMillis = nowMillis
     }
 
-    /** Time of the last reply in which [instanceId] held the shards assigned to it; null if there was none. */
-    fun lastHoldingMillis(instanceId: InstanceId): Long? = memberStates[instanceId]?.lastHoldingMillis
+    /** Records the holder of a shard according to the store. */
+    fun onHolder(
+        holding: ShardHolding,
+        nowMillis: Long,
+    ) {
+        val known = successions[holding.shardId]
+        if (known != null && holding.revision <= known.revision) return
+        val seenAtMillis = lastSeenMillis(holding.shardId, nowMillis)
+        val holder = holding.holder.instanceId
+        successions[holding.shardId] = Succession(holding.revision, holder, nowMillis, seenAtMillis)
+    }
+
+    /**
+     * Time at which the last holder of [shardId] that took in jobs was known to hold it; null if that is not known.
+     *
+     * That is not the current holder if it took the shard over a moment ago and may still have runs that no job has
+     * claimed.
+     */
+    fun lastSeenMillis(
+        shardId: ShardId,
+        nowMillis: Long,
+    ): Long? {
+        val succession = successions[shardId] ?: return null
+        val isRecent = nowMillis - succession.sinceMillis < RECENT_MILLIS
+        val predecessorSeenAt = succession.predecessorSeenAtMillis.takeIf { isRecent }
+        return predecessorSeenAt ?: memberStates[succession.holder]?.lastHoldingMillis
+    }
 
     /** Records a request from [instanceId], which shows that it is alive. */
     fun onPeerRequest(
@@ -163,6 +197,9 @@
         /** Three missed pings, which are sent every 150 ms. */
         private const val SUSPECT_AFTER_MILLIS = 450L
 
+        /** Time in which a new holder has stopped the runs that no job has claimed. */
+        private const val RECENT_MILLIS = 1_300L
+
         /** A single refusal may come from a process that is just restarting. */
         private const val REFUSALS_FOR_SUSPICION = 2
 
--- a/core/src/test/kotlin/io/jackdawring/core/fleet/ShardElectionTest.kt
+++ b/core/src/test/kotlin/io/jackdawring/core/fleet/ShardElectionTest.kt
@@ -151,4 +151,50 @@
                 assertEquals(expected, election.successors(members, 100).map { it.instanceId.value })
             }
         }
+
+    private class SeenRow(
+        val name: String,
+        val atMillis: Long,
+        val expectedMillis: Long?,
+        val events: ShardElection.() -> Unit,
+    )
+
+    private val seenRows =
+        listOf(
+            SeenRow("no holder is known", 1_000, null) {},
+            SeenRow("a holder that never answered", 1_000, null) { onHolder(heldBy(members[0]), 0) },
+            SeenRow("a holder that answered", 1_000, 300) {
+                onHolder(heldBy(members[0]), 0)
+                onHeartbeat(InstanceId("e1"), true, 300)
+            },
+            SeenRow("a restarted holder that denies it", 1_000, 300) {
+                onHolder(heldBy(members[0]), 0)
+                onHeartbeat(InstanceId("e1"), true, 300)
+                onHeartbeat(InstanceId("e1"), false, 900)
+            },
+            SeenRow("a successor that took over a moment ago", 1_200, 300) {
+                onHolder(heldBy(members[0]), 0)
+                onHeartbeat(InstanceId("e1"), true, 300)
+                onHolder(ShardHolding(shard, members[2], 8), 800)
+                onHeartbeat(InstanceId("e3"), true, 1_100)
+            },
+            SeenRow("a successor that took over some time ago", 3_000, 2_900) {
+                onHolder(heldBy(members[0]), 0)
+                onHeartbeat(InstanceId("e1"), true, 300)
+                onHolder(ShardHolding(shard, members[2], 8), 800)
+                onHeartbeat(InstanceId("e3"), true, 2_900)
+            },
+        )
+
+    /** Guards against a holder that keeps unclaimed runs of a predecessor because its successor was seen later. */
+    @TestFactory
+    fun `when the last holder that took in jobs was seen`() =
+        seenRows.map { row ->
+            DynamicTest.dynamicTest(row.name) {
+                assertEquals(
+                    row.expectedMillis,
+                    ShardElection(self).apply(row.events).lastSeenMillis(shard, row.atMillis),
+                )
+            }
+        }
 }
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/HeldShards.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/HeldShards.kt
@@ -82,6 +82,7 @@
 
     /** Releases shards for which the store names a newer holder. */
     fun onDirectoryChanged() {
+        directory.holdings.values.forEach { election.onHolder(it, loop.nowMillis()) }
         for (host in hosts.values.toList()) {
             val current = directory.holdings[host.holding.shardId] ?: continue
             if (current.revision <= host.holding.revision) continue
@@ -97,9 +98,11 @@
     private fun claimFrom(
         id: ShardId,
         previous: ShardHolding?,
-    ) = claim(id, previous?.revision ?: 0) { taken ->
-        val seenAt = previous?.let { election.lastHoldingMillis(it.holder.instanceId) }
-        if (taken && seenAt != null) hosts[id]?.onPreviousHolderSeen(seenAt)
+    ) {
+        val seenAt = election.lastSeenMillis(id, loop.nowMillis())
+        claim(id, previous?.revision ?: 0) { taken ->
+            if (taken && seenAt != null) hosts[id]?.onPreviousHolderSeen(seenAt)
+        }
     }
 
     private fun claim(
