Let shard test doubles crash targets and change their capacity

Adds tasks that crash every target that starts them, targets that start whatever they are told, with a check of each such start against the capacity that the holder was told of, targets that take time to stop a run, and targets whose capacity changes while their holder learns of it later.

--- a/testing/src/main/kotlin/io/jackdawring/testing/shard/FakeShard.kt
+++ b/testing/src/main/kotlin/io/jackdawring/testing/shard/FakeShard.kt
@@ -2,7 +2,6 @@
 
 import io.jackdawring.core.shard.Admission
 import io.jackdawring.core.shard.DurableJob
-import io.jackdawring.core.shard.EndedRun
 import io.jackdawring.core.shard.JobId
 import io.jackdawring.core.shard.JobOutcome
 import io.jackdawring.core.shard.JobRequest
@@ -27,7 +26,12 @@
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.toImmutableList
 
-/** Shard with holder, store and targets on virtual time; checks every millisecond that no task runs twice at a time. */
+/**
+ * Shard with holder, store and targets on virtual time.
+ *
+ * It checks every millisecond that no task runs twice at a time, and each start at a target that does not guard its
+ * capacity.
+ */
 class FakeShard(
     val targets: List<FakeShardTarget>,
 ) {
@@ -44,8 +48,9 @@
             if (!alive) return
             starts.add(request.task to target.id.value)
             val fake = target(target)
+            val knownCapacity = capacities.knownCapacity(target.id)
             schedule(LATENCY_MILLIS) {
-                val result = deliver(fake, request)
+                val result = deliver(fake, request, knownCapacity)
                 if (result != null && !fake.mode.answersNothing) {
                     schedule(LATENCY_MILLIS) { reply { it.onStart(target.id, request, result, nowMillis) } }
                 } else {
@@ -59,18 +64,30 @@
         private fun deliver(
             fake: FakeShardTarget,
             request: StartRequest,
+            knownCapacity: Resources,
         ): StartResult? {
-            if (fake.mode == FakeShardTarget.Mode.SILENT) return null
+            if (fake.mode == FakeShardTarget.Mode.SILENT) {
+                crashes.onUndelivered(fake.registration.id, request.task)
+                return null
+            }
             if (nowMillis < fake.startingUntilMillis) return StartResult.NotSent("refused")
             val step = stepOf(request.task)
-            check(
-                request.task !in acknowledgedDone || step.longRunning,
-            ) { "${request.task} starts again after its completion was acknowledged" }
-            val savedBy = request.checkpoint?.let(FakeShardTarget::attemptOf) ?: 0
-            check(
-                savedBy >= (acknowledgedCheckpoints[request.task] ?: 0),
-            ) { "${request.task} resumes from attempt $savedBy, older than the acknowledged checkpoint" }
-            return fake.start(request, step, actualMillis[request.task] ?: step.estimateMillis, nowMillis)
+            acknowledged.checkStart(request, step)
+            capacities.checkStart(fake, step, knownCapacity, nowMillis)
+            val result = fake.start(request, step, actualMillis[request.task] ?: step.estimateMillis, nowMillis)
+            return if (result is StartResult.Accepted) onStarted(fake, request.task, result) else result
+        }
+
+        /** The target's answer to a start of [task], or null if the task crashes the target before that. */
+        private fun onStarted(
+            fake: FakeShardTarget,
+            task: TaskKey,
+            result: StartResult.Accepted,
+        ): StartResult? {
+            crashes.onStarted(task)
+            val delayMillis = crashes.delayMillis(task) ?: return result
+            schedule(delayMillis) { if (task in fake.runs) restart(fake, crashes.downMillis) }
+            return result.takeIf { delayMillis > 0 }
         }
 
         override fun stop(
@@ -137,15 +154,10 @@
                     if (isHolder) request else request.copy(acknowledgedEnd = 0, leaseUntilMillis = null),
                     nowMillis,
                 )
-            fake.takeAcknowledgedEnds().filter { it.task.jobId in stored }.forEach(::onEndAcknowledged)
+            fake.takeAcknowledgedEnds().filter { it.task.jobId in stored }.forEach(acknowledged::add)
             return seen
         }
 
-        private fun onEndAcknowledged(end: EndedRun) {
-            if (end.ending == EndedRun.Ending.DONE) acknowledgedDone.add(end.task)
-            if (end.checkpoint != null) acknowledgedCheckpoints.merge(end.task, end.attempt, ::maxOf)
-        }
-
         override fun save(
             jobId: JobId,
             snapshot: () -> JobSnapshot,
@@ -204,13 +216,13 @@
 
     /** Actual durations of tasks at speed 1, where they differ from the declared ones. */
     val actualMillis = HashMap<TaskKey, Long>()
-    private val jobs = HashMap<JobId, JobSpec>()
 
-    /** Tasks of durable jobs whose completion was acknowledged. */
-    private val acknowledgedDone = HashSet<TaskKey>()
+    /** Tasks that crash their targets, and the crashes so far. */
+    val crashes = CrashingTasks()
+    private val capacities = CapacityChecker()
+    private val jobs = HashMap<JobId, JobSpec>()
 
-    /** Highest attempts of tasks of durable jobs that had saved a checkpoint when their end was acknowledged. */
-    private val acknowledgedCheckpoints = HashMap<TaskKey, Int>()
+    private val acknowledged = AcknowledgedEnds()
 
     /** Durable jobs as stored. */
     val stored = LinkedHashMap<JobId, DurableJob>()
@@ -225,7 +237,7 @@
     private var holder = Holder()
 
     init {
-        holder.dispatcher.updateTargets(targets.map { it.registration }.toImmutableList(), nowMillis)
+        list(targets.map { it.registration })
         holder.dispatcher.recover(persistentListOf(), attemptBase = 0, nowMillis)
         tick()
     }
@@ -252,7 +264,7 @@
         val known = holder.dispatcher.knownTargets()
         holder.alive = false
         holder = Holder()
-        holder.dispatcher.updateTargets(listed.map { it.registration }.toImmutableList(), nowMillis)
+        list(listed.map { it.registration })
         if (handOver) holder.dispatcher.inherit(known, nowMillis)
         val reader = holder
         val attemptBase = ++holders * ATTEMPTS_PER_HOLDER
@@ -262,9 +274,24 @@
     }
 
     /** Restarts [target], which refuses connections while it starts. */
-    fun restart(target: FakeShardTarget) {
+    fun restart(
+        target: FakeShardTarget,
+        downMillis: Long = RESTART_MILLIS,
+    ) {
+        crashes.onCrash(target.registration.id, target.runs.keys.toSet())
         target.restart()
-        target.startingUntilMillis = nowMillis + RESTART_MILLIS
+        target.startingUntilMillis = nowMillis + downMillis
+    }
+
+    /** Changes the capacity of [target]; the holder learns of it [delayMillis] later. */
+    fun resize(
+        target: FakeShardTarget,
+        capacity: Resources,
+        delayMillis: Long,
+    ) {
+        target.resize(capacity)
+        val registrations = targets.map { it.registration }
+        schedule(delayMillis) { list(registrations) }
     }
 
     /** Stores [job] and submits it to the holder. */
@@ -315,7 +342,10 @@
     fun withdraw(waiter: WaiterId) = holder.dispatcher.withdraw(waiter, nowMillis)
 
     /** Lists only [listed] as targets. */
-    fun list(listed: List<ShardTarget>) = holder.dispatcher.updateTargets(listed.toImmutableList(), nowMillis)
+    fun list(listed: List<ShardTarget>) {
+        capacities.onListed(listed)
+        holder.dispatcher.updateTargets(listed.toImmutableList(), nowMillis)
+    }
 
     fun runFor(millis: Long) {
         repeat(millis.toInt()) {
--- a/testing/src/main/kotlin/io/jackdawring/testing/shard/FakeShardTarget.kt
+++ b/testing/src/main/kotlin/io/jackdawring/testing/shard/FakeShardTarget.kt
@@ -18,12 +18,15 @@
 /** Target on virtual time that implements leases, attempt numbers and lists of ended runs like a real one. */
 class FakeShardTarget(
     id: String,
-    val capacity: Resources = Resources(32_000, 65_536),
+    capacity: Resources = Resources(32_000, 65_536),
     /** Speed relative to the declared durations. */
     val speed: Double = 1.0,
     labels: Set<String> = emptySet(),
+    /** Whether starts that exceed the capacity are rejected. */
+    val guardsCapacity: Boolean = true,
 ) {
-    val registration =
+    /** The target's description of itself; its holder learns of changes later. */
+    var registration =
         ShardTarget(
             TargetId(id),
             "orders",
@@ -33,6 +36,15 @@
             persistentSetOf<String>().addAll(labels),
             draining = false,
         )
+        private set
+
+    /** Changes the capacity; runs that exceed it continue. */
+    fun resize(capacity: Resources) {
+        registration = registration.copy(capacity = capacity)
+    }
+
+    /** What the runs leave of [capacity]. */
+    internal fun freeOf(capacity: Resources): Resources = runs.values.fold(capacity) { free, run -> free - run.demand }
 
     /** How the target handles requests and runs. */
     var mode = Mode.HEALTHY
@@ -46,6 +58,9 @@
     /** Delay of the next poll, as if its connection were slow to open. */
     var firstPollDelayMillis = 0L
 
+    /** Time that the target takes to stop a run. */
+    var stopMillis = 0L
+
     /** Additional delay of the answers to polls, as if the holder were slow to read them. */
     var answerDelayMillis = 0L
 
@@ -60,6 +75,8 @@
         val restoredMillis: Long,
         val checkpointing: Boolean,
     ) {
+        /** Time at which a requested stop takes effect; null without a request. */
+        var stopsAtMillis: Long? = null
         var saved = if (restoredMillis > 0) checkpoint(key, attempt, restoredMillis) else null
 
         fun save(
@@ -103,12 +120,12 @@
         nowMillis: Long,
     ): StartResult {
         val clock = nowMillis + clockOffsetMillis
-        val free = runs.values.fold(capacity) { free, run -> free - run.demand }
+        val hasRoom = !guardsCapacity || step.demand.fitsInto(freeOf(registration.capacity))
         val rejection =
             when {
                 request.leaseUntilMillis < clock -> StartResult.Reason.LATE
                 request.attempt <= (endedAttempts[request.task] ?: 0) -> StartResult.Reason.OLD_ATTEMPT
-                !step.demand.fitsInto(free) -> StartResult.Reason.NO_ROOM
+                !hasRoom -> StartResult.Reason.NO_ROOM
                 else -> null
             }
         if (rejection != null) return StartResult.Rejected(rejection, clock)
@@ -145,6 +162,14 @@
     ) {
         endedAttempts.merge(task, attempt, ::maxOf)
         val run = runs[task]?.takeIf { it.attempt <= attempt } ?: return
+        if (run.stopsAtMillis == null) run.stopsAtMillis = nowMillis + stopMillis
+        if (stopMillis == 0L) endStopped(run, nowMillis)
+    }
+
+    private fun endStopped(
+        run: Run,
+        nowMillis: Long,
+    ) {
         run.save(nowMillis, speed)
         end(run, EndedRun.Ending.STOPPED)
     }
@@ -180,6 +205,7 @@
             }
             when {
                 nowMillis + clockOffsetMillis > leaseUntilMillis -> end(run, EndedRun.Ending.LAPSED)
+                run.stopsAtMillis?.let { nowMillis >= it } == true -> endStopped(run, nowMillis)
                 nowMillis >= run.endsAtMillis ->
                     end(
                         run,
