Fail durable jobs whose task crashes its targets

What callers saw: a task that crashes every target that starts it was started again and again, on one target after the other, for as long as its job was open. A durable job has no deadline, so that nothing ended it, and the jobs beside it lost their runs each time and stayed open.

Cause: a run that is lost with its target put the task back into the queue, and nothing counted how often. Only ends as failed are counted, and stored for a later holder.

Ruled out: counting each run that is lost with a silent target. Five targets that are cut off in a row would fail a sound job.

Change: a run that is lost with its target is a suspected crash. The target's next answer proves it, if it comes from another incarnation, or drops it. At three proven crashes the job fails. From the second crash on, suspected or proven, the next start waits for the answers of the lost targets, up to 2.5 s at first, and then prefers a target without other runs and gets no others beside it for a second, so that no sound task is lost with it or suspected with it. A task that a target survived for 5 s is not suspected, so that long-running tasks outlive any number of crashes that happen later. A draining target that leaves is no crash.

Suspected and proven crashes are part of the stored progress, as are the runs of suspected tasks and those on a target that has just fallen silent, so that a later holder decides about them by its own polls. Records without the new field decode as before.

DurableJobFuzzTest accepts a failed job only with failed runs; it now also accepts one if FakeShard has seen three targets crash that had, or may have had, a run of one of its tasks.

--- a/core/src/main/kotlin/io/jackdawring/core/shard/JobLifecycle.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/JobLifecycle.kt
@@ -1,5 +1,7 @@
 package io.jackdawring.core.shard
 
+import io.jackdawring.core.TargetId
+
 /** Manages the open jobs of a shard: queues their tasks, handles the ends of their runs and answers their waiters. */
 internal class JobLifecycle(
     options: ShardOptions,
@@ -10,6 +12,7 @@
     val waiting = WaitingTasks(::latestStartMillis)
     val previousRuns = PreviousHolderRuns(control, options.outcomeRetentionMillis)
     val durable = DurableJobs(effects, control)
+    private val crashes = CrashTracker(effects, ::onCrashProven)
 
     /** Open jobs that are not durable. */
     private val jobs = LinkedHashMap<JobId, TrackedJob>()
@@ -89,14 +92,34 @@
     ) {
         val progressChanged = previousRuns.claim(job)
         val exhausted = job.tasks().firstOrNull { it.failures >= job.spec.maxAttempts }
+        val crashing = job.tasks().firstOrNull { it.crashes.isExhausted && !it.done }
         if (exhausted != null) {
             failTask(exhausted, nowMillis)
+        } else if (crashing != null) {
+            failCrashing(crashing, nowMillis)
         } else {
             if (progressChanged) saveProgress(job)
             advance(job, nowMillis)
         }
     }
 
+    /** Applies the crashes of targets that previous holders stored for the tasks of [job]. */
+    fun restoreCrashes(
+        job: TrackedJob,
+        progress: JobProgress,
+        nowMillis: Long,
+    ) {
+        for (task in job.tasks()) {
+            val known = progress.crashes[job.progressKey(task)] ?: continue
+            crashes.restore(task, known, nowMillis, control::incarnationOf)
+        }
+    }
+
+    /** Stores a start of a task that may crash its target, so that a later holder knows of the run if it does. */
+    fun onStarted(task: TrackedTask) {
+        if (!task.crashes.isEmpty) saveProgress(task.job)
+    }
+
     private fun saveProgress(job: TrackedJob) {
         // The last progress is stored together with the end of the job.
         if (job.isDurable && !job.isComplete) durable.saveProgress(job)
@@ -159,11 +182,44 @@
         task.avoidedTarget = run.target
         if (task.done || !isOpen(task.job)) return
         effects.report(ShardDecision.RunLost(run.key, run.attempt, run.target.id, reason))
-        if (run.checkpoint != null) saveProgress(task.job)
+        if (run.checkpoint != null || !task.crashes.isEmpty) saveProgress(task.job)
         if (task.spec.longRunning) task.delayStart(nowMillis - run.sentAtMillis, nowMillis)
         requeue(task)
     }
 
+    override fun onAtRisk(run: TrackedRun) {
+        val task = run.owner ?: return
+        // A holder that is replaced before it knows more leaves the suspicion to the next one.
+        if (!run.isSound && !task.done && isOpen(task.job)) saveProgress(task.job)
+    }
+
+    override fun onTargetLost(
+        run: TrackedRun,
+        nowMillis: Long,
+    ) {
+        val task = run.owner ?: return
+        if (task.done || !isOpen(task.job)) return
+        val hadCrashes = !task.crashes.isEmpty
+        crashes.suspect(run, nowMillis)
+        if (hadCrashes && task.crashes.isEmpty) saveProgress(task.job)
+    }
+
+    override fun onAnswered(
+        target: TargetId,
+        incarnationStartMillis: Long?,
+        nowMillis: Long,
+    ) = crashes.onAnswered(target, incarnationStartMillis, nowMillis)
+
+    private fun onCrashProven(
+        task: TrackedTask,
+        nowMillis: Long,
+    ) {
+        if (task.done || !isOpen(task.job)) return
+        // Until the ended runs of previous holders are applied, the task may be done, and progress must not be stored.
+        if (previousRuns.isAwaitingRecovery(task.job.spec.id)) return
+        if (task.crashes.isExhausted) failCrashing(task, nowMillis) else saveProgress(task.job)
+    }
+
     /** Queues the task again unless a speculative copy of it still runs. */
     private fun requeue(task: TrackedTask) {
         if (task.runs.isEmpty()) waiting.add(task)
@@ -227,6 +283,15 @@
         nowMillis: Long,
     ) = fail(task.job, "task ${task.key.step}.${task.key.index} failed ${task.failures} times", nowMillis)
 
+    private fun failCrashing(
+        task: TrackedTask,
+        nowMillis: Long,
+    ) {
+        val crashed = task.crashes.provenCount
+        val reason = "$crashed targets crashed while running task ${task.key.step}.${task.key.index}"
+        fail(task.job, reason, nowMillis)
+    }
+
     private fun fail(
         job: TrackedJob,
         reason: String,
@@ -285,6 +350,7 @@
     fun removeExpired(nowMillis: Long) {
         outcomes.removeExpired(nowMillis)
         previousRuns.removeExpired(nowMillis)
+        crashes.removeExpired(nowMillis)
     }
 
     /** Answers every waiter with [JobOutcome.Moved] and drops all open jobs. */
--- a/core/src/main/kotlin/io/jackdawring/core/shard/JobProgress.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/JobProgress.kt
@@ -7,7 +7,8 @@
  *
  * [done] has a bit set of completed tasks for each step, encoded as by [java.util.BitSet.toLongArray]. [failures]
  * maps "step.index" to the failed attempts of the task and omits tasks without any; [checkpoints] has the last
- * checkpoints of the unfinished tasks by the same key.
+ * checkpoints of the unfinished tasks by the same key. [crashes] has the crashes of targets under the unfinished tasks, and
+ * the present runs of these tasks as suspected ones.
  */
 @Serializable
 data class JobProgress(
@@ -15,4 +16,5 @@
     val done: List<List<Long>> = emptyList(),
     val failures: Map<String, List<Int>> = emptyMap(),
     val checkpoints: Map<String, Checkpoint> = emptyMap(),
+    val crashes: Map<String, List<TargetCrash>> = emptyMap(),
 )
--- a/core/src/main/kotlin/io/jackdawring/core/shard/Placement.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/Placement.kt
@@ -7,6 +7,7 @@
     private val durations: DurationEstimator,
     private val selector: TargetSelector,
     private val waiting: WaitingTasks,
+    private val onStarted: (TrackedTask) -> Unit,
 ) {
     /** The properties of a task that decide whether any target can take it. */
     private data class Requirements(
@@ -25,19 +26,21 @@
             if (candidates.isEmpty() || unmet.size == MAX_UNMET) return
             if (!task.spec.demand.fitsInto(free)) continue
             // A run from an earlier submission of the job may still be stopping.
-            if (control.isPresent(task.key) || nowMillis < task.earliestStartMillis) continue
+            if (control.isPresent(task.key) || !task.mayStart(nowMillis)) continue
             val requirements = Requirements(task.job.spec.service, task.spec.demand, task.spec.requiredLabel)
             if (requirements in unmet) continue
             control.cost.add(candidates.size)
             val target = selector.select(task, candidates, nowMillis)
             if (target == null) {
-                if (task.spec.maxPerTarget == null) unmet.add(requirements)
+                val runsAlone = task.crashes.runsAlone(nowMillis)
+                if (task.spec.maxPerTarget == null && !runsAlone) unmet.add(requirements)
                 continue
             }
             waiting.remove(task)
             task.job.started = true
             val expected = durations.onTargetMillis(task, target, options.offRackFactor).toLong()
             control.start(task, target, expected, nowMillis)
+            onStarted(task)
             candidates = candidates(nowMillis)
             free = largestFree(candidates)
         }
--- a/core/src/main/kotlin/io/jackdawring/core/shard/Preemption.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/Preemption.kt
@@ -30,6 +30,7 @@
             .onTime()
             .map { it to waiting.latestStartMillis(it) }
             .takeWhile { (_, latestStartMillis) -> latestStartMillis <= untilMillis }
+            .filter { (task, _) -> task.mayStart(nowMillis) }
             .filterNot { (task, _) -> task.hasPreempted || control.isPresent(task.key) || isTooLate(task, nowMillis) }
             .take(MAX_CONSIDERED)
             .forEach { (task, latestStartMillis) -> tryPreempt(task, latestStartMillis, nowMillis) }
--- a/core/src/main/kotlin/io/jackdawring/core/shard/RealShardDispatcher.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/RealShardDispatcher.kt
@@ -18,7 +18,7 @@
     private val selector = TargetSelector(lifecycle.durations, options.offRackFactor)
     private val forecast = CompletionForecast(lifecycle.durations, options, control.cost)
     private val admissionCheck = JobAdmissionCheck(control, selector, forecast, waiting)
-    private val placement = Placement(options, control, lifecycle.durations, selector, waiting)
+    private val placement = Placement(options, control, lifecycle.durations, selector, waiting, lifecycle::onStarted)
     private val preemption = Preemption(options, control, lifecycle.durations)
     private val copies = SpeculativeCopies(options, control, lifecycle.durations, selector)
     private val hangDetector = HangDetector(control)
@@ -155,6 +155,7 @@
             }
             val tracked = toTrackedJob(job, nowMillis)
             tracked.restore(job.progress, attemptBase)
+            lifecycle.restoreCrashes(tracked, job.progress, nowMillis)
             durable.add(tracked)
             lifecycle.previousRuns.add(tracked)
         }
--- a/core/src/main/kotlin/io/jackdawring/core/shard/RunListener.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/RunListener.kt
@@ -1,5 +1,7 @@
 package io.jackdawring.core.shard
 
+import io.jackdawring.core.TargetId
+
 /** Receives the ends of runs; a run is removed from its target before a method is called. */
 internal interface RunListener {
     fun onDone(
@@ -20,6 +22,22 @@
         nowMillis: Long,
     )
 
+    /** The target of [run] has been silent for a while, and may have crashed. */
+    fun onAtRisk(run: TrackedRun)
+
+    /** The target of [run] fell silent or restarted, and may have crashed; [onLost] follows. */
+    fun onTargetLost(
+        run: TrackedRun,
+        nowMillis: Long,
+    )
+
+    /** The target answered as the given incarnation, or another target answered at its address if that is null. */
+    fun onAnswered(
+        target: TargetId,
+        incarnationStartMillis: Long?,
+        nowMillis: Long,
+    )
+
     /** The target rejected the start request as invalid; retries cannot succeed. */
     fun onInvalid(
         run: TrackedRun,
--- a/core/src/main/kotlin/io/jackdawring/core/shard/ShardDecision.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/ShardDecision.kt
@@ -38,6 +38,14 @@
         val reason: String,
     ) : ShardDecision
 
+    /** A target crashed during a run of a task, as did [crashes] targets during runs of this task so far. */
+    data class TargetCrashed(
+        val task: TaskKey,
+        val attempt: Int,
+        val targetId: TargetId,
+        val crashes: Int,
+    ) : ShardDecision
+
     /** The holder's view of a target changed. */
     data class TargetChanged(
         val targetId: TargetId,
--- a/core/src/main/kotlin/io/jackdawring/core/shard/SpeculativeCopies.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/SpeculativeCopies.kt
@@ -20,6 +20,7 @@
         return task.spec.speculative &&
             !task.spec.longRunning &&
             task.runs.size == 1 &&
+            task.crashes.isEmpty &&
             run.state == TrackedRun.State.RUNNING &&
             nowMillis - run.sentAtMillis >= SLOW_FACTOR * run.expectedMillis + SLACK_MILLIS
     }
--- a/core/src/main/kotlin/io/jackdawring/core/shard/TargetControl.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/TargetControl.kt
@@ -133,7 +133,7 @@
             }
 
             StartResult.Reason.OTHER_INCARNATION -> {
-                forgetIncarnation(target, "another incarnation answered", nowMillis)
+                onOtherIncarnation(target, nowMillis)
                 return
             }
 
@@ -203,7 +203,7 @@
         when (result) {
             is PollResult.Snapshot -> onSnapshot(target, request, result, nowMillis)
             is PollResult.Fenced -> effects.fenced(target.registration)
-            is PollResult.OtherIncarnation -> forgetIncarnation(target, "another incarnation answered", nowMillis)
+            is PollResult.OtherIncarnation -> onOtherIncarnation(target, nowMillis)
             is PollResult.Unknown -> poller.markSilent(target, result.detail, nowMillis)
         }
         poller.poll(target, nowMillis)
@@ -231,6 +231,7 @@
         }
         snapshot.ended.forEach { applyEnd(target, it, nowMillis) }
         applyRunning(target, snapshot.running, nowMillis)
+        listener.onAnswered(target.id, snapshot.incarnationStartMillis, nowMillis)
     }
 
     private fun applyEnd(
@@ -300,6 +301,8 @@
     ) {
         run.recordCheckpoint(entry.checkpoint)
         run.listedByPollSentAtMillis = run.target.pollSentAtMillis
+        run.incarnationStartMillis = run.target.incarnationStartMillis
+        run.isAtRisk = false
         if (run.state == TrackedRun.State.UNCERTAIN) onAccepted(run, nowMillis)
         // A confirmed stop does not affect a start request that reaches the target later.
         val listedAfterStop =
@@ -312,11 +315,14 @@
         nowMillis: Long,
     ) {
         val provesEnd = run.target.pollSentAtMillis > run.listedAfterMillis
+        val isRestarted = run.incarnationStartMillis != run.target.incarnationStartMillis
         when (run.state) {
             TrackedRun.State.STARTING -> Unit
             TrackedRun.State.UNCERTAIN -> stopper.send(run, nowMillis)
-            TrackedRun.State.RUNNING -> if (provesEnd) markLost(run, "run no longer listed by the target", nowMillis)
-            TrackedRun.State.STOPPING -> if (provesEnd) markLost(run, run.stopReason ?: "run not started", nowMillis)
+            TrackedRun.State.RUNNING ->
+                if (provesEnd) markLost(run, "run no longer listed by the target", nowMillis, mayBeCrash = isRestarted)
+            TrackedRun.State.STOPPING ->
+                if (provesEnd) markLost(run, run.stopReason ?: "run not started", nowMillis, mayBeCrash = isRestarted)
         }
     }
 
@@ -332,6 +338,10 @@
         add(run)
     }
 
+    /** Incarnation of the target [id], or null unless the target answers. */
+    fun incarnationOf(id: TargetId): Long? =
+        registry[id]?.takeIf { it.contact == TrackedTarget.Contact.HELD }?.incarnationStartMillis
+
     /** Whether a run of [key] is, or may be, on a target. */
     fun isPresent(key: TaskKey): Boolean = index.find(key).isNotEmpty()
 
@@ -352,8 +362,9 @@
             if (target.contact != TrackedTarget.Contact.HELD && nowMillis >= target.leaseExpiresAtMillis) {
                 target.runs.values
                     .toList()
-                    .forEach { markLost(it, "lease of a silent target expired", nowMillis) }
+                    .forEach { markLost(it, "lease of a silent target expired", nowMillis, mayBeCrash = true) }
             }
+            checkSilence(target, nowMillis)
             target.runs.values
                 .toList()
                 .forEach { checkRun(it, nowMillis) }
@@ -362,6 +373,21 @@
         registry.forgetGone(nowMillis)
     }
 
+    private fun checkSilence(
+        target: TrackedTarget,
+        nowMillis: Long,
+    ) {
+        val isSilent = target.contact == TrackedTarget.Contact.SILENT
+        target.silentSinceMillis = if (isSilent) target.silentSinceMillis ?: nowMillis else null
+        val sinceMillis = target.silentSinceMillis ?: return
+        if (nowMillis - sinceMillis < CRASH_SUSPICION_MILLIS) return
+        for (run in target.runs.values) {
+            if (run.isAtRisk) continue
+            run.isAtRisk = true
+            listener.onAtRisk(run)
+        }
+    }
+
     private fun checkRun(
         run: TrackedRun,
         nowMillis: Long,
@@ -371,6 +397,14 @@
         stopper.sendAgain(run, nowMillis)
     }
 
+    private fun onOtherIncarnation(
+        target: TrackedTarget,
+        nowMillis: Long,
+    ) {
+        forgetIncarnation(target, "another incarnation answered", nowMillis)
+        listener.onAnswered(target.id, incarnationStartMillis = null, nowMillis)
+    }
+
     private fun forgetIncarnation(
         target: TrackedTarget,
         reason: String,
@@ -379,7 +413,7 @@
         resetIncarnation(target, reason)
         target.runs.values
             .toList()
-            .forEach { markLost(it, reason, nowMillis) }
+            .forEach { markLost(it, reason, nowMillis, mayBeCrash = true) }
     }
 
     private fun resetIncarnation(
@@ -419,8 +453,11 @@
         run: TrackedRun,
         reason: String,
         nowMillis: Long,
+        mayBeCrash: Boolean = false,
     ) {
         remove(run)
+        // A target that is draining may leave before its last runs end.
+        if (mayBeCrash && !run.target.registration.draining) listener.onTargetLost(run, nowMillis)
         if (run.owner != null) listener.onLost(run, run.stopReason ?: reason, nowMillis)
     }
 
@@ -433,5 +470,8 @@
     private companion object {
         /** Added to an attempt number that a target rejected as old, as after a resend of the job to another holder. */
         const val OLD_ATTEMPT_STEP = 3
+
+        /** Silence after which a target may have crashed; a single lost answer is repeated within it. */
+        const val CRASH_SUSPICION_MILLIS = 60L
     }
 }
--- a/core/src/main/kotlin/io/jackdawring/core/shard/TargetSelector.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/TargetSelector.kt
@@ -72,6 +72,8 @@
         ): Boolean =
             isUsable(target, nowMillis) &&
                 matches(target, task) &&
+                !target.isReserved(nowMillis) &&
+                (target.runs.isEmpty() || !task.crashes.runsAlone(nowMillis)) &&
                 (!target.health.isOnProbation || target.runs.isEmpty()) &&
                 task.spec.maxPerTarget?.let { limit -> runsOfStep(target, task) < limit } != false
 
--- a/core/src/main/kotlin/io/jackdawring/core/shard/TrackedJob.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/TrackedJob.kt
@@ -72,6 +72,11 @@
                 .mapNotNull { task ->
                     task.checkpoint?.let { progressKey(task) to it }
                 }.toMap(),
+            tasks()
+                .filterNot { it.done }
+                .map { progressKey(it) to crashes(it) }
+                .filter { (_, crashes) -> crashes.isNotEmpty() }
+                .toMap(),
         )
 
     /** Applies the progress that previous holders stored; new attempts are numbered above [attemptBase]. */
@@ -91,7 +96,13 @@
         started = progress.state == JobState.RUNNING || tasks().any { it.done || it.failures > 0 }
     }
 
+    /** Crashes under [task], and its present runs that may crash their targets: a later holder finds out. */
+    private fun crashes(task: TrackedTask): List<TargetCrash> {
+        val suspected = task.runs.filter { !it.isSound && (it.isAtRisk || !task.crashes.isEmpty) }
+        return task.crashes.toList() + suspected.mapNotNull { it.toSuspectedCrash() }
+    }
+
     private fun doneBits(tasks: List<TrackedTask>) = BitSet().apply { tasks.forEach { if (it.done) set(it.key.index) } }
 
-    private fun progressKey(task: TrackedTask) = "${task.key.step}.${task.key.index}"
+    fun progressKey(task: TrackedTask) = "${task.key.step}.${task.key.index}"
 }
--- a/core/src/main/kotlin/io/jackdawring/core/shard/TrackedRun.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/TrackedRun.kt
@@ -36,6 +36,12 @@
         owner?.recordCheckpoint(checkpoint)
     }
 
+    /** Incarnation of the target that has the run; it changes if a late start reaches the next incarnation. */
+    var incarnationStartMillis: Long? = target.incarnationStartMillis
+
+    /** The crash of the target under this run, or null if the incarnation that has the run is unknown. */
+    fun toSuspectedCrash(): TargetCrash? = incarnationStartMillis?.let { TargetCrash(attempt, target.id, it) }
+
     var state = State.STARTING
 
     /** Polls that are sent after this time list the run, unless it is over. */
@@ -44,6 +50,12 @@
     /** Time at which the last poll was sent whose answer lists the run. */
     var listedByPollSentAtMillis = Long.MIN_VALUE
 
+    /** Whether the target is known to have survived the run for so long that its start cannot crash it. */
+    val isSound: Boolean get() = listedByPollSentAtMillis >= sentAtMillis + SOUND_RUN_MILLIS
+
+    /** Whether the target has been silent for a while, so that it may have crashed. */
+    var isAtRisk = false
+
     /** Why a stop was requested; null while the run should continue. */
     var stopReason: String? = null
     var stopSentAtMillis = Long.MIN_VALUE
@@ -56,6 +68,9 @@
     private companion object {
         /** A run is always assumed to need at least another quarter of its expected duration. */
         const val MIN_REMAINING_DIVISOR = 4
+
+        /** Far above the time in which a task that crashes its targets does so. */
+        const val SOUND_RUN_MILLIS = 5_000L
     }
 
     /** What the holder knows about a run. */
--- a/core/src/main/kotlin/io/jackdawring/core/shard/TrackedTarget.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/TrackedTarget.kt
@@ -23,6 +23,9 @@
     /** Time since which the platform's target list lacks the target; null while the target is listed. */
     var unlistedSinceMillis: Long? = null
 
+    /** Time of the first tick at which the target was silent; null unless it is silent. */
+    var silentSinceMillis: Long? = null
+
     /** Sequence of the last ended run that was processed in the incarnation [incarnationStartMillis]. */
     var processedEnd = 0L
 
@@ -52,6 +55,9 @@
     /** Whether the target has runs that no job has claimed; it gets no starts until they are claimed or over. */
     val hasUnclaimedRuns: Boolean get() = runs.values.any { it.owner == null }
 
+    /** Run that must not have others beside it for a while after its start. */
+    private var isolatedRun: TrackedRun? = null
+
     var free = registration.capacity
         private set
 
@@ -64,14 +70,20 @@
 
     fun add(run: TrackedRun) {
         runs[run.key] = run
+        if (run.owner?.crashes?.isSuspicious == true) isolatedRun = run
         updateFree()
     }
 
     fun remove(run: TrackedRun) {
         if (runs[run.key] === run) runs.remove(run.key)
+        if (isolatedRun === run) isolatedRun = null
         updateFree()
     }
 
+    /** Whether no other run may start now, because a recent one may crash the target. */
+    fun isReserved(nowMillis: Long): Boolean =
+        isolatedRun?.let { nowMillis - it.sentAtMillis < ISOLATION_MILLIS } == true
+
     fun updateFree() {
         byFreeCpu.remove(this)
         free = runs.values.fold(registration.capacity) { left, run -> left - run.demand }
@@ -106,5 +118,8 @@
     private companion object {
         /** The platform's documentation gives live targets about two seconds to return to the list. */
         const val UNLISTED_GRACE_MILLIS = 2_500L
+
+        /** Time for which a run that may crash its target has no others started beside it. */
+        const val ISOLATION_MILLIS = 1_000L
     }
 }
--- a/core/src/main/kotlin/io/jackdawring/core/shard/TrackedTask.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/TrackedTask.kt
@@ -26,10 +26,15 @@
     var hangCount = 0
 
     /** Time before which a long-running task that ends repeatedly is not started. */
-    var earliestStartMillis = Long.MIN_VALUE
-        private set
+    private var earliestStartMillis = Long.MIN_VALUE
     private var earlyEndsInRow = 0
 
+    /** Crashes of targets under the runs of this task. */
+    val crashes = TaskCrashes()
+
+    /** Whether no delay holds back the next start. */
+    fun mayStart(nowMillis: Long): Boolean = nowMillis >= earliestStartMillis && !crashes.isHeld(nowMillis)
+
     /** Delays the next start of a long-running task; the delay doubles with each run that ended early. */
     fun delayStart(
         ranMillis: Long,
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/metrics/FleetMetrics.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/metrics/FleetMetrics.kt
@@ -36,6 +36,8 @@
     private val durableJobs =
         registry.counter("jackdawring_kept_jobs", "Changes of kept jobs at held shards, by new state.", "state")
     private val repeatedRuns = registry.counter("jackdawring_repeated_runs", "Runs that were over without a result.")
+    private val targetCrashes =
+        registry.counter("jackdawring_target_crashes", "Runs of open jobs during which their target crashed.")
     private val examinations =
         registry.counter(
             "jackdawring_decision_examinations",
@@ -76,6 +78,8 @@
 
     fun runRepeated() = repeatedRuns.inc()
 
+    fun targetCrashed() = targetCrashes.inc()
+
     fun decisionsExamined(count: Long) = examinations.inc(count)
 
     fun targetChanged(state: String) = targetChanges.labelValues(state).inc()
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/shard/DecisionLog.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/shard/DecisionLog.kt
@@ -21,6 +21,7 @@
             is ShardDecision.JobAnswered -> onAnswered(decision)
             is ShardDecision.DurableJobChanged -> onDurableJobChanged(decision)
             is ShardDecision.RunLost -> onLost(decision)
+            is ShardDecision.TargetCrashed -> onTargetCrashed(decision)
             is ShardDecision.TargetChanged -> onTargetChanged(decision)
         }
     }
@@ -71,6 +72,18 @@
         )
     }
 
+    private fun onTargetCrashed(decision: ShardDecision.TargetCrashed) {
+        metrics.targetCrashed()
+        log(
+            "target crashed during a run",
+            "job" to decision.task.jobId.value,
+            "task" to "${decision.task.step}.${decision.task.index}",
+            "attempt" to decision.attempt,
+            "target" to decision.targetId.value,
+            "crashes" to decision.crashes,
+        )
+    }
+
     private fun onTargetChanged(decision: ShardDecision.TargetChanged) {
         metrics.targetChanged(decision.state)
         log("target ${decision.state}", "target" to decision.targetId.value, "reason" to decision.reason)
--- a/testing/src/main/kotlin/io/jackdawring/testing/shard/CrashingTasks.kt
+++ b/testing/src/main/kotlin/io/jackdawring/testing/shard/CrashingTasks.kt
@@ -10,9 +10,13 @@
     /** Time for which a crashed target refuses connections. */
     var downMillis = 4_000L
 
+    /** Whether another target has the address of a crashed one afterwards. */
+    var replacesTargets = false
+
     /** Start requests that a target never received, by target; a holder cannot tell that they did not run. */
     private val undelivered = HashMap<TargetId, MutableSet<TaskKey>>()
     private val crashes = HashMap<TaskKey, Int>()
+    private val possibleCrashes = HashMap<TaskKey, Int>()
     private val startsSince = HashMap<TaskKey, Int>()
 
     /** Makes [task] crash its target [delayMillis] after each start; without a delay, the start is not answered. */
@@ -26,9 +30,12 @@
     /** Time from a start of [task] to the crash of its target; null if it does not crash targets. */
     internal fun delayMillis(task: TaskKey): Long? = delaysMillis[task]
 
-    /** Number of crashes of targets that ran, or may have run, [task] at the time. */
+    /** Number of crashes of targets that ran [task] at the time. */
     fun crashesUnder(task: TaskKey): Int = crashes[task] ?: 0
 
+    /** Number of crashes of targets that ran [task] at the time, or may have, as far as a holder can tell. */
+    fun possibleCrashesUnder(task: TaskKey): Int = possibleCrashes[task] ?: 0
+
     /** Number of starts of [task] after [BUDGET_CRASHES] targets had crashed while running it. */
     fun startsAfterBudget(task: TaskKey): Int = startsSince[task] ?: 0
 
@@ -46,9 +53,11 @@
     internal fun onCrash(
         target: TargetId,
         running: Set<TaskKey>,
+        unheardEnds: Set<TaskKey>,
     ) {
-        val affected = running + undelivered.remove(target).orEmpty()
-        affected.forEach { crashes.merge(it, 1, Int::plus) }
+        running.forEach { crashes.merge(it, 1, Int::plus) }
+        val possible = running + unheardEnds + undelivered.remove(target).orEmpty()
+        possible.forEach { possibleCrashes.merge(it, 1, Int::plus) }
     }
 
     companion object {
--- a/testing/src/main/kotlin/io/jackdawring/testing/shard/FakeShard.kt
+++ b/testing/src/main/kotlin/io/jackdawring/testing/shard/FakeShard.kt
@@ -71,6 +71,7 @@
                 return null
             }
             if (nowMillis < fake.startingUntilMillis) return StartResult.NotSent("refused")
+            if (fake.isReplaced) return StartResult.Rejected(StartResult.Reason.OTHER_INCARNATION, nowMillis)
             val step = stepOf(request.task)
             acknowledged.checkStart(request, step)
             capacities.checkStart(fake, step, knownCapacity, nowMillis)
@@ -78,6 +79,11 @@
             return if (result is StartResult.Accepted) onStarted(fake, request.task, result) else result
         }
 
+        private fun crash(fake: FakeShardTarget) {
+            restart(fake, crashes.downMillis)
+            fake.isReplaced = crashes.replacesTargets
+        }
+
         /** The target's answer to a start of [task], or null if the task crashes the target before that. */
         private fun onStarted(
             fake: FakeShardTarget,
@@ -86,7 +92,7 @@
         ): StartResult? {
             crashes.onStarted(task)
             val delayMillis = crashes.delayMillis(task) ?: return result
-            schedule(delayMillis) { if (task in fake.runs) restart(fake, crashes.downMillis) }
+            schedule(delayMillis) { if (task in fake.runs) crash(fake) }
             return result.takeIf { delayMillis > 0 }
         }
 
@@ -133,6 +139,10 @@
                 reply { it.onPoll(fake.registration.id, request, PollResult.Unknown("reset"), nowMillis) }
                 return
             }
+            if (fake.isReplaced) {
+                reply { it.onPoll(fake.registration.id, request, PollResult.OtherIncarnation, nowMillis) }
+                return
+            }
             val seen = poll(fake, request)
             if (!fake.hasEnds && nowMillis < untilMillis) {
                 schedule(1) { awaitEnd(fake, incarnation, request, untilMillis) }
@@ -233,6 +243,8 @@
     /** Time in which a new holder reads the stored jobs. */
     var readMillis = 10L
     private var holders = 0
+    private var resizes = 0
+    private var listedResizes = 0
     private var nextWaiter = 0L
     private var holder = Holder()
 
@@ -278,7 +290,7 @@
         target: FakeShardTarget,
         downMillis: Long = RESTART_MILLIS,
     ) {
-        crashes.onCrash(target.registration.id, target.runs.keys.toSet())
+        crashes.onCrash(target.registration.id, target.runs.keys.toSet(), target.unheardEnds)
         target.restart()
         target.startingUntilMillis = nowMillis + downMillis
     }
@@ -291,7 +303,12 @@
     ) {
         target.resize(capacity)
         val registrations = targets.map { it.registration }
-        schedule(delayMillis) { list(registrations) }
+        val version = ++resizes
+        schedule(delayMillis) {
+            // A list never goes back to an older version.
+            if (version > listedResizes) list(registrations)
+            listedResizes = maxOf(listedResizes, version)
+        }
     }
 
     /** Stores [job] and submits it to the holder. */
--- a/testing/src/main/kotlin/io/jackdawring/testing/shard/FakeShardTarget.kt
+++ b/testing/src/main/kotlin/io/jackdawring/testing/shard/FakeShardTarget.kt
@@ -58,6 +58,9 @@
     /** Delay of the next poll, as if its connection were slow to open. */
     var firstPollDelayMillis = 0L
 
+    /** Whether another target has the address now. */
+    var isReplaced = false
+
     /** Time that the target takes to stop a run. */
     var stopMillis = 0L
 
@@ -181,6 +184,7 @@
         request.leaseUntilMillis?.let(::extendLease)
         acknowledgedEnds += ends.filter { it.sequence <= request.acknowledgedEnd }
         ends.removeAll { it.sequence <= request.acknowledgedEnd }
+        returnedEnd = nextEnd - 1
         val running = runs.values.map { RunningRun(it.key, it.attempt, it.saved) }.toImmutableList()
         return PollResult.Snapshot(
             nowMillis + clockOffsetMillis,
@@ -190,6 +194,13 @@
         )
     }
 
+    /** Sequence of the last end that was returned to a poll. */
+    private var returnedEnd = 0L
+
+    /** Tasks whose runs have ended without the holder's knowledge, because no poll has arrived since. */
+    internal val unheardEnds: Set<TaskKey>
+        get() = ends.filter { it.sequence > returnedEnd }.mapTo(HashSet()) { it.task }
+
     /** Ended runs that were acknowledged since the last call. */
     internal fun takeAcknowledgedEnds(): List<EndedRun> = acknowledgedEnds.toList().also { acknowledgedEnds.clear() }
 
@@ -221,6 +232,7 @@
         ends.clear()
         endedAttempts.clear()
         nextEnd = 1
+        returnedEnd = 0
         incarnationStartMillis++
     }
 
