--- a/core/src/main/kotlin/io/jackdawring/core/shard/TargetControl.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/TargetControl.kt
@@ -139,7 +139,7 @@
             }
 
             StartResult.Reason.OTHER_INCARNATION -> {
-                forgetIncarnation(target, "another incarnation answered", nowMillis)
+                onOtherIncarnation(target, nowMillis)
                 return
             }
 
@@ -216,7 +216,7 @@
         when (result) {
             is PollResult.Snapshot -> onSnapshot(target, request, result, nowMillis)
             is PollResult.Fenced -> effects.fenced(target.registration)
-            is PollResult.OtherIncarnation -> forgetIncarnation(target, "another incarnation answered", nowMillis)
+            is PollResult.OtherIncarnation -> onOtherIncarnation(target, nowMillis)
             is PollResult.Unknown -> poller.markSilent(target, result.detail, nowMillis)
         }
         poller.poll(target, nowMillis)
@@ -246,6 +246,7 @@
         stopUnansweredStarts(target, nowMillis)
         snapshot.ended.forEach { applyEnd(target, it, nowMillis) }
         applyRunning(target, snapshot.running, isFirstList, nowMillis)
+        listener.onAnswered(target.id, snapshot.incarnationStartMillis, nowMillis)
     }
 
     private fun applyEnd(
@@ -320,6 +321,8 @@
         run.recordCheckpoint(entry.checkpoint)
         run.isStartConfirmed = true
         run.listedByPollSentAtMillis = run.target.pollSentAtMillis
+        run.incarnationStartMillis = run.target.incarnationStartMillis
+        run.isAtRisk = false
         if (run.state == TrackedRun.State.UNCERTAIN) onAccepted(run, nowMillis)
         // A confirmed stop does not affect a start request that reaches the target later.
         val listedAfterStop =
@@ -332,11 +335,14 @@
         nowMillis: Long,
     ) {
         val provesEnd = run.target.pollSentAtMillis > run.listedAfterMillis
+        val isRestarted = run.incarnationStartMillis != run.target.incarnationStartMillis
         when (run.state) {
             TrackedRun.State.STARTING -> Unit
             TrackedRun.State.UNCERTAIN -> stopper.send(run, nowMillis)
-            TrackedRun.State.RUNNING -> if (provesEnd) markLost(run, "run no longer listed by the target", nowMillis)
-            TrackedRun.State.STOPPING -> if (provesEnd) markLost(run, run.stopReason ?: "run not started", nowMillis)
+            TrackedRun.State.RUNNING ->
+                if (provesEnd) markLost(run, "run no longer listed by the target", nowMillis, mayBeCrash = isRestarted)
+            TrackedRun.State.STOPPING ->
+                if (provesEnd) markLost(run, run.stopReason ?: "run not started", nowMillis, mayBeCrash = isRestarted)
         }
     }
 
@@ -354,6 +360,10 @@
         return run
     }
 
+    /** Incarnation of the target [id], or null unless the target answers. */
+    fun incarnationOf(id: TargetId): Long? =
+        registry[id]?.takeIf { it.contact == TrackedTarget.Contact.HELD }?.incarnationStartMillis
+
     /** Whether a run of [key] is, or may be, on a target. */
     fun isPresent(key: TaskKey): Boolean = index.find(key).isNotEmpty()
 
@@ -377,6 +387,7 @@
                     .forEach { onLeaseExpired(it, nowMillis) }
             }
             stopUnansweredStarts(target, nowMillis)
+            checkSilence(target, nowMillis)
             target.runs.values
                 .toList()
                 .forEach { checkRun(it, nowMillis) }
@@ -390,7 +401,7 @@
         nowMillis: Long,
     ) {
         if (!run.isStartConfirmed) run.target.unansweredStarts.add(run, nowMillis)
-        markLost(run, "lease of a silent target expired", nowMillis)
+        markLost(run, "lease of a silent target expired", nowMillis, mayBeCrash = true)
     }
 
     private fun stopUnansweredStarts(
@@ -403,6 +414,21 @@
         }
     }
 
+    private fun checkSilence(
+        target: TrackedTarget,
+        nowMillis: Long,
+    ) {
+        val isSilent = target.contact == TrackedTarget.Contact.SILENT
+        target.silentSinceMillis = if (isSilent) target.silentSinceMillis ?: nowMillis else null
+        val sinceMillis = target.silentSinceMillis ?: return
+        if (nowMillis - sinceMillis < CRASH_SUSPICION_MILLIS) return
+        for (run in target.runs.values) {
+            if (run.isAtRisk) continue
+            run.isAtRisk = true
+            listener.onAtRisk(run)
+        }
+    }
+
     private fun checkRun(
         run: TrackedRun,
         nowMillis: Long,
@@ -416,6 +442,14 @@
         stopper.sendAgain(run, nowMillis)
     }
 
+    private fun onOtherIncarnation(
+        target: TrackedTarget,
+        nowMillis: Long,
+    ) {
+        forgetIncarnation(target, "another incarnation answered", nowMillis)
+        listener.onAnswered(target.id, incarnationStartMillis = null, nowMillis)
+    }
+
     private fun forgetIncarnation(
         target: TrackedTarget,
         reason: String,
@@ -424,7 +458,7 @@
         resetIncarnation(target, reason)
         target.runs.values
             .toList()
-            .forEach { markLost(it, reason, nowMillis) }
+            .forEach { markLost(it, reason, nowMillis, mayBeCrash = true) }
     }
 
     private fun resetIncarnation(
@@ -465,8 +499,11 @@
         run: TrackedRun,
         reason: String,
         nowMillis: Long,
+        mayBeCrash: Boolean = false,
     ) {
         remove(run)
+        // A target that is draining may leave before its last runs end.
+        if (mayBeCrash && !run.target.registration.draining) listener.onTargetLost(run, nowMillis)
         if (run.owner != null) listener.onLost(run, run.stopReason ?: reason, nowMillis)
     }
 
@@ -479,5 +516,8 @@
     private companion object {
         /** Added to an attempt number that a target rejected as old, as after a resend of the job to another holder. */
         const val OLD_ATTEMPT_STEP = 3
+
+        /** Silence after which a target may have crashed; a single lost answer is repeated within it. */
+        const val CRASH_SUSPICION_MILLIS = 60L
     }
 }
--- a/core/src/main/kotlin/io/jackdawring/core/shard/TrackedTarget.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/TrackedTarget.kt
@@ -24,6 +24,9 @@
     /** Time since which the platform's target list lacks the target; null while the target is listed. */
     var unlistedSinceMillis: Long? = null
 
+    /** Time of the first tick at which the target was silent; null unless it is silent. */
+    var silentSinceMillis: Long? = null
+
     /** Sequence of the last ended run that was processed in the incarnation [incarnationStartMillis]. */
     var processedEnd = 0L
 
@@ -57,6 +60,9 @@
     /** Whether the lease may be renewed; it is not while a run should stop, so that the run ends in any case. */
     val mayRenewLease: Boolean get() = !unansweredStarts.isOpen && runs.values.none { it.isStopUnanswered }
 
+    /** Run that must not have others beside it for a while after its start. */
+    private var isolatedRun: TrackedRun? = null
+
     var free = registration.capacity
         private set
 
@@ -69,14 +75,20 @@
 
     fun add(run: TrackedRun) {
         runs[run.key] = run
+        if (run.owner?.crashes?.isSuspicious == true) isolatedRun = run
         updateFree()
     }
 
     fun remove(run: TrackedRun) {
         if (runs[run.key] === run) runs.remove(run.key)
+        if (isolatedRun === run) isolatedRun = null
         updateFree()
     }
 
+    /** Whether no other run may start now, because a recent one may crash the target. */
+    fun isReserved(nowMillis: Long): Boolean =
+        isolatedRun?.let { nowMillis - it.sentAtMillis < ISOLATION_MILLIS } == true
+
     fun updateFree() {
         byFreeCpu.remove(this)
         free = runs.values.fold(registration.capacity) { left, run -> left - run.demand }
@@ -111,5 +123,8 @@
     private companion object {
         /** The platform's documentation gives live targets about two seconds to return to the list. */
         const val UNLISTED_GRACE_MILLIS = 2_500L
+
+        /** Time for which a run that may crash its target has no others started beside it. */
+        const val ISOLATION_MILLIS = 1_000L
     }
 }
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/metrics/FleetMetrics.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/metrics/FleetMetrics.kt
@@ -39,6 +39,8 @@
     private val foundRuns = registry.counter("jackdawring_found_runs", "Runs found on targets without a job.")
     private val unansweredStarts = registry.counter("jackdawring_unanswered_starts", "Starts that were not answered.")
     private val stopRequests = registry.counter("jackdawring_stop_requests", "Runs whose stop was requested.")
+    private val targetCrashes =
+        registry.counter("jackdawring_target_crashes", "Runs of open jobs during which their target crashed.")
     private val examinations =
         registry.counter(
             "jackdawring_decision_examinations",
@@ -85,6 +87,8 @@
 
     fun stopRequested() = stopRequests.inc()
 
+    fun targetCrashed() = targetCrashes.inc()
+
     fun decisionsExamined(count: Long) = examinations.inc(count)
 
     fun targetChanged(state: String) = targetChanges.labelValues(state).inc()
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/shard/DecisionLog.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/shard/DecisionLog.kt
@@ -26,6 +26,7 @@
             is ShardDecision.RunFound -> onFound(decision)
             is ShardDecision.StartUnanswered -> onStartUnanswered(decision)
             is ShardDecision.RunStopRequested -> onStopRequested(decision)
+            is ShardDecision.TargetCrashed -> onTargetCrashed(decision)
             is ShardDecision.TargetChanged -> onTargetChanged(decision)
         }
     }
@@ -99,6 +100,18 @@
         "reason" to reason,
     )
 
+    private fun onTargetCrashed(decision: ShardDecision.TargetCrashed) {
+        metrics.targetCrashed()
+        log(
+            "target crashed during a run",
+            "job" to decision.task.jobId.value,
+            "task" to "${decision.task.step}.${decision.task.index}",
+            "attempt" to decision.attempt,
+            "target" to decision.targetId.value,
+            "crashes" to decision.crashes,
+        )
+    }
+
     private fun onTargetChanged(decision: ShardDecision.TargetChanged) {
         metrics.targetChanged(decision.state)
         log("target ${decision.state}", "target" to decision.targetId.value, "reason" to decision.reason)
--- a/testing/src/main/kotlin/io/jackdawring/testing/shard/FakeShardTarget.kt
+++ b/testing/src/main/kotlin/io/jackdawring/testing/shard/FakeShardTarget.kt
@@ -18,12 +18,15 @@
 /** Target on virtual time that implements leases, attempt numbers and lists of ended runs like a real one. */
 class FakeShardTarget(
     id: String,
-    val capacity: Resources = Resources(32_000, 65_536),
+    capacity: Resources = Resources(32_000, 65_536),
     /** Speed relative to the declared durations. */
     val speed: Double = 1.0,
     labels: Set<String> = emptySet(),
+    /** Whether starts that exceed the capacity are rejected. */
+    val guardsCapacity: Boolean = true,
 ) {
-    val registration =
+    /** The target's description of itself; its holder learns of changes later. */
+    var registration =
         ShardTarget(
             TargetId(id),
             "orders",
@@ -33,6 +36,15 @@
             persistentSetOf<String>().addAll(labels),
             draining = false,
         )
+        private set
+
+    /** Changes the capacity; runs that exceed it continue. */
+    fun resize(capacity: Resources) {
+        registration = registration.copy(capacity = capacity)
+    }
+
+    /** What the runs leave of [capacity]. */
+    internal fun freeOf(capacity: Resources): Resources = runs.values.fold(capacity) { free, run -> free - run.demand }
 
     /** How the target handles requests and runs. */
     var mode = Mode.HEALTHY
@@ -52,6 +64,12 @@
     /** Whether stop requests are lost, while all other requests arrive. */
     var losesStops = false
 
+    /** Whether another target has the address now. */
+    var isReplaced = false
+
+    /** Time that the target takes to stop a run. */
+    var stopMillis = 0L
+
     /** Additional delay of the answers to polls, as if the holder were slow to read them. */
     var answerDelayMillis = 0L
 
@@ -66,6 +84,8 @@
         val restoredMillis: Long,
         val checkpointing: Boolean,
     ) {
+        /** Time at which a requested stop takes effect; null without a request. */
+        var stopsAtMillis: Long? = null
         var saved = if (restoredMillis > 0) checkpoint(key, attempt, restoredMillis) else null
 
         fun save(
@@ -109,12 +129,12 @@
         nowMillis: Long,
     ): StartResult {
         val clock = nowMillis + clockOffsetMillis
-        val free = runs.values.fold(capacity) { free, run -> free - run.demand }
+        val hasRoom = !guardsCapacity || step.demand.fitsInto(freeOf(registration.capacity))
         val rejection =
             when {
                 maxOf(request.leaseUntilMillis, leaseUntilMillis) < clock -> StartResult.Reason.LATE
                 request.attempt <= (endedAttempts[request.task] ?: 0) -> StartResult.Reason.OLD_ATTEMPT
-                !step.demand.fitsInto(free) -> StartResult.Reason.NO_ROOM
+                !hasRoom -> StartResult.Reason.NO_ROOM
                 else -> null
             }
         if (rejection != null) return StartResult.Rejected(rejection, clock)
@@ -151,6 +171,14 @@
     ) {
         endedAttempts.merge(task, attempt, ::maxOf)
         val run = runs[task]?.takeIf { it.attempt <= attempt } ?: return
+        if (run.stopsAtMillis == null) run.stopsAtMillis = nowMillis + stopMillis
+        if (stopMillis == 0L) endStopped(run, nowMillis)
+    }
+
+    private fun endStopped(
+        run: Run,
+        nowMillis: Long,
+    ) {
         run.save(nowMillis, speed)
         end(run, EndedRun.Ending.STOPPED)
     }
@@ -162,6 +190,7 @@
         request.leaseUntilMillis?.let(::extendLease)
         acknowledgedEnds += ends.filter { it.sequence <= request.acknowledgedEnd }
         ends.removeAll { it.sequence <= request.acknowledgedEnd }
+        returnedEnd = nextEnd - 1
         val running = runs.values.map { RunningRun(it.key, it.attempt, it.saved) }.toImmutableList()
         return PollResult.Snapshot(
             nowMillis + clockOffsetMillis,
@@ -171,6 +200,13 @@
         )
     }
 
+    /** Sequence of the last end that was returned to a poll. */
+    private var returnedEnd = 0L
+
+    /** Tasks whose runs have ended without the holder's knowledge, because no poll has arrived since. */
+    internal val unheardEnds: Set<TaskKey>
+        get() = ends.filter { it.sequence > returnedEnd }.mapTo(HashSet()) { it.task }
+
     /** Ended runs that were acknowledged since the last call. */
     internal fun takeAcknowledgedEnds(): List<EndedRun> = acknowledgedEnds.toList().also { acknowledgedEnds.clear() }
 
@@ -186,6 +222,7 @@
             }
             when {
                 nowMillis + clockOffsetMillis > leaseUntilMillis -> end(run, EndedRun.Ending.LAPSED)
+                run.stopsAtMillis?.let { nowMillis >= it } == true -> endStopped(run, nowMillis)
                 nowMillis >= run.endsAtMillis ->
                     end(
                         run,
@@ -202,6 +239,7 @@
         endedAttempts.clear()
         nextEnd = 1
         leaseUntilMillis = 0
+        returnedEnd = 0
         incarnationStartMillis++
     }
 
