Add a case for late runs that a holder keeps although no job claims them

A holder that has not changed keeps a run that begins late for 700 ms, as if it were one of its predecessor's.

--- a/fleet/src/test/kotlin/io/jackdawring/fleet/model/ResentJobTest.kt
+++ b/fleet/src/test/kotlin/io/jackdawring/fleet/model/ResentJobTest.kt
@@ -58,6 +58,16 @@
         fleet.run(SETTLE_MILLIS)
     }
 
+    /** Guards against a run that begins late and is kept for a job that may claim it, although its holder has not changed. */
+    @Test
+    fun `a run that begins late on a target of the same holder ends at once`() {
+        val fleet = FakeFleet(domains = 2, instancesPerDomain = 1, targetsPerDomain = 1)
+        fleet.targetFaults.lateMillis = { RESENT_MILLIS - 200 }
+        fleet.silence("a-t1", 2_000)
+        fleet.submitLong("a1", "b1")
+        fleet.run(SETTLE_MILLIS)
+    }
+
     /** Guards against a relay that forwards a request which arrived during its pause and whose caller is gone. */
     @Test
     fun `a relay that was paused does not forward a request that its caller has given up`() {
