Reject a job message that arrives more than a second after it was sent

What callers saw: two runs of one task at a time. A cut holds a job message up; its relay freezes or is killed, so that nothing resets the connection; the caller sends the job again elsewhere. When the cut has healed, the holder gets the message and starts it, and counts the caller's deadline from then.

Cause: a holder cannot tell how old a message is, because clocks of instances differ.

ResentJobTest, the case of a job held up while its relay is paused, fails without the check: the task runs in both failure domains.

Change: answers to pings have the peer's monotonic clock, and a job message has the relay's estimate of the holder's clock, which is late by the latency at most. A message older than 1 s is not accepted; nothing of it has run, so the relay sends it again if its caller still waits. After a rejection the relay forgets the estimate, which is wrong if the relay was suspended.

Not covered: relays that have not pinged the holder, usually of another failure domain.

--- a/fleet/src/main/kotlin/io/jackdawring/fleet/PeerHealthMonitor.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/PeerHealthMonitor.kt
@@ -5,6 +5,7 @@
 import io.jackdawring.core.fleet.FleetMember
 import io.jackdawring.core.fleet.RelayFailureDetector
 import io.jackdawring.fleet.peer.PeerClient
+import io.jackdawring.fleet.peer.PeerClocks
 import io.jackdawring.fleet.peer.PeerReply
 
 private val logger = KotlinLogging.logger("io.jackdawring.fleet")
@@ -17,6 +18,7 @@
     private val directory: FleetDirectory,
     private val gossip: StoreGossip,
     private val loads: ShardLoads,
+    private val clocks: PeerClocks,
     private val loop: ControlLoop,
     private val onAnswered: () -> Unit,
 ) {
@@ -86,6 +88,7 @@
                 is PeerReply.Answered -> {
                     gossip.applyIfNewer(reply.message.news)
                     loads.applyIfNewer(reply.message.loads)
+                    clocks.onPong(holder.instanceId, reply.message, now)
                     val shardsInStore =
                         directory.holdings.values
                             .filter { it.holder.instanceId == holder.instanceId }
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/RealFleetInstance.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/RealFleetInstance.kt
@@ -12,6 +12,7 @@
 import io.jackdawring.fleet.metrics.FleetMetrics
 import io.jackdawring.fleet.peer.PeerApi
 import io.jackdawring.fleet.peer.PeerClient
+import io.jackdawring.fleet.peer.PeerClocks
 import io.jackdawring.fleet.peer.peerJson
 import io.jackdawring.fleet.relay.JobRelay
 import io.jackdawring.fleet.store.StoreMirror
@@ -44,6 +45,7 @@
     private val directory = FleetDirectory()
     private val peers = PeerClient(components.peerClient)
     private val loads = ShardLoads(loop)
+    private val clocks = PeerClocks()
     private val fleetMirror = StoreMirror(FleetKeys.ROOT, components.store, loop, onChange = ::onFleetChanged)
     private val targetMirror =
         StoreMirror(
@@ -75,8 +77,8 @@
         )
     private val gossip = StoreGossip(fleetMirror, configurationMirror)
     private val peerHealth =
-        PeerHealthMonitor(self, peers, shards, directory, gossip, loads, loop, ::openCallerListener)
-    private val shardClient = RealShardClient(self, shards, directory, peers, loads, loop)
+        PeerHealthMonitor(self, peers, shards, directory, gossip, loads, clocks, loop, ::openCallerListener)
+    private val shardClient = RealShardClient(self, shards, directory, peers, loads, clocks, loop)
     private val relay = JobRelay(loop, shardClient, metrics, pauses)
     private val durableJobClient =
         RealDurableJobClient(directory.shardsOf(self.failureDomain), shards, directory, shardClient, peers)
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/RealShardClient.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/RealShardClient.kt
@@ -9,6 +9,7 @@
 import io.jackdawring.fleet.peer.JobMessage
 import io.jackdawring.fleet.peer.OutcomeMessage
 import io.jackdawring.fleet.peer.PeerClient
+import io.jackdawring.fleet.peer.PeerClocks
 import io.jackdawring.fleet.peer.PeerReply
 import io.jackdawring.fleet.relay.HolderReply
 import io.jackdawring.fleet.relay.ShardClient
@@ -20,6 +21,7 @@
     private val directory: FleetDirectory,
     private val peers: PeerClient,
     private val loads: ShardLoads,
+    private val clocks: PeerClocks,
     private val loop: ControlLoop,
 ) : ShardClient {
     private val pendingRequestCounts = HashMap<InstanceId, Int>()
@@ -86,7 +88,8 @@
             return ShardClient.PendingRequest { host.withdraw(waiter) }
         }
         val holder = holding.holder
-        val message = JobMessage(self.instanceId.value, holding.shardId, request)
+        val sentAtMillis = clocks.clockOf(holder, loop.nowMillis())
+        val message = JobMessage(self.instanceId.value, holding.shardId, request, sentAtMillis)
         pendingRequestCounts.merge(holder.instanceId, 1, Int::plus)
         val call =
             peers.submitJob(holder, message, request.remainingMillis + ANSWER_SLACK_MILLIS) {
@@ -106,6 +109,8 @@
             }
 
             is PeerReply.Rejected -> {
+                // The message may have counted as outdated because this process was suspended.
+                clocks.forget(holding.holder.instanceId)
                 HolderReply.NotAccepted
             }
 
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/peer/PeerApi.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/peer/PeerApi.kt
@@ -1,5 +1,6 @@
 package io.jackdawring.fleet.peer
 
+import io.github.oshai.kotlinlogging.KotlinLogging
 import io.jackdawring.core.InstanceId
 import io.jackdawring.core.fleet.ShardId
 import io.jackdawring.core.shard.JobState
@@ -19,6 +20,8 @@
 import kotlinx.serialization.KSerializer
 import kotlinx.serialization.SerializationException
 
+private val logger = KotlinLogging.logger("io.jackdawring.fleet")
+
 /** Handles requests of other entry instances; confined to the control thread, on which its listener runs. */
 internal class PeerApi(
     private val incarnation: String,
@@ -54,6 +57,10 @@
         message: JobMessage,
     ) {
         val host = hostOrReject(exchange, message.shardId) ?: return
+        if (isOutdated(message)) {
+            exchange.respond(HttpResponseMessage(STATUS_NOT_HOLDER))
+            return
+        }
         onPeerRequest(InstanceId(message.relay))
         val waiter =
             host.submit(message.relay, message.request) { outcome ->
@@ -62,6 +69,15 @@
         exchange.onDisconnected { loop.execute { host.withdraw(waiter) } }
     }
 
+    /** Whether the network has held [message] up for so long that its caller may have sent the job again. */
+    private fun isOutdated(message: JobMessage): Boolean {
+        val ageMillis = loop.nowMillis() - (message.sentAtMillis ?: return false)
+        if (ageMillis <= MAX_JOB_AGE_MILLIS) return false
+        val id = message.request.job.id.value
+        logger.info { "rejected job $id of ${message.relay}, which arrived $ageMillis ms after it was sent" }
+        return true
+    }
+
     private fun hostOrReject(
         exchange: HttpExchange,
         shardId: ShardId,
@@ -103,7 +119,8 @@
         message: PingMessage,
     ) {
         onPeerRequest(InstanceId(message.sender))
-        val pong = PongMessage(incarnation, shards.held.toList(), itemsNewerThan(message), loads.messages())
+        val pong =
+            PongMessage(incarnation, shards.held.toList(), itemsNewerThan(message), loads.messages(), loop.nowMillis())
         exchange.respond(json(PongMessage.serializer(), pong))
     }
 
@@ -120,11 +137,13 @@
     ) = HttpResponseMessage(STATUS_OK, JSON_HEADERS, peerJson.encodeToString(type, value).encodeToByteArray())
 
     private companion object {
+        /** Below the time after which callers send a job again, above the delays of a busy network and holder. */
+        const val MAX_JOB_AGE_MILLIS = 1_000L
         const val STATUS_OK = 200
         const val STATUS_INVALID = 400
         const val STATUS_NOT_FOUND = 404
 
-        /** The request was not carried out, because this instance does not hold the shard. */
+        /** The request was not carried out, because this instance does not hold the shard or it is outdated. */
         const val STATUS_NOT_HOLDER = 409
         val JSON_HEADERS = persistentMapOf("content-type" to "application/json")
     }
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/peer/PeerMessages.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/peer/PeerMessages.kt
@@ -10,12 +10,17 @@
 import kotlinx.collections.immutable.toImmutableSet
 import kotlinx.serialization.Serializable
 
-/** Submits a job to the holder of [shardId]; [relay] is the entry instance that the caller is connected to. */
+/**
+ * Submits a job to the holder of [shardId]; [relay] is the entry instance that the caller is connected to.
+ *
+ * [sentAtMillis] is the time of sending on the holder's clock, or slightly earlier; null if the relay does not know it.
+ */
 @Serializable
 internal data class JobMessage(
     val relay: String,
     val shardId: ShardId,
     val request: JobRequest,
+    val sentAtMillis: Long? = null,
 )
 
 /** Outcome of a job; [kind] names a variant of [JobOutcome]. */
@@ -67,13 +72,14 @@
     val configurationRevision: Long,
 )
 
-/** Answer to a ping: the [shards] that the peer holds, and the store items in [news] that the sender does not know. */
+/** Answer to a ping at [clockMillis] of the peer's monotonic clock: the [shards] that the peer holds, and the store items in [news] that the sender does not know. */
 @Serializable
 internal data class PongMessage(
     val incarnation: String,
     val shards: List<ShardId>,
     val news: List<ItemMessage> = emptyList(),
     val loads: List<LoadMessage> = emptyList(),
+    val clockMillis: Long = 0,
 )
 
 /** Load of a shard's targets by service in percent, as its holder reported it [ageMillis] ago. */
--- a/fleet/src/test/kotlin/io/jackdawring/fleet/RealShardClientTest.kt
+++ b/fleet/src/test/kotlin/io/jackdawring/fleet/RealShardClientTest.kt
@@ -20,6 +20,7 @@
 import io.jackdawring.core.shard.TaskKey
 import io.jackdawring.fleet.metrics.FleetMetrics
 import io.jackdawring.fleet.peer.PeerClient
+import io.jackdawring.fleet.peer.PeerClocks
 import io.jackdawring.fleet.store.FakeKeyValueStore
 import io.jackdawring.fleet.store.StoreItem
 import io.jackdawring.fleet.store.StoreMirror
@@ -71,7 +72,7 @@
                 PauseGuard(),
                 { persistentListOf() },
             ) {}
-        val client = RealShardClient(SELF, shards, directory, peers, loads, loop)
+        val client = RealShardClient(SELF, shards, directory, peers, loads, PeerClocks(), loop)
 
         init {
             assignShard(PEER)
--- a/fleet/src/test/kotlin/io/jackdawring/fleet/model/FakeEntryInstance.kt
+++ b/fleet/src/test/kotlin/io/jackdawring/fleet/model/FakeEntryInstance.kt
@@ -18,6 +18,7 @@
 import io.jackdawring.fleet.metrics.FleetMetrics
 import io.jackdawring.fleet.peer.PeerApi
 import io.jackdawring.fleet.peer.PeerClient
+import io.jackdawring.fleet.peer.PeerClocks
 import io.jackdawring.fleet.relay.JobRelay
 import io.jackdawring.fleet.repeatEvery
 import io.jackdawring.fleet.store.StoreMirror
@@ -40,6 +41,7 @@
     private val directory = FleetDirectory()
     private val peers = PeerClient(fleet.network.client(id, process))
     private val loads = ShardLoads(process)
+    private val clocks = PeerClocks()
     private val fleetMirror = StoreMirror(FleetKeys.ROOT, store, process, onChange = ::onFleetChanged)
     private val targetMirror =
         StoreMirror(FakeFleet.TARGETS, store, process, TARGET_BATCH_DELAY_MILLIS, onChange = ::onTargetsChanged)
@@ -62,8 +64,8 @@
             ::updateTargetWatch,
         )
     private val gossip = StoreGossip(fleetMirror, configurationMirror)
-    private val peerHealth = PeerHealthMonitor(self, peers, shards, directory, gossip, loads, process) {}
-    private val shardClient = RealShardClient(self, shards, directory, peers, loads, process)
+    private val peerHealth = PeerHealthMonitor(self, peers, shards, directory, gossip, loads, clocks, process) {}
+    private val shardClient = RealShardClient(self, shards, directory, peers, loads, clocks, process)
     private val registration = MemberRegistration(self, store, process, fleetMirror::applyIfNewer)
     private val peerApi =
         PeerApi(self.incarnation, shards, process, loads, gossip::itemsNewerThan, peerHealth::onPeerRequest)
--- a/fleet/src/test/kotlin/io/jackdawring/fleet/model/ResentJobTest.kt
+++ b/fleet/src/test/kotlin/io/jackdawring/fleet/model/ResentJobTest.kt
@@ -106,6 +106,19 @@
         fleet.run(SETTLE_MILLIS)
     }
 
+    /** Guards against a job that a cut network delivers although its relay could not take it back. */
+    @Test
+    fun `a holder does not start a job that was held up by a cut while its relay was paused`() {
+        val fleet = FakeFleet(domains = 2, instancesPerDomain = 2, targetsPerDomain = 1)
+        fleet.run(1_000)
+        fleet.stopStore(SETTLE_MILLIS)
+        fleet.cut("a1", listOf("a2"), RESENT_MILLIS + 20)
+        fleet.submitLong("a2", "b1")
+        fleet.run(5)
+        fleet.freeze("a2", RESENT_MILLIS + 500)
+        fleet.run(SETTLE_MILLIS)
+    }
+
     /** Guards against a pause that the holder's clock does not count, so that it believes its caller still waits. */
     @Test
     fun `a holder that was suspended does not start a lapsed run again`() {
