Remember unanswered starts of targets that are not listed or have accepted a stop

What callers saw: two runs of one task at a time, as after a start that is carried out late.

Cause: a target that is silent and not listed for 2.5 s was forgotten together with its unanswered starts, and was a new target when it came back. A start whose stop was accepted was not remembered, although a target that restarts does not know the stop.

Evidence: found in review; RunOverlapTest failed before: two runs at 5551 ms and at 2651 ms.

Change: such targets are kept until their unanswered starts are too old to be carried out, and these expire while the target is silent too; a start that was stopped before it was confirmed is remembered, and stopped again if the target restarts. The initial end of a lease no longer overflows if a start comes before the first renewal.

--- a/core/src/main/kotlin/io/jackdawring/core/shard/TargetControl.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/TargetControl.kt
@@ -342,7 +342,11 @@
             TrackedRun.State.RUNNING ->
                 if (provesEnd) markLost(run, "run no longer listed by the target", nowMillis, mayBeCrash = isRestarted)
             TrackedRun.State.STOPPING ->
-                if (provesEnd) markLost(run, run.stopReason ?: "run not started", nowMillis, mayBeCrash = isRestarted)
+                if (provesEnd) {
+                    // The stop prevents a late start in this incarnation of the target only.
+                    if (!run.isStartConfirmed) run.target.unansweredStarts.add(run, nowMillis)
+                    markLost(run, run.stopReason ?: "run not started", nowMillis, mayBeCrash = isRestarted)
+                }
         }
     }
 
@@ -386,6 +390,7 @@
                     .toList()
                     .forEach { onLeaseExpired(it, nowMillis) }
             }
+            target.unansweredStarts.removeExpired(nowMillis)
             stopUnansweredStarts(target, nowMillis)
             checkSilence(target, nowMillis)
             target.runs.values
--- a/core/src/main/kotlin/io/jackdawring/core/shard/TargetRegistry.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/TargetRegistry.kt
@@ -61,9 +61,9 @@
 
     private fun newTarget(registration: ShardTarget) = TrackedTarget(registration, nextSequence++, byFreeCpu)
 
-    /** Forgets targets that left the list and have no runs. */
+    /** Forgets targets that left the list, have no runs and may not start any. */
     fun forgetGone(nowMillis: Long) {
-        val gone = byId.values.filter { !it.isListed(nowMillis) && it.runs.isEmpty() }
+        val gone = byId.values.filter { !it.isListed(nowMillis) && it.runs.isEmpty() && it.unansweredStarts.isEmpty }
         gone.forEach {
             byId.remove(it.id)
             byFreeCpu.remove(it)
--- a/core/src/main/kotlin/io/jackdawring/core/shard/TrackedTarget.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/TrackedTarget.kt
@@ -51,7 +51,7 @@
     var nextPollAtMillis = 0L
 
     /** Latest time on the monotonic clock at which a requested lease can expire. */
-    var leaseExpiresAtMillis = Long.MIN_VALUE
+    var leaseExpiresAtMillis = Long.MIN_VALUE / 2
 
     /** Whether the target has no runs that no job has claimed, and no run that goes on although it should stop. */
     val acceptsStarts: Boolean
--- a/core/src/main/kotlin/io/jackdawring/core/shard/UnansweredStarts.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/UnansweredStarts.kt
@@ -19,6 +19,8 @@
     /** Whether a start may still be carried out as soon as the target has a lease. */
     val isOpen: Boolean get() = entries.values.any { !it.isStopAccepted }
 
+    val isEmpty: Boolean get() = entries.isEmpty()
+
     fun add(
         run: TrackedRun,
         nowMillis: Long,
@@ -26,13 +28,16 @@
         entries[run.key] = Entry(run.attempt, nowMillis).apply { isStopAccepted = run.isStopAccepted }
     }
 
-    /** Calls [stop] for each start whose stop is due, and forgets starts that are too old to be carried out. */
+    /** Forgets starts that are too old to be carried out. */
+    fun removeExpired(nowMillis: Long) {
+        if (entries.isNotEmpty()) entries.values.removeIf { nowMillis - it.addedAtMillis >= MAX_DELAY_MILLIS }
+    }
+
+    /** Calls [stop] for each start whose stop is due. */
     fun forEachDue(
         nowMillis: Long,
         stop: (task: TaskKey, attempt: Int) -> Unit,
     ) {
-        if (entries.isEmpty()) return
-        entries.values.removeIf { nowMillis - it.addedAtMillis >= MAX_DELAY_MILLIS }
         for ((task, entry) in entries) {
             if (entry.isStopAccepted || nowMillis - entry.stopSentAtMillis < RunStopper.RETRY_MILLIS) continue
             entry.stopSentAtMillis = nowMillis
--- a/testing/src/test/kotlin/io/jackdawring/testing/shard/RunOverlapTest.kt
+++ b/testing/src/test/kotlin/io/jackdawring/testing/shard/RunOverlapTest.kt
@@ -92,6 +92,31 @@
                 shard.runFor(4_000)
                 assertEquals(JobOutcome.Completed, shard.answers[waiter]?.outcome)
             },
+            // Guards against a restarted target that does not know of the stop which its predecessor accepted.
+            Row("a start whose stop was accepted is carried out after the target has restarted") {
+                val shard = shard(count = 3)
+                shard.targets[0].mode = Mode.SILENT
+                shard.targets[0].lateStartMillis = 2_600
+                shard.submit(longJob(shard, actualMillis = 3_500), remainingMillis = 10_000)
+                shard.runFor(300)
+                shard.targets[0].mode = Mode.HEALTHY
+                shard.runFor(1_500)
+                shard.restart(shard.targets[0])
+                shard.runFor(4_000)
+            },
+            // Guards against a target that is forgotten with its unanswered starts while it is not listed.
+            Row("a start is carried out after its silent target was not listed for a while") {
+                val shard = shard(count = 3)
+                shard.targets[0].mode = Mode.SILENT
+                shard.targets[0].lateStartMillis = 5_500
+                shard.submit(longJob(shard, actualMillis = 6_000, estimateMillis = 6_000), remainingMillis = 20_000)
+                shard.runFor(1_000)
+                shard.list(shard.targets.drop(1).map { it.registration })
+                shard.runFor(3_500)
+                shard.targets[0].mode = Mode.HEALTHY
+                shard.list(shard.targets.map { it.registration })
+                shard.runFor(4_000)
+            },
             // Guards against a run that continues under renewed leases because its stop is lost.
             Row("the caller disconnects and the stops are lost: the lease ends before the caller sends the job again") {
                 val shard = shard()
@@ -132,10 +157,13 @@
         )
 
     /** A job that fills two targets and runs for longer than a lease. */
-    private fun longJob(shard: FakeShard) =
-        job("a", tasks = 4, estimateMillis = 900).also { job ->
-            repeat(4) { shard.actualMillis[TaskKey(job.id, 0, 0, it)] = 1_500 }
-        }
+    private fun longJob(
+        shard: FakeShard,
+        actualMillis: Long = 1_500,
+        estimateMillis: Long = 900,
+    ) = job("a", tasks = 4, estimateMillis = estimateMillis).also { job ->
+        repeat(4) { shard.actualMillis[TaskKey(job.id, 0, 0, it)] = actualMillis }
+    }
 
     @TestFactory
     fun `runs are over before their job may start elsewhere`() = rows.map { DynamicTest.dynamicTest(it.name, it.test) }
