Do not take a failed holder for seen later than it was

What callers saw: two runs of one task at a time; unclaimed runs of a failed holder are kept too long.

Cause: a reply to a ping that waited to be read, as after an own pause, counted from when it was read. And if a holder between had taken the shard over a moment ago, but its predecessor was never seen, its own time counted.

Change: the time at which the ping was sent counts, and an unknown predecessor stays unknown.

--- a/core/src/main/kotlin/io/jackdawring/core/fleet/ShardElection.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/fleet/ShardElection.kt
@@ -18,7 +18,7 @@
         var heardFrom: Boolean = false,
         var consecutiveRefusals: Int = 0,
         var consecutiveDenials: Int = 0,
-        /** Time of the last reply in which the member held its shards; own pauses do not shift it. */
+        /** Time of the last ping to which the member replied that it holds its shards; own pauses do not shift it. */
         var lastHoldingMillis: Long? = null,
     ) {
         fun isLive(nowMillis: Long) =
@@ -30,6 +30,7 @@
         val revision: Long,
         val holder: InstanceId,
         val sinceMillis: Long,
+        val hasPredecessor: Boolean,
         val predecessorSeenAtMillis: Long?,
     )
 
@@ -38,15 +39,20 @@
     private val vacantSince = HashMap<ShardId, Long>()
     private val nextAttempt = HashMap<ShardId, Long>()
 
-    /** Records a reply of [instanceId]; [holds] is whether it holds all shards assigned to it in the store. */
+    /**
+     * Records a reply of [instanceId] to a ping that was sent at [sentAtMillis].
+     *
+     * [holds] is whether it holds all shards assigned to it in the store. The reply may have waited to be read.
+     */
     fun onHeartbeat(
         instanceId: InstanceId,
         holds: Boolean,
         nowMillis: Long,
+        sentAtMillis: Long = nowMillis,
     ) {
         val memberState = recordContact(instanceId, nowMillis)
         memberState.consecutiveDenials = if (holds) 0 else memberState.consecutiveDenials + 1
-        if (holds) memberState.lastHoldingMillis = nowMillis
+        if (holds) memberState.lastHoldingMillis = sentAtMillis
     }
 
     /** Records the holder of a shard according to the store. */
@@ -58,7 +64,7 @@
         if (known != null && holding.revision <= known.revision) return
         val seenAtMillis = lastSeenMillis(holding.shardId, nowMillis)
         val holder = holding.holder.instanceId
-        successions[holding.shardId] = Succession(holding.revision, holder, nowMillis, seenAtMillis)
+        successions[holding.shardId] = Succession(holding.revision, holder, nowMillis, known != null, seenAtMillis)
     }
 
     /**
@@ -73,8 +79,8 @@
     ): Long? {
         val succession = successions[shardId] ?: return null
         val isRecent = nowMillis - succession.sinceMillis < RECENT_MILLIS
-        val predecessorSeenAt = succession.predecessorSeenAtMillis.takeIf { isRecent }
-        return predecessorSeenAt ?: memberStates[succession.holder]?.lastHoldingMillis
+        if (isRecent && succession.hasPredecessor) return succession.predecessorSeenAtMillis
+        return memberStates[succession.holder]?.lastHoldingMillis
     }
 
     /** Records a request from [instanceId], which shows that it is alive. */
--- a/core/src/test/kotlin/io/jackdawring/core/fleet/ShardElectionTest.kt
+++ b/core/src/test/kotlin/io/jackdawring/core/fleet/ShardElectionTest.kt
@@ -178,6 +178,15 @@
                 onHolder(ShardHolding(shard, members[2], 8), 800)
                 onHeartbeat(InstanceId("e3"), true, 1_100)
             },
+            SeenRow("a reply that was read long after its ping was sent", 1_000, 300) {
+                onHolder(heldBy(members[0]), 0)
+                onHeartbeat(InstanceId("e1"), true, 900, sentAtMillis = 300)
+            },
+            SeenRow("a successor that took over a moment ago from a holder that never answered", 1_200, null) {
+                onHolder(heldBy(members[0]), 0)
+                onHolder(ShardHolding(shard, members[2], 8), 800)
+                onHeartbeat(InstanceId("e3"), true, 1_100)
+            },
             SeenRow("a successor that took over some time ago", 3_000, 2_900) {
                 onHolder(heldBy(members[0]), 0)
                 onHeartbeat(InstanceId("e1"), true, 300)
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/PeerHealthMonitor.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/PeerHealthMonitor.kt
@@ -82,6 +82,7 @@
     }
 
     private fun ping(holder: FleetMember) {
+        val sentAtMillis = loop.nowMillis()
         peers.ping(holder, gossip.createPing(self.instanceId.value)) { reply ->
             val now = loop.nowMillis()
             when (reply) {
@@ -93,7 +94,8 @@
                         directory.holdings.values
                             .filter { it.holder.instanceId == holder.instanceId }
                             .map { it.shardId }
-                    shards.election.onHeartbeat(holder.instanceId, reply.message.shards.containsAll(shardsInStore), now)
+                    val holds = reply.message.shards.containsAll(shardsInStore)
+                    shards.election.onHeartbeat(holder.instanceId, holds, now, sentAtMillis)
                     onAnswered()
                 }
 
