Keep the time of the failed holder when its successor hands over

What callers saw: two runs of one task at a time, where a holder fails and its successor stops gracefully within a second, as in a rolling restart.

Cause: taking a shard over by hand-over counted unclaimed runs from the hand-over, although they may be runs of the holder before.

Change: the new holder counts from when the last holder that took in jobs was seen, also after a hand-over.

--- a/fleet/src/main/kotlin/io/jackdawring/fleet/HeldShards.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/HeldShards.kt
@@ -225,8 +225,10 @@
         if (draining || message.shardId in claiming) {
             onResult(false)
         } else {
+            val seenAt = election.lastSeenMillis(message.shardId, loop.nowMillis())
             claim(message.shardId, message.revision) { taken ->
                 hosts[message.shardId]?.inherit(message.targets.map { it.toTarget() }.toImmutableList())
+                if (seenAt != null) hosts[message.shardId]?.onPreviousHolderSeen(seenAt)
                 onResult(taken)
             }
         }
--- a/fleet/src/test/kotlin/io/jackdawring/fleet/model/ResentJobTest.kt
+++ b/fleet/src/test/kotlin/io/jackdawring/fleet/model/ResentJobTest.kt
@@ -1,6 +1,8 @@
 package io.jackdawring.fleet.model
 
+import org.junit.jupiter.api.DynamicTest
 import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.TestFactory
 
 /** A caller that gets no answer sends its job again elsewhere; no task may then run twice at the same time. */
 class ResentJobTest {
@@ -48,6 +50,37 @@
         fleet.run(SETTLE_MILLIS)
     }
 
+    /** Guards against a hand-over that restarts the time for unclaimed runs of the holder before. */
+    @TestFactory
+    fun `runs that no relay asks for end in time although the successor hands over`() =
+        (420L..900L step 80).map { drainMillis ->
+            DynamicTest.dynamicTest("handed over $drainMillis ms after the failure of the holder") {
+                val fleet = FakeFleet(domains = 2, instancesPerDomain = 3, targetsPerDomain = 1)
+                fleet.submit(FakeFleet.job("long"), "a", LASTING_MILLIS) { fleet.instance(if (it == 1) "a1" else "b1") }
+                fleet.run(120)
+                fleet.kill("a1")
+                fleet.run(drainMillis)
+                fleet.drain("a2")
+                fleet.run(SETTLE_MILLIS)
+            }
+        }
+
+    /** Guards against a successor that has never seen the failed holder and counts from the one between. */
+    @TestFactory
+    fun `runs that no relay asks for end in time at a successor that has never seen their holder`() =
+        (300L..700L step 80).map { killMillis ->
+            DynamicTest.dynamicTest("the holder between fails $killMillis ms after the first one") {
+                val fleet = FakeFleet(domains = 2, instancesPerDomain = 3, targetsPerDomain = 1)
+                fleet.kill("a3", restartAfterMillis = 130)
+                fleet.submit(FakeFleet.job("long"), "a", LASTING_MILLIS) { fleet.instance(if (it == 1) "a1" else "b1") }
+                fleet.run(120)
+                fleet.kill("a1")
+                fleet.run(killMillis)
+                fleet.kill("a2")
+                fleet.run(SETTLE_MILLIS)
+            }
+        }
+
     /** Guards against a start order that is carried out after the task was started elsewhere without a confirmed stop. */
     @Test
     fun `a start that was not answered is stopped before the task starts elsewhere`() {
@@ -144,6 +177,8 @@
     }
 
     private companion object {
+        /** Duration of a task that is still at work when its caller has sent the job again. */
+        const val LASTING_MILLIS = 2_800L
         const val LONG_MILLIS = 1_400L
         const val FILL_MILLIS = 50L
         const val TASKS_PER_TARGET = 4
