Keep durable runs while a new holder loads their jobs

What callers saw: nothing yet; durable and long-running tasks would be stopped and started again at a take-over with a slow store, since unclaimed runs are stopped sooner.

Cause: before the stored jobs are loaded, every durable run looks like one that nobody claims, and was stopped 150 ms after it was found if the new holder had never seen its predecessor.

Evidence: found in review; RunOverlapTest: 4 of 4 long-running tasks started again with a read of 200, 400 and 600 ms.

Change: until the jobs are loaded, runs are kept for as long as the time of the predecessor permits. If that is not known, they are not stopped, but get no new lease, so that they end with the lease of the predecessor.

--- a/core/src/main/kotlin/io/jackdawring/core/shard/AdoptionWindow.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/AdoptionWindow.kt
@@ -12,12 +12,22 @@
     /** Time at which the previous holder was last known to hold the shard; null if that is not known. */
     var previousHolderSeenAtMillis: Long? = null
 
-    /** Time at which a run that was found at [foundAtMillis] is stopped unless it is claimed before. */
-    fun endsAtMillis(foundAtMillis: Long): Long {
+    /** Whether unclaimed runs may get new leases; without, they end by the leases that the previous holder renewed. */
+    fun mayRenewLeases(areJobsLoaded: Boolean): Boolean = areJobsLoaded || previousHolderSeenAtMillis != null
+
+    /**
+     * Time at which a run that was found at [foundAtMillis] is stopped unless it is claimed before.
+     *
+     * Unless [areJobsLoaded], it may be a run of a durable job, which is kept for as long as possible.
+     */
+    fun endsAtMillis(
+        foundAtMillis: Long,
+        areJobsLoaded: Boolean,
+    ): Long {
         val earliest = foundAtMillis + CLAIM_MILLIS
-        val seenAt = previousHolderSeenAtMillis ?: return earliest
+        val seenAt = previousHolderSeenAtMillis ?: return if (areJobsLoaded) earliest else Long.MAX_VALUE
         val latest = seenAt + options.resendAfterMillis - options.stopMillis - STOP_MARGIN_MILLIS
-        return minOf(maxOf(earliest, seenAt + options.adoptionTimeoutMillis), latest)
+        return if (!areJobsLoaded) latest else minOf(maxOf(earliest, seenAt + options.adoptionTimeoutMillis), latest)
     }
 
     private companion object {
--- a/core/src/main/kotlin/io/jackdawring/core/shard/RealShardDispatcher.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/RealShardDispatcher.kt
@@ -166,7 +166,7 @@
             durable.add(tracked)
             lifecycle.previousRuns.add(tracked)
         }
-        control.onRecovered { durable.findUnsaved(it) != null }
+        control.onRecovered(nowMillis) { durable.findUnsaved(it) != null }
         place(nowMillis)
     }
 
--- a/core/src/main/kotlin/io/jackdawring/core/shard/TargetControl.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/TargetControl.kt
@@ -12,7 +12,7 @@
     /** Cost of the decisions about these targets. */
     val cost = DecisionCost()
     private val registry = TargetRegistry(cost, ::report)
-    private val poller = TargetPoller(options, effects)
+    private val poller = TargetPoller(options, effects, ::mayRenewLease)
     private val stopper = RunStopper(effects)
     private val index = RunIndex()
     private val adoption = AdoptionWindow(options)
@@ -276,9 +276,15 @@
     }
 
     /** Lets targets forget the ended runs of jobs without progress to store, as determined by [isUnsaved]. */
-    fun onRecovered(isUnsaved: (JobId) -> Boolean) {
+    fun onRecovered(
+        nowMillis: Long,
+        isUnsaved: (JobId) -> Boolean,
+    ) {
         recovered = true
         targets.forEach { target -> target.pendingEnds.removeAll { !isUnsaved(it.jobId) } }
+        if (!adoption.mayRenewLeases(areJobsLoaded = false)) {
+            targets.filter { it.contact == TrackedTarget.Contact.HELD }.forEach { poller.pollNow(it, nowMillis) }
+        }
     }
 
     /** Lets targets forget the ended runs of [jobId] that [version] of its progress includes. */
@@ -434,13 +440,16 @@
         }
     }
 
+    private fun mayRenewLease(target: TrackedTarget): Boolean =
+        target.mayRenewLease && (adoption.mayRenewLeases(recovered) || target.runs.values.none { it.owner == null })
+
     private fun checkRun(
         run: TrackedRun,
         nowMillis: Long,
     ) {
         val unclaimed = run.owner == null && !listener.awaitsRuns(run.key.jobId)
         if (unclaimed &&
-            nowMillis >= adoption.endsAtMillis(run.sentAtMillis)
+            nowMillis >= adoption.endsAtMillis(run.sentAtMillis, recovered)
         ) {
             stop(run, "no job claimed the run", nowMillis)
         }
--- a/core/src/main/kotlin/io/jackdawring/core/shard/TargetPoller.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/TargetPoller.kt
@@ -4,6 +4,7 @@
 internal class TargetPoller(
     private val options: ShardOptions,
     private val effects: ShardEffects,
+    private val mayRenewLease: (TrackedTarget) -> Boolean,
 ) {
     /** Maximum time for which a run can last without a renewed lease, even if the target's clock is slow. */
     val maxLeaseMillis =
@@ -23,7 +24,7 @@
         val hasNewAck = acknowledged > target.confirmedAcknowledgedEnd
         if (target.pendingEnds.isNotEmpty() && !hasNewAck && sinceAnswerMillis < SAVE_POLL_INTERVAL_MILLIS) return
         val held = target.contact == TrackedTarget.Contact.HELD
-        val leaseUntil = if (held && target.mayRenewLease) leaseUntil(target, nowMillis) else null
+        val leaseUntil = if (held && mayRenewLease(target)) leaseUntil(target, nowMillis) else null
         target.pollInFlight = true
         target.pollSequence++
         target.pollSentAtMillis = nowMillis
@@ -67,7 +68,7 @@
         nowMillis: Long,
     ): Long? {
         val offset = target.clockOffsetMillis ?: return null
-        if (target.mayRenewLease) {
+        if (mayRenewLease(target)) {
             target.leaseExpiresAtMillis = maxOf(target.leaseExpiresAtMillis, nowMillis + maxLeaseMillis)
         }
         return target.leaseExpiresAtMillis - maxLeaseMillis + options.leaseMillis + offset
--- a/testing/src/test/kotlin/io/jackdawring/testing/shard/RunOverlapTest.kt
+++ b/testing/src/test/kotlin/io/jackdawring/testing/shard/RunOverlapTest.kt
@@ -66,6 +66,27 @@
             }
         }
 
+    /** Guards against durable runs that are stopped because their jobs are not loaded yet. */
+    @TestFactory
+    fun `durable runs continue while a new holder loads their jobs`() =
+        listOf(100L, 200L, 400L, 600L).flatMap { readMillis ->
+            listOf(true, false).map { isSeen ->
+                val suffix = if (isSeen) "that it has seen" else "that it has never seen"
+                DynamicTest.dynamicTest("loaded in $readMillis ms after a holder $suffix") {
+                    val shard = shard()
+                    shard.submitDurable(job("a", tasks = 4, estimateMillis = 5_000, longRunning = true))
+                    shard.runFor(500)
+                    val seenAtMillis = shard.nowMillis.takeIf { isSeen }
+                    shard.killHolder()
+                    shard.runFor(100)
+                    shard.readMillis = readMillis
+                    shard.replaceHolder(seenAtMillis = seenAtMillis)
+                    shard.runFor(2_000)
+                    assertEquals(4, shard.starts.size)
+                }
+            }
+        }
+
     private val rows =
         listOf(
             // Guards against a start that is carried out beside the run that replaced it.
