Check in the model that callers have sent their jobs again

The cases of ResentJobTest asserted only that no task runs twice at a time, which also holds if the job is refused. They now also check that the caller has sent the job at least twice and that it has run.

--- a/fleet/src/test/kotlin/io/jackdawring/fleet/model/FakeJobCaller.kt
+++ b/fleet/src/test/kotlin/io/jackdawring/fleet/model/FakeJobCaller.kt
@@ -13,7 +13,10 @@
     private val nextInstance: (submission: Int) -> FakeEntryInstance?,
 ) {
     private val node = FakeLinks.callers(domain)
-    private var submissions = 0
+
+    /** Number of times that the job was sent. */
+    var submissions = 0
+        private set
     private var current: Submission? = null
 
     /** Whether every submission was answered as not run. */
--- a/fleet/src/test/kotlin/io/jackdawring/fleet/model/ResentJobTest.kt
+++ b/fleet/src/test/kotlin/io/jackdawring/fleet/model/ResentJobTest.kt
@@ -3,6 +3,7 @@
 import org.junit.jupiter.api.DynamicTest
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.TestFactory
+import kotlin.test.assertTrue
 
 /** A caller that gets no answer sends its job again elsewhere; no task may then run twice at the same time. */
 class ResentJobTest {
@@ -10,6 +11,14 @@
     private fun FakeFleet.submitLong(vararg ids: String) =
         submit(FakeFleet.job("long"), "a", LONG_MILLIS) { submission -> instance(ids[minOf(submission, ids.size) - 1]) }
 
+    /** Runs until all is over, and checks that the caller has sent its job again and that it has run. */
+    private fun FakeFleet.settle() {
+        run(SETTLE_MILLIS)
+        val caller = callers.last()
+        assertTrue(caller.submissions >= 2, "submissions of ${caller.job.id.value}: ${caller.submissions}")
+        assertTrue(runs.hasBegun(caller.job.id), "${caller.job.id.value} has not run")
+    }
+
     /** Fills the targets of the instance [id] for the next [LONG_MILLIS]. */
     private fun FakeFleet.fill(id: String) {
         val tasks = targets.size / domains * TASKS_PER_TARGET
@@ -25,7 +34,7 @@
         fleet.submitLong("a1", "c1")
         fleet.run(100)
         fleet.resetCallers("a1")
-        fleet.run(SETTLE_MILLIS)
+        fleet.settle()
     }
 
     /** Guards against runs of a killed holder that its successor keeps alive although no relay asks for them. */
@@ -35,7 +44,7 @@
         fleet.submitLong("a1", "b1")
         fleet.run(20)
         fleet.kill("a1", restartAfterMillis = 650)
-        fleet.run(SETTLE_MILLIS)
+        fleet.settle()
     }
 
     /** Guards against an adoption time that starts again with each of several successors. */
@@ -47,7 +56,7 @@
         fleet.kill("a1", restartAfterMillis = 300)
         fleet.run(800)
         fleet.kill("a1", restartAfterMillis = 200)
-        fleet.run(SETTLE_MILLIS)
+        fleet.settle()
     }
 
     /** Guards against a hand-over that restarts the time for unclaimed runs of the holder before. */
@@ -61,7 +70,7 @@
                 fleet.kill("a1")
                 fleet.run(drainMillis)
                 fleet.drain("a2")
-                fleet.run(SETTLE_MILLIS)
+                fleet.settle()
             }
         }
 
@@ -77,7 +86,7 @@
                 fleet.kill("a1")
                 fleet.run(killMillis)
                 fleet.kill("a2")
-                fleet.run(SETTLE_MILLIS)
+                fleet.settle()
             }
         }
 
@@ -88,7 +97,7 @@
         fleet.targetFaults.lateMillis = { 3_000 }
         fleet.silence("a-t1", 2_000)
         fleet.submitLong("a1", "b1")
-        fleet.run(SETTLE_MILLIS)
+        fleet.settle()
     }
 
     /** Guards against a run that begins late and is kept for a job that may claim it, although its holder has not changed. */
@@ -98,7 +107,7 @@
         fleet.targetFaults.lateMillis = { RESENT_MILLIS - 200 }
         fleet.silence("a-t1", 2_000)
         fleet.submitLong("a1", "b1")
-        fleet.run(SETTLE_MILLIS)
+        fleet.settle()
     }
 
     /** Guards against a relay that forwards a request which arrived during its pause and whose caller is gone. */
@@ -107,7 +116,7 @@
         val fleet = FakeFleet(domains = 2, instancesPerDomain = 2, targetsPerDomain = 1)
         fleet.freeze("a2", RESENT_MILLIS + 20, messagesFirst = false)
         fleet.submitLong("a2", "b1")
-        fleet.run(SETTLE_MILLIS)
+        fleet.settle()
     }
 
     /** Guards against a holder that starts a request which arrived during its pause and whose caller is gone. */
@@ -116,7 +125,7 @@
         val fleet = FakeFleet(domains = 2, instancesPerDomain = 1, targetsPerDomain = 1)
         fleet.freeze("a1", RESENT_MILLIS + 20)
         fleet.submitLong("a1", "b1")
-        fleet.run(SETTLE_MILLIS)
+        fleet.settle()
     }
 
     /** Guards against a holder that starts jobs which were sent to it during its pause. */
@@ -126,7 +135,7 @@
         fleet.stopStore(SETTLE_MILLIS)
         fleet.freeze("a1", RESENT_MILLIS + 20)
         fleet.submitLong("a2", "b1")
-        fleet.run(SETTLE_MILLIS)
+        fleet.settle()
     }
 
     /** Guards against a holder that starts jobs which a cut network has delayed. */
@@ -136,7 +145,7 @@
         fleet.stopStore(SETTLE_MILLIS)
         fleet.cut("a1", listOf("a2"), RESENT_MILLIS + 20)
         fleet.submitLong("a2", "b1")
-        fleet.run(SETTLE_MILLIS)
+        fleet.settle()
     }
 
     /** Guards against a job that a cut network delivers although its relay could not take it back. */
@@ -149,7 +158,7 @@
         fleet.submitLong("a2", "b1")
         fleet.run(5)
         fleet.freeze("a2", RESENT_MILLIS + 500)
-        fleet.run(SETTLE_MILLIS)
+        fleet.settle()
     }
 
     /** Guards against a pause that the holder's clock does not count, so that it believes its caller still waits. */
@@ -159,7 +168,7 @@
         fleet.submitLong("a1", "b1")
         fleet.run(20)
         fleet.freeze("a1", RESENT_MILLIS, clockCounts = false)
-        fleet.run(SETTLE_MILLIS)
+        fleet.settle()
     }
 
     /** Guards against ticks that fail because an end that is listed late has completed a task which waits as a late one. */
@@ -173,7 +182,7 @@
         fleet.submit(FakeFleet.job("resent", 2), "a", 500) { fleet.instance("a1") }
         fleet.run(RESENT_MILLIS - 400)
         fleet.fill("a1")
-        fleet.run(SETTLE_MILLIS)
+        fleet.settle()
     }
 
     private companion object {
