Keep runs whose ends do not fit into a target's list

Cause: a target lists at most 500 ended runs. While progress cannot be stored, ends stay unacknowledged and the list fills up. A run in neither list was taken for lost, although its end was only not listed yet. A new holder had the same fault: after the first list, it took all earlier runs for known.

Change: a list that may be incomplete does not prove that a run is over, and a holder waits for complete lists before it resumes jobs of earlier holders. So that such lists get shorter, the ends of jobs that wait to be resumed are stored as they arrive instead of when the job resumes. A target with 400 ends that are not stored gets no starts, so that lists seldom fill up and callers that wait are not kept from their results.

The stand-in target and both fake targets list 500 ends at a time.

--- a/core/src/main/kotlin/io/jackdawring/core/shard/JobLifecycle.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/JobLifecycle.kt
@@ -81,8 +81,6 @@
     fun resumeRecoveredJobs(nowMillis: Long) {
         for (job in previousRuns.takeRecoverable(nowMillis)) {
             if (isOpen(job)) resumeRecovered(job, nowMillis)
-            // While progress is being stored, the targets must keep listing the ended runs that it includes.
-            if (!job.isSaving) control.onSaved(job.spec.id, version = 0, nowMillis)
         }
     }
 
@@ -103,6 +101,17 @@
         }
     }
 
+    /**
+     * Adds a stored job, which is resumed once all of its runs by previous holders are known.
+     *
+     * What is known of them is stored before, so that targets with many ended runs can forget some and list the others.
+     */
+    fun addRecovered(job: TrackedJob) {
+        durable.add(job)
+        previousRuns.add(job)
+        if (job.tasks().count(previousRuns::applyEnds) > 0) durable.saveProgress(job)
+    }
+
     /** Applies the crashes of targets that previous holders stored for the tasks of [job]. */
     fun restoreCrashes(
         job: TrackedJob,
@@ -242,12 +251,14 @@
         nowMillis: Long,
     ): Long? {
         val job = jobs[end.task.jobId] ?: durable.findUnsaved(end.task.jobId)
+        val task = job?.find(end.task)
         if (job == null || previousRuns.isAwaitingRecovery(job.spec.id)) {
             previousRuns.onEnd(end, nowMillis)
-            return if (job == null) null else job.progressVersion
+            if (task != null && job.isDurable && previousRuns.applyEnds(task)) durable.saveProgress(job)
+        } else if (task != null && !task.done && isOpen(job)) {
+            applyLateEnd(task, end, nowMillis)
         }
-        val task = job.find(end.task)
-        if (task != null && !task.done && isOpen(job)) applyLateEnd(task, end, nowMillis)
+        if (job == null) return null
         return job.progressVersion.takeIf { job.isSaving }
     }
 
--- a/core/src/main/kotlin/io/jackdawring/core/shard/PollResult.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/PollResult.kt
@@ -4,12 +4,18 @@
 
 /** Result of a [PollRequest]. */
 sealed interface PollResult {
-    /** The target's lists of runs; [incarnationStartMillis] is different for each incarnation of the target. */
+    /**
+     * The target's lists of runs; [incarnationStartMillis] is different for each incarnation of the target.
+     *
+     * With [mayHaveMoreEnds], the target has possibly more ended runs, which it lists once those in [ended] are
+     * acknowledged.
+     */
     data class Snapshot(
         val clockMillis: Long,
         val incarnationStartMillis: Long,
         val running: ImmutableList<RunningRun>,
         val ended: ImmutableList<EndedRun>,
+        val mayHaveMoreEnds: Boolean,
     ) : PollResult
 
     /** The target rejected the request, because a newer holder with a higher fencing token has sent it requests. */
--- a/core/src/main/kotlin/io/jackdawring/core/shard/PreviousHolderRuns.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/PreviousHolderRuns.kt
@@ -44,18 +44,21 @@
         var progressChanged = false
         for (task in job.tasks()) {
             if (task.done) continue
-            // A long-running task starts again however its last run ended.
-            val known = ends.remove(task.key).takeUnless { task.spec.longRunning }
-            val checkpointChanged = task.recordCheckpoint(known?.checkpoint)
-            val failuresChanged = task.failedAttempts.addAll(known?.failedAttempts.orEmpty())
-            if (known?.done == true) {
-                job.markDone(task)
-            } else if (control.claim(task)) {
-                job.started = true
-            }
-            if (failuresChanged || checkpointChanged || known?.done == true) progressChanged = true
+            if (applyEnds(task)) progressChanged = true
+            if (!task.done && control.claim(task)) job.started = true
         }
-        if (progressChanged) job.started = true
+        return progressChanged
+    }
+
+    /** Applies the known ended runs of previous holders to [task]; returns whether they changed its progress. */
+    fun applyEnds(task: TrackedTask): Boolean {
+        // A long-running task starts again however its last run ended.
+        val known = ends.remove(task.key).takeUnless { task.spec.longRunning || task.done } ?: return false
+        val checkpointChanged = task.recordCheckpoint(known.checkpoint)
+        val failuresChanged = task.failedAttempts.addAll(known.failedAttempts)
+        if (known.done) task.job.markDone(task)
+        val progressChanged = failuresChanged || checkpointChanged || known.done
+        if (progressChanged) task.job.started = true
         return progressChanged
     }
 
--- a/core/src/main/kotlin/io/jackdawring/core/shard/RealShardDispatcher.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/RealShardDispatcher.kt
@@ -163,10 +163,9 @@
             val tracked = toTrackedJob(job, nowMillis)
             tracked.restore(job.progress, attemptBase)
             lifecycle.restoreCrashes(tracked, job.progress, nowMillis)
-            durable.add(tracked)
-            lifecycle.previousRuns.add(tracked)
+            lifecycle.addRecovered(tracked)
         }
-        control.onRecovered(nowMillis) { durable.findUnsaved(it) != null }
+        control.onRecovered(nowMillis) { durable.findUnsaved(it)?.isSaving == true }
         place(nowMillis)
     }
 
--- a/core/src/main/kotlin/io/jackdawring/core/shard/TargetControl.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/TargetControl.kt
@@ -30,6 +30,7 @@
     /** Whether all runs that previous holders started are known or over. */
     fun allRunsKnown(nowMillis: Long): Boolean {
         val since = registry.firstListedAtMillis ?: return false
+        if (targets.any { it.mayHaveMoreEnds }) return false
         return (registry.inherited && targets.all { it.hasAnswered }) || nowMillis - since >= poller.maxLeaseMillis
     }
 
@@ -244,6 +245,7 @@
             report(target, "held", "answered after ${nowMillis - target.pollSentAtMillis} ms")
         }
         stopUnansweredStarts(target, nowMillis)
+        target.mayHaveMoreEnds = snapshot.mayHaveMoreEnds
         snapshot.ended.forEach { applyEnd(target, it, nowMillis) }
         applyRunning(target, snapshot.running, isFirstList, nowMillis)
         listener.onAnswered(target.id, snapshot.incarnationStartMillis, nowMillis)
@@ -275,13 +277,13 @@
         if (job.isSaving) target.pendingEnds.addLast(PendingEnd(end.sequence, job.spec.id, job.progressVersion))
     }
 
-    /** Lets targets forget the ended runs of jobs without progress to store, as determined by [isUnsaved]. */
+    /** Lets targets forget the ended runs of all jobs but those whose progress [isSaving]. */
     fun onRecovered(
         nowMillis: Long,
-        isUnsaved: (JobId) -> Boolean,
+        isSaving: (JobId) -> Boolean,
     ) {
         recovered = true
-        targets.forEach { target -> target.pendingEnds.removeAll { !isUnsaved(it.jobId) } }
+        targets.forEach { target -> target.pendingEnds.removeAll { !isSaving(it.jobId) } }
         if (!adoption.mayRenewLeases(areJobsLoaded = false)) {
             targets.filter { it.contact == TrackedTarget.Contact.HELD }.forEach { poller.pollNow(it, nowMillis) }
         }
@@ -340,7 +342,8 @@
         run: TrackedRun,
         nowMillis: Long,
     ) {
-        val provesEnd = run.target.pollSentAtMillis > run.listedAfterMillis
+        // A run that has ended may be missing in an incomplete list of ended runs.
+        val provesEnd = run.target.pollSentAtMillis > run.listedAfterMillis && !run.target.mayHaveMoreEnds
         val isRestarted = run.incarnationStartMillis != run.target.incarnationStartMillis
         when (run.state) {
             TrackedRun.State.STARTING -> Unit
@@ -392,6 +395,7 @@
     fun tick(nowMillis: Long) {
         for (target in targets.toList()) {
             if (target.contact != TrackedTarget.Contact.HELD && nowMillis >= target.leaseExpiresAtMillis) {
+                target.mayHaveMoreEnds = false
                 target.runs.values
                     .toList()
                     .forEach { onLeaseExpired(it, nowMillis) }
@@ -487,6 +491,7 @@
         target.processedEnd = 0
         target.confirmedAcknowledgedEnd = 0
         target.pendingEnds.clear()
+        target.mayHaveMoreEnds = false
         target.health.reset()
     }
 
--- a/core/src/main/kotlin/io/jackdawring/core/shard/TrackedTarget.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/TrackedTarget.kt
@@ -33,6 +33,9 @@
     /** Processed ended runs whose effect is not stored yet, ordered by sequence. */
     val pendingEnds = ArrayDeque<PendingEnd>()
 
+    /** Whether the target's last list of ended runs was possibly incomplete, so that a missing run may have a result. */
+    var mayHaveMoreEnds = false
+
     /** Sequence up to which the target may forget its ended runs. */
     val acknowledgedEnd: Long get() = pendingEnds.firstOrNull()?.let { it.sequence - 1 } ?: processedEnd
     var incarnationStartMillis: Long? = null
@@ -53,9 +56,16 @@
     /** Latest time on the monotonic clock at which a requested lease can expire. */
     var leaseExpiresAtMillis = Long.MIN_VALUE / 2
 
-    /** Whether the target has no runs that no job has claimed, and no run that goes on although it should stop. */
+    /**
+     * Whether the target has no runs that no job has claimed, no run that goes on although it should stop, and room in
+     * its list of ended runs.
+     */
     val acceptsStarts: Boolean
-        get() = !unansweredStarts.isOpen && runs.values.none { it.owner == null || it.isStopOverdue }
+        get() =
+            !unansweredStarts.isOpen &&
+                !mayHaveMoreEnds &&
+                pendingEnds.size < MAX_PENDING_ENDS &&
+                runs.values.none { it.owner == null || it.isStopOverdue }
 
     /** Whether the lease may be renewed; it is not while a run should stop, so that the run ends in any case. */
     val mayRenewLease: Boolean get() = !unansweredStarts.isOpen && runs.values.none { it.isStopUnanswered }
@@ -124,6 +134,13 @@
         /** The platform's documentation gives live targets about two seconds to return to the list. */
         const val UNLISTED_GRACE_MILLIS = 2_500L
 
+        /**
+         * Ended runs that wait to be stored, from which on a target gets no starts.
+         *
+         * Targets list 500 ended runs at a time; results beyond that are unknown until earlier ones are stored.
+         */
+        const val MAX_PENDING_ENDS = 400
+
         /** Time for which a run that may crash its target has no others started beside it. */
         const val ISOLATION_MILLIS = 1_000L
     }
--- a/fleet/src/test/kotlin/io/jackdawring/fleet/model/FakeFleetTarget.kt
+++ b/fleet/src/test/kotlin/io/jackdawring/fleet/model/FakeFleetTarget.kt
@@ -123,7 +123,9 @@
     private fun answer(poll: WaitingPoll) {
         if (!waitingPolls.remove(poll)) return
         val listed = running.map { RunningRun(it.task, it.attempt) }.toImmutableList()
-        poll.respond(PollResult.Snapshot(clockMillis(), bornMillis, listed, ends.toImmutableList()))
+        val listedEnds = ends.take(MAX_LISTED_ENDS).toImmutableList()
+        val mayHaveMore = listedEnds.size == MAX_LISTED_ENDS
+        poll.respond(PollResult.Snapshot(clockMillis(), bornMillis, listed, listedEnds, mayHaveMore))
     }
 
     private fun extendLease(untilMillis: Long) {
@@ -173,6 +175,8 @@
 
     companion object {
         val CAPACITY = Resources(16_000, 65_536)
+        /** Number of ended runs that are listed at a time, as by the targets of the platform. */
+        private const val MAX_LISTED_ENDS = 500
         private const val FIRST_CLOCK_MILLIS = 100_000L
         private const val STOP_MILLIS = 40L
         private const val RESTART_MILLIS = 50L
--- a/load/src/main/kotlin/io/jackdawring/load/bench/ScriptedTargets.kt
+++ b/load/src/main/kotlin/io/jackdawring/load/bench/ScriptedTargets.kt
@@ -84,6 +84,7 @@
                 STARTED_MILLIS,
                 listed,
                 end?.let { persistentListOf(it) } ?: persistentListOf(),
+                mayHaveMoreEnds = false,
             )
     }
 
--- a/standins/src/main/kotlin/io/jackdawring/standins/platform/StandInPlatformTarget.kt
+++ b/standins/src/main/kotlin/io/jackdawring/standins/platform/StandInPlatformTarget.kt
@@ -166,7 +166,8 @@
             put("clockMs", clockMillis())
             put("born", incarnationStartMillis)
             put("running", JsonArray(runs.values.map { row(it.task, it.attempt, "", 0) }))
-            put("finished", JsonArray(endedRuns.map { row(it.sequence, it.task, it.attempt, it.reason, "") }))
+            val listed = endedRuns.take(MAX_LISTED_ENDS)
+            put("finished", JsonArray(listed.map { row(it.sequence, it.task, it.attempt, it.reason, "") }))
         }
 
     private fun row(vararg values: Any) =
@@ -186,6 +187,9 @@
         /** CPU demand of a task that fills a slot, in thousandths of a core. */
         const val CPU_PER_SLOT = 1_000
         private const val MAX_LEASE_MILLIS = 1_000L
+
+        /** Number of ended runs that are listed at a time. */
+        private const val MAX_LISTED_ENDS = 500
         private const val OK = 200
         private const val NOT_FOUND = 404
         private const val CONFLICT = 409
--- a/testing/src/main/kotlin/io/jackdawring/testing/shard/FakeShardTarget.kt
+++ b/testing/src/main/kotlin/io/jackdawring/testing/shard/FakeShardTarget.kt
@@ -190,13 +190,15 @@
         request.leaseUntilMillis?.let(::extendLease)
         acknowledgedEnds += ends.filter { it.sequence <= request.acknowledgedEnd }
         ends.removeAll { it.sequence <= request.acknowledgedEnd }
-        returnedEnd = nextEnd - 1
+        val listed = ends.take(MAX_LISTED_ENDS)
+        returnedEnd = listed.lastOrNull()?.sequence ?: returnedEnd
         val running = runs.values.map { RunningRun(it.key, it.attempt, it.saved) }.toImmutableList()
         return PollResult.Snapshot(
             nowMillis + clockOffsetMillis,
             incarnationStartMillis,
             running,
-            ends.toImmutableList(),
+            listed.toImmutableList(),
+            mayHaveMoreEnds = listed.size == MAX_LISTED_ENDS,
         )
     }
 
@@ -210,6 +212,9 @@
     /** Ended runs that were acknowledged since the last call. */
     internal fun takeAcknowledgedEnds(): List<EndedRun> = acknowledgedEnds.toList().also { acknowledgedEnds.clear() }
 
+    /** Number of ended runs that are not acknowledged. */
+    val unacknowledgedEnds: Int get() = ends.size
+
     internal val hasEnds: Boolean get() = ends.isNotEmpty()
 
     /** Saves checkpoints that are due, and ends the runs that are complete or whose lease has expired. */
@@ -263,6 +268,9 @@
         private const val CHECKPOINT_MILLIS = 100L
         private const val RESTORE_MILLIS = 10L
 
+        /** Number of ended runs that are listed at a time, as by the targets of the platform. */
+        private const val MAX_LISTED_ENDS = 500
+
         private fun checkpoint(
             key: TaskKey,
             attempt: Int,
