--- a/core/src/main/kotlin/io/jackdawring/core/shard/DurableJobs.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/DurableJobs.kt
@@ -84,6 +84,15 @@
         ended.remove(id)
     }
 
+    /** Forgets a job that another shard has now, and lets the targets forget its ended runs. */
+    fun onMoved(
+        id: JobId,
+        nowMillis: Long,
+    ) {
+        open.remove(id)
+        control.onSaved(id, version = Long.MAX_VALUE, nowMillis)
+    }
+
     fun clear() = open.clear()
 
     private fun report(
--- a/core/src/main/kotlin/io/jackdawring/core/shard/JobLifecycle.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/JobLifecycle.kt
@@ -226,7 +226,7 @@
         task: TrackedTask,
         nowMillis: Long,
     ) {
-        if (task.done || !isOpen(task.job)) return
+        if (task.done || !isOpen(task.job) || task.job.isMoving) return
         // Until the ended runs of previous holders are applied, the task may be done, and progress must not be stored.
         if (previousRuns.isAwaitingRecovery(task.job.spec.id)) return
         if (task.crashes.isExhausted) failCrashing(task, nowMillis) else saveProgress(task.job)
@@ -252,7 +252,7 @@
     ): Long? {
         val job = jobs[end.task.jobId] ?: durable.findUnsaved(end.task.jobId)
         val task = job?.find(end.task)
-        if (job == null || previousRuns.isAwaitingRecovery(job.spec.id)) {
+        if (job == null || job.isMoving || previousRuns.isAwaitingRecovery(job.spec.id)) {
             previousRuns.onEnd(end, nowMillis)
             if (task != null && job.isDurable && previousRuns.applyEnds(task)) durable.saveProgress(job)
         } else if (task != null && !task.done && isOpen(job)) {
@@ -346,6 +346,12 @@
         endTasks(job, nowMillis)
     }
 
+    /** Stops the runs of durable jobs, whose tasks wait again afterwards. */
+    fun stopDurableRuns(
+        reason: String,
+        nowMillis: Long,
+    ) = durable.openJobs.flatMap { it.tasks() }.forEach { stopRuns(it, reason, nowMillis) }
+
     private fun endTasks(
         job: TrackedJob,
         nowMillis: Long,
--- a/core/src/main/kotlin/io/jackdawring/core/shard/Placement.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/Placement.kt
@@ -16,8 +16,11 @@
         val requiredLabel: String?,
     )
 
-    /** Starts as many waiting tasks as the free capacity allows. */
-    fun place(nowMillis: Long) {
+    /** Starts as many waiting tasks as the free capacity allows; those of durable jobs only if [mayStartDurable]. */
+    fun place(
+        nowMillis: Long,
+        mayStartDurable: Boolean,
+    ) {
         var candidates = candidates(nowMillis)
         var free = largestFree(candidates)
         val unmet = HashSet<Requirements>()
@@ -25,7 +28,7 @@
             control.cost.add()
             if (candidates.isEmpty() || unmet.size == MAX_UNMET) return
             if (!task.spec.demand.fitsInto(free)) continue
-            if (!task.job.isAwaited(nowMillis)) continue
+            if (!task.job.isAwaited(nowMillis) || task.job.isDurable && !mayStartDurable) continue
             // A run from an earlier submission of the job may still be stopping.
             if (control.isPresent(task.key) || !task.mayStart(nowMillis)) continue
             val requirements = Requirements(task.job.spec.service, task.spec.demand, task.spec.requiredLabel)
--- a/core/src/main/kotlin/io/jackdawring/core/shard/RealShardDispatcher.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/RealShardDispatcher.kt
@@ -5,6 +5,7 @@
 import kotlinx.collections.immutable.ImmutableCollection
 import kotlinx.collections.immutable.ImmutableList
 import kotlinx.collections.immutable.ImmutableMap
+import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.toImmutableList
 import kotlinx.collections.immutable.toImmutableMap
 
@@ -24,6 +25,8 @@
     private val preemption = Preemption(options, control, lifecycle.durations)
     private val copies = SpeculativeCopies(options, control, lifecycle.durations, selector)
     private val hangDetector = HangDetector(control)
+    private val stalled = StalledJobs(control, waiting, durable, lifecycle.previousRuns)
+    private val ownership = ShardOwnership()
     private var nextJobSequence = 0L
     private var released = false
 
@@ -161,7 +164,8 @@
                 continue
             }
             val tracked = toTrackedJob(job, nowMillis)
-            tracked.restore(job.progress, attemptBase)
+            tracked.restore(job.progress, maxOf(attemptBase, job.attemptBase))
+            tracked.mayHaveForeignRuns = !control.recovered
             lifecycle.restoreCrashes(tracked, job.progress, nowMillis)
             lifecycle.addRecovered(tracked)
         }
@@ -186,7 +190,7 @@
         jobId: JobId,
         nowMillis: Long,
     ) {
-        val job = durable.find(jobId) ?: return
+        val job = durable.find(jobId)?.takeUnless { it.isMoving } ?: return
         lifecycle.endDurable(job, JobState.CANCELLED, "cancelled by the caller", nowMillis)
     }
 
@@ -196,20 +200,46 @@
 
     override fun forget(jobId: JobId) = durable.forget(jobId)
 
-    override fun backlogMillis(
-        service: String,
+    override fun stalledJobs(nowMillis: Long): ImmutableList<StalledJob> =
+        if (released) persistentListOf() else stalled.find(nowMillis)
+
+    override fun holdForMove(
+        jobId: JobId,
+        nowMillis: Long,
+    ): (() -> JobSnapshot)? {
+        val job = durable.find(jobId)
+        if (released || job == null || !stalled.hold(jobId, nowMillis)) return null
+        return { JobSnapshot(job.progress(), job.progressVersion) }
+    }
+
+    override fun onMoved(
+        jobId: JobId,
+        nowMillis: Long,
+    ) {
+        if (!released) durable.onMoved(jobId, nowMillis)
+    }
+
+    override fun onOwnershipConfirmed(confirmedAtMillis: Long) {
+        ownership.confirmedAtMillis = confirmedAtMillis
+    }
+
+    override fun delayMillis(
+        needs: JobNeeds,
         nowMillis: Long,
     ): Long? {
         val usable =
-            control.targets.filter { it.registration.service == service && TargetSelector.isUsable(it, nowMillis) }
-        val cpuMillis =
-            usable.sumOf {
-                it.registration.capacity.cpuMillis
-                    .toLong()
+            control.targets.filter {
+                it.registration.service == needs.service && TargetSelector.isUsable(it, nowMillis)
             }
-        return if (cpuMillis > 0) waiting.work(service) / cpuMillis else null
+        val capable = needs.steps.map { step -> usable.filter { TargetSelector.isCapable(it, step) } }
+        val leastCpuMillis = capable.minOfOrNull { targets -> targets.sumOf { it.cpuMillis } } ?: 0
+        if (leastCpuMillis == 0L) return null
+        val hasRoom = needs.steps.zip(capable).all { (step, targets) -> targets.any { step.demand.fitsInto(it.free) } }
+        return if (hasRoom) 0 else maxOf(1, waiting.work(needs.service) / leastCpuMillis)
     }
 
+    private val TrackedTarget.cpuMillis: Long get() = registration.capacity.cpuMillis.toLong()
+
     override fun loadPercents(nowMillis: Long): ImmutableMap<String, Int> =
         control.targets
             .filter { TargetSelector.isUsable(it, nowMillis) }
@@ -264,13 +294,15 @@
 
     override fun tick(nowMillis: Long) {
         if (released) return
-        control.tick(nowMillis)
+        val isOwnershipExpired = ownership.isExpired(nowMillis)
+        if (isOwnershipExpired) lifecycle.stopDurableRuns("the store has not named this holder lately", nowMillis)
+        control.tick(nowMillis, isOwnershipExpired)
         lifecycle.awaitedJobs.toList().forEach { checkJob(it, nowMillis) }
         hangDetector.check(nowMillis)
         lifecycle.removeExpired(nowMillis)
         place(nowMillis)
         preempt(nowMillis)
-        if (waiting.isEmpty && !pauses.isCatchingUp(nowMillis)) copies.start(nowMillis)
+        if (waiting.isEmpty && !isOwnershipExpired && !pauses.isCatchingUp(nowMillis)) copies.start(nowMillis)
     }
 
     private fun checkJob(
@@ -323,7 +355,7 @@
         lifecycle.resumeRecoveredJobs(nowMillis)
         if (waiting.isEmpty || pauses.isCatchingUp(nowMillis)) return
         waiting.demoteLateJobs(nowMillis)
-        placement.place(nowMillis)
+        placement.place(nowMillis, mayStartDurable = !ownership.isExpired(nowMillis))
     }
 
     private fun preempt(nowMillis: Long) {
--- a/core/src/main/kotlin/io/jackdawring/core/shard/ShardDispatcher.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/ShardDispatcher.kt
@@ -101,12 +101,35 @@
     /** The holder's view of each target, for operators. */
     fun targetViews(nowMillis: Long): ImmutableList<TargetView>
 
-    /** Time that the targets of [service] need for the waiting tasks, or null if no target is usable. */
-    fun backlogMillis(
-        service: String,
+    /**
+     * Estimated time until a job with [needs] can start: 0 if there is room now, null if no usable target can run it.
+     */
+    fun delayMillis(
+        needs: JobNeeds,
         nowMillis: Long,
     ): Long?
 
+    /** Durable jobs of which nothing has run for a while although tasks wait; they may move to another shard. */
+    fun stalledJobs(nowMillis: Long): ImmutableList<StalledJob>
+
+    /**
+     * Holds back the tasks of a stalled job until [onMoved]; returns its progress to be stored in the other shard, or
+     * null if the job may not move now.
+     */
+    fun holdForMove(
+        jobId: JobId,
+        nowMillis: Long,
+    ): (() -> JobSnapshot)?
+
+    /** Records that a job for which [holdForMove] was called is stored in another shard. */
+    fun onMoved(
+        jobId: JobId,
+        nowMillis: Long,
+    )
+
+    /** Records that the store still named this holder at [confirmedAtMillis]. */
+    fun onOwnershipConfirmed(confirmedAtMillis: Long)
+
     /**
      * Load of the usable targets by service, in percent of their CPU capacity.
      *
--- /dev/null
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/StalledJobs.kt
@@ -0,0 +1,65 @@
+package io.jackdawring.core.shard
+
+import kotlinx.collections.immutable.ImmutableList
+import kotlinx.collections.immutable.toImmutableList
+
+/**
+ * Finds durable jobs that could move to another shard, and holds their tasks back while they do.
+ *
+ * A job moves only while none of its tasks has a run, or may have one that an earlier holder started.
+ */
+internal class StalledJobs(
+    private val control: TargetControl,
+    private val waiting: WaitingTasks,
+    private val durable: DurableJobs,
+    private val previousRuns: PreviousHolderRuns,
+) {
+    /** Jobs of which nothing has run for [STALL_MILLIS], although their tasks wait. */
+    fun find(nowMillis: Long): ImmutableList<StalledJob> {
+        for (job in durable.openJobs) {
+            job.stalledSinceMillis = if (isStalled(job, nowMillis)) job.stalledSinceMillis ?: nowMillis else null
+        }
+        return durable.openJobs
+            .filter { job -> job.stalledSinceMillis?.let { nowMillis - it >= STALL_MILLIS } == true }
+            .map { StalledJob(it.spec.id, needsOf(it)) }
+            .toImmutableList()
+    }
+
+    private fun isStalled(
+        job: TrackedJob,
+        nowMillis: Long,
+    ): Boolean =
+        isMovable(job, nowMillis) &&
+            job.tasks().none { it.runs.isNotEmpty() } &&
+            job.tasks().any { it.waiting && it.mayStart(nowMillis) }
+
+    private fun isMovable(
+        job: TrackedJob,
+        nowMillis: Long,
+    ): Boolean =
+        !job.isMoving &&
+            !previousRuns.isAwaitingRecovery(job.spec.id) &&
+            (!job.mayHaveForeignRuns || control.foreignRunsOver(nowMillis))
+
+    private fun needsOf(job: TrackedJob): JobNeeds {
+        val steps = job.steps.filter { tasks -> tasks.any { it.waiting } }.map { it.first().spec }
+        return JobNeeds(job.spec.service, steps)
+    }
+
+    /** Holds the tasks of [id] back until [DurableJobs.onMoved]; returns whether the job may move now. */
+    fun hold(
+        id: JobId,
+        nowMillis: Long,
+    ): Boolean {
+        val job = durable.find(id) ?: return false
+        if (!isStalled(job, nowMillis) || job.tasks().any { control.isPresent(it.key) }) return false
+        job.isMoving = true
+        job.tasks().forEach(waiting::remove)
+        return true
+    }
+
+    private companion object {
+        /** Longer than a queue with short tasks takes to move on, below the 3 s after which a job counts as lost. */
+        const val STALL_MILLIS = 2_000L
+    }
+}
--- a/core/src/main/kotlin/io/jackdawring/core/shard/TargetControl.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/TargetControl.kt
@@ -27,10 +27,25 @@
     var recovered = false
         private set
 
+    /** Time of the first tick; null before. */
+    private var heldSinceMillis: Long? = null
+
+    /**
+     * Whether no run that previous holders started goes on, not even on targets that are out of reach.
+     *
+     * A previous holder that is cut off notices that only when its [ShardOwnership] expires.
+     */
+    fun foreignRunsOver(nowMillis: Long): Boolean {
+        val since = heldSinceMillis ?: return false
+        if (targets.any { it.mayHaveMoreEnds }) return false
+        val allFenced = registry.inherited && targets.all { it.hasAnswered }
+        return allFenced || nowMillis - since >= ShardOwnership.LIFETIME_MILLIS + 2 * poller.maxLeaseMillis
+    }
+
     /** Whether all runs that previous holders started are known or over. */
     fun allRunsKnown(nowMillis: Long): Boolean {
-        val since = registry.firstListedAtMillis ?: return false
         if (targets.any { it.mayHaveMoreEnds }) return false
+        val since = registry.firstListedAtMillis ?: return foreignRunsOver(nowMillis)
         return (registry.inherited && targets.all { it.hasAnswered }) || nowMillis - since >= poller.maxLeaseMillis
     }
 
@@ -392,8 +407,14 @@
         return unclaimed.isNotEmpty()
     }
 
-    fun tick(nowMillis: Long) {
+    /** Performs what is due; with [isOwnershipExpired], the leases of durable runs are not renewed. */
+    fun tick(
+        nowMillis: Long,
+        isOwnershipExpired: Boolean,
+    ) {
+        heldSinceMillis = heldSinceMillis ?: nowMillis
         for (target in targets.toList()) {
+            target.isLeaseWithheld = isOwnershipExpired && target.hasDurableRuns
             if (target.contact != TrackedTarget.Contact.HELD && nowMillis >= target.leaseExpiresAtMillis) {
                 target.mayHaveMoreEnds = false
                 target.runs.values
--- a/core/src/main/kotlin/io/jackdawring/core/shard/TargetSelector.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/TargetSelector.kt
@@ -82,6 +82,14 @@
             task: TrackedTask,
         ) = target.runs.keys.count { it.jobId == task.key.jobId && it.step == task.key.step }
 
+        /** Whether [target] could run a task of [step] if it had no other runs. */
+        fun isCapable(
+            target: TrackedTarget,
+            step: StepSpec,
+        ): Boolean =
+            step.demand.fitsInto(target.registration.capacity) &&
+                (step.requiredLabel == null || step.requiredLabel in target.registration.labels)
+
         fun matches(
             target: TrackedTarget,
             task: TrackedTask,
--- a/core/src/main/kotlin/io/jackdawring/core/shard/TrackedJob.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/TrackedJob.kt
@@ -31,6 +31,15 @@
     /** Final state of a durable job; null while the job is open. */
     var endState: JobState? = null
 
+    /** Time since which none of its tasks has a run although some wait; null if that is not so. */
+    var stalledSinceMillis: Long? = null
+
+    /** Whether the job is being moved to another shard; nothing of it starts here any more. */
+    var isMoving = false
+
+    /** Whether an earlier holder may have started runs, possibly on targets that this one does not reach. */
+    var mayHaveForeignRuns = false
+
     /** Counts the changes to the progress of a durable job. */
     var progressVersion = 0L
 
@@ -68,7 +77,7 @@
 
     fun progress(): JobProgress =
         JobProgress(
-            endState ?: JobState.RUNNING,
+            endState ?: if (started) JobState.RUNNING else JobState.QUEUED,
             steps.map { tasks -> doneBits(tasks).toLongArray().toList() },
             tasks().filter { it.failures > 0 }.associate { progressKey(it) to it.failedAttempts.toList() },
             tasks()
--- a/core/src/main/kotlin/io/jackdawring/core/shard/TrackedTarget.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/TrackedTarget.kt
@@ -63,12 +63,21 @@
     val acceptsStarts: Boolean
         get() =
             !unansweredStarts.isOpen &&
+                !isLeaseWithheld &&
                 !mayHaveMoreEnds &&
                 pendingEnds.size < MAX_PENDING_ENDS &&
                 runs.values.none { it.owner == null || it.isStopOverdue }
 
     /** Whether the lease may be renewed; it is not while a run should stop, so that the run ends in any case. */
-    val mayRenewLease: Boolean get() = !unansweredStarts.isOpen && runs.values.none { it.isStopUnanswered }
+    val mayRenewLease: Boolean
+        get() = !unansweredStarts.isOpen && !isLeaseWithheld && runs.values.none { it.isStopUnanswered }
+
+    /** Whether the lease has to end, because runs of durable jobs may belong to another holder by now. */
+    var isLeaseWithheld = false
+
+    /** Whether the target has runs that are, or may be, of durable jobs, or results of them that are not stored. */
+    val hasDurableRuns: Boolean
+        get() = pendingEnds.isNotEmpty() || runs.values.any { it.owner?.job?.isDurable != false }
 
     /** Run that must not have others beside it for a while after its start. */
     private var isolatedRun: TrackedRun? = null
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/HeldShards.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/HeldShards.kt
@@ -10,6 +10,7 @@
 import io.jackdawring.core.shard.ShardDispatcher
 import io.jackdawring.core.shard.ShardTarget
 import io.jackdawring.fleet.durable.DurableJobStore
+import io.jackdawring.fleet.durable.PeerShardCapacities
 import io.jackdawring.fleet.metrics.FleetMetrics
 import io.jackdawring.fleet.peer.HandOverMessage
 import io.jackdawring.fleet.peer.PeerClient
@@ -164,6 +165,8 @@
             DecisionLog(FleetKeys.shard(holding.shardId), metrics),
             onLoad = { percents -> loads.applyIfNewer(holding.shardId, percents, ageMillis = 0) },
             onFenced = { releaseFenced(holding) },
+            PeerShardCapacities(directory, peers, ::host),
+            confirmedAtMillis = { mirror.confirmedAtMillis },
         ) { listener -> DurableJobStore(holding, store, loop, unixMillis, options.durableRetentionMillis, listener) }
 
     private fun releaseFenced(holding: ShardHolding) {
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/durable/DurableJobBatch.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/durable/DurableJobBatch.kt
@@ -1,6 +1,7 @@
 package io.jackdawring.fleet.durable
 
 import io.jackdawring.core.fleet.ShardHolding
+import io.jackdawring.core.fleet.ShardId
 import io.jackdawring.core.shard.JobId
 import io.jackdawring.core.shard.JobSnapshot
 import io.jackdawring.fleet.FleetKeys
@@ -20,15 +21,23 @@
         val snapshot: () -> JobSnapshot,
     )
 
+    /** A job to be moved to the shard [target]. */
+    class Move(
+        val id: JobId,
+        val entry: DurableJobEntry,
+        val target: ShardId,
+    )
+
     val saves = ArrayList<Save>()
     val accepts = ArrayList<PendingAccept>()
     val removals = ArrayList<JobId>()
+    val moves = ArrayList<Move>()
     private val conditions =
         arrayListOf(StoreChange.Condition(FleetKeys.shard(holding.shardId), holding.revision))
     private val writes = ArrayList<StoreChange.Write>()
     private val removedKeys = ArrayList<String>()
 
-    val size: Int get() = saves.size + accepts.size + removals.size
+    val size: Int get() = saves.size + accepts.size + removals.size + moves.size
     val isEmpty: Boolean get() = size == 0
     val hasRoom: Boolean get() = conditions.size + writes.size + removedKeys.size + MAX_ENTRIES_PER_JOB <= MAX_ENTRIES
     val change: StoreChange
@@ -65,11 +74,26 @@
         removals.add(id)
     }
 
+    /** Stores [record] in the shard [target] in place of [entry] in this one. */
+    fun move(
+        id: JobId,
+        entry: DurableJobEntry,
+        record: DurableJobRecord,
+        target: ShardId,
+    ) {
+        val key = JobKeys.record(holding.shardId, id)
+        conditions.add(StoreChange.Condition(key, entry.revision))
+        writes.add(StoreChange.Write(JobKeys.location(id), JobLocation(target).encode()))
+        writes.add(StoreChange.Write(JobKeys.record(target, id), record.encode()))
+        removedKeys.add(key)
+        moves.add(Move(id, entry, target))
+    }
+
     private companion object {
         /** Limit of the platform's store for one write. */
         const val MAX_ENTRIES = 32
 
-        /** Entries for a job that is accepted or removed. */
-        const val MAX_ENTRIES_PER_JOB = 3
+        /** Entries for a job that is moved, which needs the most. */
+        const val MAX_ENTRIES_PER_JOB = 4
     }
 }
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/durable/DurableJobMessages.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/durable/DurableJobMessages.kt
@@ -2,6 +2,7 @@
 
 import io.jackdawring.core.fleet.ShardId
 import io.jackdawring.core.shard.JobId
+import io.jackdawring.core.shard.JobNeeds
 import io.jackdawring.core.shard.JobSpec
 import io.jackdawring.core.shard.JobState
 import kotlinx.serialization.Serializable
@@ -50,3 +51,16 @@
 internal data class PendingReply(
     val jobs: Int?,
 )
+
+/** Asks the holder of [shardId] how soon it can run jobs with [needs] that another shard cannot run. */
+@Serializable
+internal data class DelaysMessage(
+    val shardId: ShardId,
+    val needs: List<JobNeeds>,
+)
+
+/** Estimated times until the jobs can start: 0 if there is room now, null if no usable target can run the job. */
+@Serializable
+internal data class DelaysReply(
+    val delaysMillis: List<Long?>,
+)
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/durable/DurableJobRecord.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/durable/DurableJobRecord.kt
@@ -21,7 +21,11 @@
     val progress: JobProgress = JobProgress(),
     val endedAtUnixMillis: Long? = null,
 ) {
-    fun toDurableJob(nowUnixMillis: Long) = DurableJob(spec, progress, maxOf(0, nowUnixMillis - acceptedAtUnixMillis))
+    /** The job of this record; all its attempts so far are numbered up to [attemptBase]. */
+    fun toDurableJob(
+        nowUnixMillis: Long,
+        attemptBase: Int = 0,
+    ) = DurableJob(spec, progress, maxOf(0, nowUnixMillis - acceptedAtUnixMillis), attemptBase)
 
     fun encode(): ByteArray = peerJson.encodeToString(serializer(), this).encodeToByteArray()
 
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/durable/DurableJobStore.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/durable/DurableJobStore.kt
@@ -2,6 +2,7 @@
 
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.jackdawring.core.fleet.ShardHolding
+import io.jackdawring.core.fleet.ShardId
 import io.jackdawring.core.shard.DurableJob
 import io.jackdawring.core.shard.JobId
 import io.jackdawring.core.shard.JobSnapshot
@@ -41,6 +42,12 @@
             version: Long,
         )
 
+        /** The job is stored in the shard [target] now, and no longer in this one. */
+        fun onMoved(
+            id: JobId,
+            target: ShardId,
+        )
+
         /** The record of a job whose retention is over was removed. */
         fun onRemoved(id: JobId)
 
@@ -62,9 +69,10 @@
     private val accepts = LinkedHashMap<JobId, PendingAccept>()
     private val dirty = LinkedHashMap<JobId, () -> JobSnapshot>()
     private val removals = LinkedHashSet<JobId>()
+    private val moves = LinkedHashMap<JobId, PendingMove>()
 
-    /** Removed jobs that the mirror may still contain. */
-    private val removed = HashSet<JobId>()
+    /** Jobs that were removed or moved but may still be in the mirror, and the revisions at which that was done. */
+    private val removed = HashMap<JobId, Long>()
     private var loaded = false
     private var busy = false
     private var consecutiveFailures = 0
@@ -116,23 +124,48 @@
         write()
     }
 
+    /**
+     * Moves a job to the shard [target], with its progress in [snapshot] as it is when the write is sent.
+     *
+     * The location of the job and its records in both shards change in one write, and nothing else is written for it
+     * until its outcome is known, so that at any time the store names one shard that may run the job.
+     */
+    fun move(
+        id: JobId,
+        target: ShardId,
+        snapshot: () -> JobSnapshot,
+    ) {
+        moves[id] = PendingMove(target, snapshot)
+        write()
+    }
+
+    fun isMoving(id: JobId): Boolean = id in moves
+
+    private class PendingMove(
+        val target: ShardId,
+        val snapshot: () -> JobSnapshot,
+    )
+
     private fun onMirrorChanged() {
         if (released || !mirror.isLoaded) return
-        removed.retainAll { mirror[JobKeys.record(holding.shardId, it)] != null }
+        removed.keys.retainAll { mirror[JobKeys.record(holding.shardId, it)] != null }
         val found = mirror.items.mapNotNull(::findUnknown)
         if (found.isEmpty() && loaded) return
         loaded = true
         logger.info { "$shardKey: found ${found.size} durable jobs in the store" }
-        listener.onFound(found.map { it.toDurableJob(unixMillis()) })
+        listener.onFound(found.map { it.record.toDurableJob(unixMillis(), attemptBase(it.revision)) })
     }
 
-    /** The record of a job that is not known here: one of an earlier holder, or one whose write was delayed. */
-    private fun findUnknown(item: StoreItem): DurableJobRecord? {
+    /**
+     * The record of a job that is not known here.
+     *
+     * It is one of an earlier holder or of another shard, or one whose write was delayed.
+     */
+    private fun findUnknown(item: StoreItem): DurableJobEntry? {
         val id = JobId(item.key.removePrefix(JobKeys.records(holding.shardId)))
-        if (id in entries || id in removed || id in accepts) return null
+        if (id in entries || id in accepts || item.revision <= (removed[id] ?: 0)) return null
         val record = DurableJobRecord.decode(item) ?: return null
-        entries[id] = DurableJobEntry(record, item.revision)
-        return record
+        return DurableJobEntry(record, item.revision).also { entries[id] = it }
     }
 
     private fun write() {
@@ -162,7 +195,7 @@
         val batch = DurableJobBatch(holding)
         for ((id, snapshot) in dirty) {
             if (!batch.hasRoom) break
-            val entry = entries[id] ?: continue
+            val entry = entries[id]?.takeUnless { id in moves } ?: continue
             val current = snapshot()
             val endedAt = if (current.progress.state.isEnded) entry.record.endedAtUnixMillis ?: unixMillis() else null
             val record = entry.record.copy(progress = current.progress, endedAtUnixMillis = endedAt)
@@ -173,6 +206,7 @@
             if (!batch.hasRoom || (consecutiveFailures > 0 && batch.accepts.isNotEmpty())) break
             batch.accept(pending)
         }
+        addMoves(batch)
         for (id in removals) {
             if (!batch.hasRoom) break
             entries[id]?.let { batch.remove(id, it) }
@@ -180,6 +214,14 @@
         return batch.takeUnless { it.isEmpty }
     }
 
+    private fun addMoves(batch: DurableJobBatch) {
+        for ((id, move) in moves) {
+            if (!batch.hasRoom) break
+            val entry = entries[id] ?: continue
+            batch.move(id, entry, entry.record.copy(progress = move.snapshot().progress), move.target)
+        }
+    }
+
     private fun onResult(
         batch: DurableJobBatch,
         result: CommitResult,
@@ -212,8 +254,9 @@
         for (id in batch.removals) {
             removals.remove(id)
             entries.remove(id)
-            removed.add(id)
+            removed[id] = revision
         }
+        batch.moves.forEach { forgetMoved(it, revision) }
         // The listener may add writes, so all state is updated before it is called.
         batch.saves.forEach { listener.onSaved(it.id, it.version) }
         batch.accepts.forEach {
@@ -222,6 +265,7 @@
             resolvePersisted(it)
         }
         batch.removals.forEach(listener::onRemoved)
+        batch.moves.forEach { listener.onMoved(it.id, it.target) }
     }
 
     private fun onConflict(
@@ -246,11 +290,35 @@
         batch.removals.forEach { id ->
             entries[id]?.revision = present[JobKeys.record(holding.shardId, id)]?.revision ?: 0
         }
+        batch.moves.forEach { onMoveConflict(it, present[JobKeys.record(holding.shardId, it.id)]) }
         batch.accepts.forEach { pending ->
             present[JobKeys.location(pending.id)]?.let { onAlreadyPersisted(pending, it) }
         }
     }
 
+    /** Only a write of this holder can have removed the record, so without it the job has been moved. */
+    private fun onMoveConflict(
+        move: DurableJobBatch.Move,
+        record: StoreItem?,
+    ) {
+        if (record != null) {
+            move.entry.revision = record.revision
+        } else {
+            forgetMoved(move, move.entry.revision)
+            listener.onMoved(move.id, move.target)
+        }
+    }
+
+    private fun forgetMoved(
+        move: DurableJobBatch.Move,
+        revision: Long,
+    ) {
+        moves.remove(move.id)
+        dirty.remove(move.id)
+        entries.remove(move.id)
+        removed[move.id] = revision
+    }
+
     /** The job is already stored. If an earlier write of this holder did it, the mirror delivers its record. */
     private fun onAlreadyPersisted(
         pending: PendingAccept,
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/durable/HostedDurableJobs.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/durable/HostedDurableJobs.kt
@@ -1,21 +1,28 @@
 package io.jackdawring.fleet.durable
 
+import io.github.oshai.kotlinlogging.KotlinLogging
 import io.jackdawring.core.fleet.ShardHolding
+import io.jackdawring.core.fleet.ShardId
 import io.jackdawring.core.shard.DurableJob
 import io.jackdawring.core.shard.JobId
+import io.jackdawring.core.shard.JobNeeds
 import io.jackdawring.core.shard.JobSnapshot
 import io.jackdawring.core.shard.JobState
 import io.jackdawring.core.shard.ShardDispatcher
 import io.jackdawring.fleet.ControlLoop
+import io.jackdawring.fleet.FleetKeys
 import io.jackdawring.fleet.store.StoreItem
 import kotlinx.collections.immutable.toImmutableList
 
+private val logger = KotlinLogging.logger("io.jackdawring.kept")
+
 /** Connects the dispatcher of a held shard with the store of its durable jobs; confined to the control thread. */
 internal class HostedDurableJobs(
     private val holding: ShardHolding,
     private val dispatcher: ShardDispatcher,
     private val loop: ControlLoop,
     private val onFenced: () -> Unit,
+    capacities: ShardCapacities,
     createStore: (DurableJobStore.Listener) -> DurableJobStore,
 ) : DurableJobStore.Listener {
     private val store = createStore(this)
@@ -24,15 +31,24 @@
     private val awaitingEnd = HashMap<JobId, MutableList<(JobState?) -> Unit>>()
 
     /** Higher than all attempts of earlier holders, because fencing tokens increase. */
-    private val attemptBase = (holding.revision % MAX_ATTEMPT_BASE).toInt()
+    private val attemptBase = attemptBase(holding.revision)
 
     /** Whether the jobs of earlier holders are loaded. */
     var isLoaded = false
         private set
 
-    fun start() = store.start()
+    private val mover =
+        StalledJobMover(holding.shardId, dispatcher, loop, capacities) { id, target, snapshot ->
+            store.move(id, target, snapshot)
+        }
+
+    fun start() {
+        store.start()
+        mover.start()
+    }
 
     fun release() {
+        mover.stop()
         store.release()
         awaitingEnd.values.flatten().forEach { it(null) }
         awaitingEnd.clear()
@@ -56,9 +72,16 @@
         if (waiting + message.job.steps.sumOf { it.count } > MAX_WAITING_TASKS) {
             return PersistOutcome.Refused("$waiting tasks wait already", FULL_RETRY_AFTER_MILLIS)
         }
-        val backlogMillis = dispatcher.backlogMillis(message.job.service, loop.nowMillis()) ?: Long.MAX_VALUE
-        if (message.despiteBacklog || backlogMillis <= MAX_BACKLOG_MILLIS) return null
-        return PersistOutcome.Refused("a backlog of $backlogMillis ms", FULL_RETRY_AFTER_MILLIS, backlogMillis)
+        val delayMillis = dispatcher.delayMillis(JobNeeds(message.job.service, message.job.steps), loop.nowMillis())
+        if (message.despiteBacklog || delayMillis != null && delayMillis <= MAX_BACKLOG_MILLIS) return null
+        val reason = if (delayMillis == null) "no target can run it now" else "a backlog of $delayMillis ms"
+        return PersistOutcome.Refused(reason, FULL_RETRY_AFTER_MILLIS, delayMillis ?: Long.MAX_VALUE)
+    }
+
+    /** Estimated time until a job with [needs] from another shard can start here; null if it cannot. */
+    fun delayMillis(needs: JobNeeds): Long? {
+        if (!isLoaded || dispatcher.waitingTasks > MAX_WAITING_TASKS) return null
+        return dispatcher.delayMillis(needs, loop.nowMillis())
     }
 
     /**
@@ -94,6 +117,8 @@
         val state = dispatcher.durableJobState(id)
         if (state == null || state.isEnded) {
             onState(state)
+        } else if (store.isMoving(id)) {
+            onState(null)
         } else {
             awaitEnd(id, onState)
             dispatcher.cancel(id, loop.nowMillis())
@@ -125,6 +150,15 @@
         version: Long,
     ) = dispatcher.onSaved(id, version, loop.nowMillis())
 
+    override fun onMoved(
+        id: JobId,
+        target: ShardId,
+    ) {
+        logger.info { "${FleetKeys.shard(holding.shardId)}: job ${id.value} has moved to ${FleetKeys.shard(target)}" }
+        dispatcher.onMoved(id, loop.nowMillis())
+        awaitingEnd.remove(id)?.forEach { it(null) }
+    }
+
     override fun onRemoved(id: JobId) = dispatcher.forget(id)
 
     override fun onFenced(item: StoreItem) = onFenced()
@@ -141,6 +175,10 @@
 
         /** Covers several writes to a healthy store; if they fail, the caller soon gets the previous state. */
         const val END_WAIT_MILLIS = 150L
-        const val MAX_ATTEMPT_BASE = 1_000_000_000L
     }
 }
+
+/** Number above which the attempts of a job are numbered that was found at the store's [revision]. */
+internal fun attemptBase(revision: Long): Int = (revision % MAX_ATTEMPT_BASE).toInt()
+
+private const val MAX_ATTEMPT_BASE = 1_000_000_000L
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/peer/PeerApi.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/peer/PeerApi.kt
@@ -7,6 +7,8 @@
 import io.jackdawring.fleet.ControlLoop
 import io.jackdawring.fleet.HeldShards
 import io.jackdawring.fleet.ShardLoads
+import io.jackdawring.fleet.durable.DelaysMessage
+import io.jackdawring.fleet.durable.DelaysReply
 import io.jackdawring.fleet.durable.JobStateMessage
 import io.jackdawring.fleet.durable.JobStateReply
 import io.jackdawring.fleet.durable.PendingMessage
@@ -40,6 +42,7 @@
                 PeerPaths.KEEP -> onPersist(exchange, decode(exchange, PersistMessage.serializer()))
                 PeerPaths.KEPT_STATE -> onJobState(exchange, decode(exchange, JobStateMessage.serializer()))
                 PeerPaths.PENDING -> onPending(exchange, decode(exchange, PendingMessage.serializer()))
+                PeerPaths.DELAYS -> onDelays(exchange, decode(exchange, DelaysMessage.serializer()))
                 else -> exchange.respond(HttpResponseMessage(STATUS_NOT_FOUND))
             }
         } catch (e: SerializationException) {
@@ -114,6 +117,14 @@
         exchange.respond(json(PendingReply.serializer(), PendingReply(host.pendingJobs(message.queue))))
     }
 
+    private fun onDelays(
+        exchange: HttpExchange,
+        message: DelaysMessage,
+    ) {
+        val host = hostOrReject(exchange, message.shardId) ?: return
+        exchange.respond(json(DelaysReply.serializer(), DelaysReply(message.needs.map(host::delayMillis))))
+    }
+
     private fun onPing(
         exchange: HttpExchange,
         message: PingMessage,
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/peer/PeerClient.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/peer/PeerClient.kt
@@ -1,6 +1,8 @@
 package io.jackdawring.fleet.peer
 
 import io.jackdawring.core.fleet.FleetMember
+import io.jackdawring.fleet.durable.DelaysMessage
+import io.jackdawring.fleet.durable.DelaysReply
 import io.jackdawring.fleet.durable.JobStateMessage
 import io.jackdawring.fleet.durable.JobStateReply
 import io.jackdawring.fleet.durable.PendingMessage
@@ -115,6 +117,22 @@
             onReply,
         )
 
+    /** Asks [member] how soon one of its shards can run jobs of another shard. */
+    fun queryDelays(
+        member: FleetMember,
+        message: DelaysMessage,
+        onReply: (PeerReply<DelaysReply>) -> Unit,
+    ): HttpCall =
+        send(
+            member,
+            PeerPaths.DELAYS,
+            DelaysMessage.serializer(),
+            message,
+            DelaysReply.serializer(),
+            PING_TIMEOUT_MILLIS,
+            onReply,
+        )
+
     private fun <Request, Reply> send(
         member: FleetMember,
         path: String,
@@ -203,4 +221,5 @@
     const val KEEP = "/peer/keep"
     const val KEPT_STATE = "/peer/kept-state"
     const val PENDING = "/peer/pending"
+    const val DELAYS = "/peer/delays"
 }
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/shard/ShardHost.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/shard/ShardHost.kt
@@ -3,6 +3,7 @@
 import io.jackdawring.core.PauseGuard
 import io.jackdawring.core.fleet.ShardHolding
 import io.jackdawring.core.shard.JobId
+import io.jackdawring.core.shard.JobNeeds
 import io.jackdawring.core.shard.JobOutcome
 import io.jackdawring.core.shard.JobRequest
 import io.jackdawring.core.shard.JobSnapshot
@@ -24,6 +25,7 @@
 import io.jackdawring.fleet.durable.HostedDurableJobs
 import io.jackdawring.fleet.durable.PersistMessage
 import io.jackdawring.fleet.durable.PersistOutcome
+import io.jackdawring.fleet.durable.ShardCapacities
 import io.jackdawring.fleet.repeatEvery
 import kotlinx.collections.immutable.ImmutableCollection
 
@@ -38,6 +40,8 @@
     private val log: DecisionLog,
     private val onLoad: (Map<String, Int>) -> Unit,
     private val onFenced: () -> Unit,
+    capacities: ShardCapacities,
+    private val confirmedAtMillis: () -> Long?,
     createDurableStore: (DurableJobStore.Listener) -> DurableJobStore,
 ) : ShardEffects {
     private class Waiter(
@@ -46,7 +50,7 @@
     )
 
     private val dispatcher = factory.create(options, this, pauses)
-    private val durableJobs = HostedDurableJobs(holding, dispatcher, loop, onFenced, createDurableStore)
+    private val durableJobs = HostedDurableJobs(holding, dispatcher, loop, onFenced, capacities, createDurableStore)
     private val waiters = HashMap<WaiterId, Waiter>()
     private var nextWaiter = 0L
     private var released = false
@@ -59,6 +63,7 @@
 
     private fun tick(): Boolean {
         if (released) return false
+        confirmedAtMillis()?.let(dispatcher::onOwnershipConfirmed)
         dispatcher.tick(loop.nowMillis())
         log.examined(dispatcher.examined - examinedBefore)
         examinedBefore = dispatcher.examined
@@ -111,6 +116,9 @@
     /** Number of jobs that have not started, or null while those of earlier holders are not loaded. */
     fun pendingJobs(queue: String): Int? = if (durableJobs.isLoaded) dispatcher.pendingJobs(queue) else null
 
+    /** Estimated time until a durable job with [needs] from another shard can start here; null if it cannot. */
+    fun delayMillis(needs: JobNeeds): Long? = durableJobs.delayMillis(needs)
+
     /** Stores a durable job and runs it until it ends; [onOutcome] is called once. */
     fun persist(
         message: PersistMessage,
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/store/StoreMirror.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/store/StoreMirror.kt
@@ -22,6 +22,10 @@
     private var revision = 0L
     private var failureCount = 0
 
+    /** Time at which the store was last asked for what the mirror has by now; null before its first answer. */
+    var confirmedAtMillis: Long? = null
+        private set
+
     /** Whether the first list is complete. */
     var isLoaded = false
         private set
@@ -72,11 +76,13 @@
 
     private fun list() {
         val startedIn = generation
+        val askedAtMillis = loop.nowMillis()
         store.list(prefix) { result ->
             if (!isCurrent(startedIn)) return@list
             when (result) {
                 is ListResult.Listed -> {
                     replace(result)
+                    confirmedAtMillis = askedAtMillis
                     watch()
                     onChange()
                 }
@@ -100,12 +106,14 @@
 
     private fun watch() {
         val startedIn = generation
+        val askedAtMillis = loop.nowMillis()
         store.watch(prefix, revision, waitMillis) { result ->
             if (!isCurrent(startedIn)) return@watch
             when (result) {
                 is WatchResult.Changed -> {
                     onReachable()
                     apply(result)
+                    confirmedAtMillis = askedAtMillis
                     watchAgain(startedIn)
                     if (result.events.isNotEmpty()) onChange()
                 }
--- a/fleet/src/test/kotlin/io/jackdawring/fleet/durable/DurableJobStoreTest.kt
+++ b/fleet/src/test/kotlin/io/jackdawring/fleet/durable/DurableJobStoreTest.kt
@@ -35,6 +35,7 @@
         val accepted = ArrayList<DurableJob>()
         val saved = ArrayList<Pair<String, Long>>()
         val removed = ArrayList<JobId>()
+        val moved = ArrayList<String>()
         var fenced = false
         private val shardId = ShardId(FailureDomainId(domain), 0)
         val holding = ShardHolding(shardId, MEMBER, fixture.store.put(FleetKeys.shard(shardId)))
@@ -63,6 +64,13 @@
             saved += id.value to version
         }
 
+        override fun onMoved(
+            id: JobId,
+            target: ShardId,
+        ) {
+            moved += id.value
+        }
+
         override fun onRemoved(id: JobId) {
             removed += id
         }
@@ -97,6 +105,31 @@
 
         fun pass(millis: Long) = loop.clock.advance(millis)
 
+        /** Stores the job [id] in this shard, and moves it to the shard "b" while the store is in [moveMode]. */
+        fun Holder.acceptAndMove(
+            id: String,
+            moveMode: Mode = Mode.HEALTHY,
+        ) {
+            accept(id)
+            pass(50)
+            store.mode = moveMode
+            jobs.move(JobId(id), ShardId(FailureDomainId("b"), 0)) {
+                JobSnapshot(JobProgress(JobState.RUNNING, listOf(listOf(7L))), 7)
+            }
+        }
+
+        /** Fails unless the only record of "j" is in the shard "b", whose next holder finds it; returns that. */
+        fun assertMovedOnce(): Holder {
+            val holder = holder("b")
+            assertEquals(listOf(listOf(listOf(7L))), holder.found.map { it.progress.done })
+            val key = JobKeys.record(holder.holding.shardId, JobId("j"))
+            assertEquals(listOf(key), store.items.keys.filter { "records" in it })
+            assertEquals(JobLocation(holder.holding.shardId), location("j"))
+            return holder
+        }
+
+        fun location(id: String): JobLocation? = store.items[JobKeys.location(JobId(id))]?.let(JobLocation::decode)
+
         fun record(id: String): DurableJobRecord? =
             store.items[
                 JobKeys.record(
@@ -234,6 +267,81 @@
                 assertEquals(emptyList(), record("j")?.progress?.done)
                 assertEquals(listOf("j"), new.found.map { it.spec.id.value })
             },
+            Row("a job that moves is in one shard at a time, and the other one finds it with its progress") {
+                val from = holder("a")
+                from.acceptAndMove("j")
+                pass(20)
+                assertEquals(listOf("j"), from.moved)
+                val to = assertMovedOnce()
+                assertTrue(
+                    to.found.single().attemptBase > from.holding.revision,
+                    "attempts continue above earlier ones",
+                )
+            },
+            Row("a move whose answer is lost is resolved by the next write") {
+                val from = holder("a")
+                from.acceptAndMove("j", Mode.ANSWERS_LOST)
+                pass(250)
+                store.mode = Mode.HEALTHY
+                pass(500)
+                assertEquals(listOf("j"), from.moved)
+                assertMovedOnce()
+            },
+            Row("a move that takes effect late: progress of the old shard does not bring the job back") {
+                val from = holder("a")
+                from.acceptAndMove("j", Mode.LATE)
+                from.save("j", 8)
+                pass(3_100)
+                store.mode = Mode.HEALTHY
+                from.save("j", 9)
+                pass(1_000)
+                assertEquals(listOf("j"), from.moved)
+                assertEquals(emptyList(), from.saved.filter { it.second >= 8 })
+                assertMovedOnce()
+            },
+            Row("a holder that has lost its shard moves nothing") {
+                val from = holder("a")
+                from.acceptAndMove("j", Mode.LATE)
+                val new = holder("a")
+                store.mode = Mode.HEALTHY
+                pass(5_000)
+                assertTrue(from.fenced)
+                assertEquals(emptyList(), from.moved.toList())
+                assertEquals(listOf("j"), new.found.map { it.spec.id.value })
+                assertEquals(JobLocation(new.holding.shardId), location("j"))
+                assertEquals(emptyList(), holder("b").found.toList())
+            },
+            Row("a refused move is repeated, with the progress that was made meanwhile") {
+                val from = holder("a")
+                from.acceptAndMove("j", Mode.REFUSES)
+                pass(1_000)
+                assertEquals(emptyList(), from.moved.toList())
+                store.mode = Mode.HEALTHY
+                pass(500)
+                assertMovedOnce()
+            },
+            Row("a job that comes back is found again") {
+                val first = holder("a")
+                first.acceptAndMove("j")
+                pass(20)
+                assertMovedOnce().jobs.move(JobId("j"), first.holding.shardId) { JobSnapshot(JobProgress(), 1) }
+                pass(50)
+                // The mirror of the fake store only changes when a conflict lets it list the jobs again.
+                first.accept("j")
+                pass(50)
+                assertEquals(listOf("j"), first.found.map { it.spec.id.value })
+                assertEquals(JobLocation(first.holding.shardId), location("j"))
+            },
+            Row("a job that is sent again while it moves is not stored twice") {
+                val from = holder("a")
+                from.acceptAndMove("j")
+                val to = holder("b")
+                val outcomes = to.accept("j")
+                pass(300)
+                assertEquals(listOf<PersistOutcome>(PersistOutcome.Persisted), outcomes)
+                assertEquals(emptyList(), to.accepted.toList())
+                assertMovedOnce()
+            },
             Row("many jobs are stored by few writes of bounded size") {
                 val holder = holder()
                 val outcomes = List(100) { holder.accept("j$it") }
--- a/fleet/src/test/kotlin/io/jackdawring/fleet/durable/HostedDurableJobsTest.kt
+++ b/fleet/src/test/kotlin/io/jackdawring/fleet/durable/HostedDurableJobsTest.kt
@@ -22,6 +22,7 @@
 import io.jackdawring.fleet.FakeControlLoop
 import io.jackdawring.fleet.FleetKeys
 import io.jackdawring.fleet.store.FakeTransactionalStore
+import kotlinx.collections.immutable.persistentMapOf
 import org.junit.jupiter.api.DynamicTest
 import org.junit.jupiter.api.TestFactory
 import kotlin.test.assertEquals
@@ -87,7 +88,13 @@
         private val member = FleetMember(InstanceId("e1"), "i1", FailureDomainId("a"), "10.0.0.1:1", 1.0)
         private val holding = ShardHolding(shardId, member, store.put(FleetKeys.shard(shardId)))
         val jobs =
-            HostedDurableJobs(holding, dispatcher, loop, {}) { listener ->
+            HostedDurableJobs(
+                holding,
+                dispatcher,
+                loop,
+                {},
+                { _, _, onAnswers -> onAnswers(persistentMapOf()) },
+            ) { listener ->
                 DurableJobStore(holding, store, loop, { loop.nowMillis() }, 10_000, listener)
             }
         val answers = ArrayList<JobState?>()
--- a/fleet/src/test/kotlin/io/jackdawring/fleet/model/FakeEntryInstance.kt
+++ b/fleet/src/test/kotlin/io/jackdawring/fleet/model/FakeEntryInstance.kt
@@ -14,6 +14,8 @@
 import io.jackdawring.fleet.RealShardClient
 import io.jackdawring.fleet.ShardLoads
 import io.jackdawring.fleet.StoreGossip
+import io.jackdawring.fleet.durable.DurableJobRequests
+import io.jackdawring.fleet.durable.RealDurableJobClient
 import io.jackdawring.fleet.fleetOptions
 import io.jackdawring.fleet.metrics.FleetMetrics
 import io.jackdawring.fleet.peer.PeerApi
@@ -70,6 +72,9 @@
     private val peerApi =
         PeerApi(self.incarnation, shards, process, loads, gossip::itemsNewerThan, peerHealth::onPeerRequest)
     val relay = JobRelay(process, shardClient, metrics, pauses)
+    private val durableJobClient =
+        RealDurableJobClient(directory.shardsOf(self.failureDomain), shards, directory, shardClient, peers)
+    val durableJobs = DurableJobRequests(process, durableJobClient, store)
     var draining = false
         private set
 
--- a/fleet/src/test/kotlin/io/jackdawring/fleet/model/FakeFleet.kt
+++ b/fleet/src/test/kotlin/io/jackdawring/fleet/model/FakeFleet.kt
@@ -2,9 +2,12 @@
 
 import io.jackdawring.core.shard.JobId
 import io.jackdawring.core.shard.JobSpec
+import io.jackdawring.core.shard.JobState
 import io.jackdawring.core.shard.Resources
 import io.jackdawring.core.shard.StepSpec
 import io.jackdawring.core.shard.TaskKey
+import io.jackdawring.fleet.CallerAnswer
+import io.jackdawring.fleet.durable.DurableJobRecord
 import io.jackdawring.fleet.store.StoreChange
 import io.jackdawring.testing.VirtualClock
 import kotlinx.collections.immutable.persistentListOf
@@ -21,6 +24,7 @@
     private val instancesPerDomain: Int,
     targetsPerDomain: Int,
     val random: SplittableRandom = SplittableRandom(1),
+    label: (domain: String) -> String? = { null },
     targetClockRate: () -> Double = { 1.0 },
 ) {
     val clock = VirtualClock()
@@ -35,7 +39,7 @@
     val targets =
         domainNames
             .flatMap { domain ->
-                List(targetsPerDomain) { FakeFleetTarget("$domain-t${it + 1}", domain, clock, runs, targetClockRate()) }
+                List(targetsPerDomain) { fakeTarget("$domain-t${it + 1}", domain, targetClockRate(), label(domain)) }
             }.associateBy { it.id }
     private val instancesById = LinkedHashMap<String, FakeEntryInstance>()
     private val jobs = HashMap<JobId, JobSpec>()
@@ -58,6 +62,13 @@
 
     fun holder(domain: String): FakeEntryInstance? = instances.firstOrNull { it.domain == domain && it.holdsShard }
 
+    private fun fakeTarget(
+        id: String,
+        domain: String,
+        clockRate: Double,
+        label: String?,
+    ) = FakeFleetTarget(id, domain, clock, runs, clockRate, label)
+
     private fun startInstance(id: String) {
         val weight = instancesPerDomain - id.drop(1).toDouble()
         instancesById[id] = FakeEntryInstance(id, id.take(1), weight, ++incarnations, this)
@@ -167,6 +178,57 @@
         }
     }
 
+    /** Submits a durable [job], whose tasks take [durationMillis], to the instance [id]. */
+    fun submitDurable(
+        job: JobSpec,
+        id: String,
+        durationMillis: Long,
+    ) {
+        jobs[job.id] = job
+        durations[job.id] = durationMillis
+        runs.addDurable(job.id)
+        val instance = instance(id)
+        instance.process.execute {
+            instance.durableJobs.submit(job, FakeJobCaller.WAIT_MILLIS) { answer ->
+                trace.add("caller: $answer", job.id)
+                if (answer == CallerAnswer.Stored) accepted.add(job.id)
+            }
+        }
+    }
+
+    /** Durable jobs that were accepted. */
+    val accepted = LinkedHashSet<JobId>()
+
+    /** Stored states of the durable jobs with the failure domains whose shards have them. */
+    fun storedJobs(): Map<JobId, Pair<String, JobState>> =
+        store.items.values
+            .filter { it.key.startsWith(RECORDS) }
+            .associate { item ->
+                val domain = item.key.removePrefix(RECORDS).substringBefore('/')
+                val record = checkNotNull(DurableJobRecord.decode(item))
+                record.spec.id to (domain to record.progress.state)
+            }
+
+    /** Fails unless all accepted and all stored durable jobs are completed, or have failed if they [mayFail]. */
+    fun checkCompleted(mayFail: Boolean = false) {
+        val ends = setOfNotNull(JobState.COMPLETED, JobState.FAILED.takeIf { mayFail })
+        val stored = storedJobs()
+        val open = (accepted + stored.keys).filter { stored[it]?.second !in ends }
+        if (open.isEmpty()) return
+        throw AssertionError("open: ${open.associateWith { stored[it] }}\n${trace.describe(open.first())}")
+    }
+
+    /** Crashes [target], which never returns and leaves the list of targets. */
+    fun crashForGood(target: String) {
+        restart(target)
+        silence(target, FOREVER_MILLIS)
+        clock.schedule(UNLISTED_AFTER_MILLIS) {
+            store.commit(StoreChange(removals = persistentListOf("$TARGETS$target")))
+        }
+    }
+
+    fun targetsOf(domain: String): List<String> = targets.keys.filter { it.startsWith("$domain-") }
+
     fun demandOf(task: TaskKey): Resources = jobs.getValue(task.jobId).steps[task.step].demand
 
     fun durationOf(task: TaskKey): Long = durations.getValue(task.jobId)
@@ -184,6 +246,9 @@
         const val SERVICE = "orders"
         const val TARGETS = "targets/"
         const val MAX_LEASE_MILLIS = 1_000L
+        private const val RECORDS = "jackdawring-jobs/records/"
+        private const val FOREVER_MILLIS = 1_000_000L
+        private const val UNLISTED_AFTER_MILLIS = 4_500L
         private const val STARTUP_MILLIS = 2_000L
         private const val DRAIN_MILLIS = 3_000L
         private const val RESTART_MILLIS = 300L
@@ -192,6 +257,8 @@
             id: String,
             tasks: Int = 1,
             estimateMillis: Long = 400,
+            requiredLabel: String? = null,
+            steps: Int = 1,
         ) = JobSpec(
             JobId(id),
             "q",
@@ -201,7 +268,11 @@
             stretch = 1.6,
             baseObjectiveMillis = 60,
             payload = "text",
-            steps = listOf(StepSpec(tasks, Resources(4_000, 64), estimateMillis)),
+            steps =
+                List(steps) { step ->
+                    val after = listOf(step - 1).filter { it >= 0 }
+                    StepSpec(tasks, Resources(4_000, 64), estimateMillis, after, requiredLabel)
+                },
         )
     }
 }
--- a/fleet/src/test/kotlin/io/jackdawring/fleet/model/FakeFleetTarget.kt
+++ b/fleet/src/test/kotlin/io/jackdawring/fleet/model/FakeFleetTarget.kt
@@ -24,6 +24,7 @@
     private val clock: VirtualClock,
     private val runs: FakeRuns,
     private val clockRate: Double = 1.0,
+    label: String? = null,
 ) {
     class Run(
         val task: TaskKey,
@@ -42,7 +43,7 @@
             id,
             FailureDomainId(domain),
             CAPACITY,
-            persistentSetOf(),
+            label?.let { persistentSetOf(it) } ?: persistentSetOf(),
             draining = false,
         )
     private var bornMillis = clock.nowMillis
@@ -52,6 +53,9 @@
     private val endedAttempts = HashMap<TaskKey, Int>()
     private val waitingPolls = ArrayList<WaitingPoll>()
     private var nextEnd = 1L
+
+    /** Sequence of the last end before the lease lapsed. */
+    private var lapsedEnd = 0L
     private var fencingToken = 0L
     private var leaseUntilMillis = 0L
 
@@ -113,7 +117,16 @@
             return
         }
         request.leaseUntilMillis?.let(::extendLease)
-        ends.removeAll { it.sequence <= request.acknowledgedEnd }
+        val noted = ends.filter { it.sequence <= request.acknowledgedEnd }
+        ends.removeAll(noted)
+        // If the lease has lapsed in between, the task may have run elsewhere meanwhile.
+        noted.filter { it.ending == Ending.DONE && it.sequence > lapsedEnd }.forEach {
+            runs.onNoted(
+                it.task,
+                it.attempt,
+                id,
+            )
+        }
         val poll = WaitingPoll(respond)
         waitingPolls.add(poll)
         val waitMillis = if (ends.isEmpty()) request.waitMillis else 0
@@ -143,7 +156,10 @@
             when {
                 leaseUntilMillis != untilMillis -> Unit
                 clockMillis() <= untilMillis -> checkLeaseIn(1, untilMillis)
-                else -> running.toList().forEach { end(it, Ending.LAPSED) }
+                else -> {
+                    running.toList().forEach { end(it, Ending.LAPSED) }
+                    lapsedEnd = nextEnd - 1
+                }
             }
         }
     }
@@ -166,6 +182,7 @@
         ends.clear()
         endedAttempts.clear()
         nextEnd = 1
+        lapsedEnd = 0
         fencingToken = 0
         leaseUntilMillis = 0
         bornMillis = clock.nowMillis
@@ -175,6 +192,7 @@
 
     companion object {
         val CAPACITY = Resources(16_000, 65_536)
+
         /** Number of ended runs that are listed at a time, as by the targets of the platform. */
         private const val MAX_LISTED_ENDS = 500
         private const val FIRST_CLOCK_MILLIS = 100_000L
--- a/fleet/src/test/kotlin/io/jackdawring/fleet/model/FleetFault.kt
+++ b/fleet/src/test/kotlin/io/jackdawring/fleet/model/FleetFault.kt
@@ -17,4 +17,7 @@
     TARGET_ANSWERS_LOST,
     TARGET_RESTARTED,
     CALLERS_RESET,
+
+    /** The targets of one failure domain, always the same one, never return. */
+    TARGETS_LOST,
 }
--- a/fleet/src/test/kotlin/io/jackdawring/fleet/model/FleetSchedule.kt
+++ b/fleet/src/test/kotlin/io/jackdawring/fleet/model/FleetSchedule.kt
@@ -5,7 +5,9 @@
 /** Random jobs and [faults]; the same [seed] gives the same schedule. */
 internal class FleetSchedule(
     seed: Long,
-    private val faults: List<FleetFault> = FleetFault.entries,
+    private val faults: List<FleetFault> = RECOVERABLE,
+    /** Whether jobs are durable; all of them must then be completed in the end. */
+    private val areDurable: Boolean = false,
 ) {
     private val random = SplittableRandom(seed)
     val fleet =
@@ -29,16 +31,25 @@
         }
         fleet.run(SETTLE_MILLIS)
         fleet.checkRefusals()
+        if (areDurable) {
+            fleet.run(DURABLE_SETTLE_MILLIS)
+            // A job fails if three targets have crashed under one of its tasks.
+            fleet.checkCompleted(mayFail = FleetFault.TARGET_RESTARTED in faults)
+        }
     }
 
     private fun submitJob() {
         val domain = fleet.domainNames.pick()
         val estimate = random.nextLong(50, 900)
         val duration = (estimate * (0.5 + 2.5 * random.nextDouble())).toLong()
-        fleet.submit(FakeFleet.job("j${jobs++}", random.nextInt(1, 4), estimate), domain, duration) { submission ->
-            fleet.instances
-                .filter { it.process.alive && !it.draining && (submission > 1 || it.domain == domain) }
-                .pickOrNull()
+        val job = FakeFleet.job("j${jobs++}", random.nextInt(1, 4), estimate)
+        val instances = { submission: Int ->
+            fleet.instances.filter { it.process.alive && !it.draining && (submission > 1 || it.domain == domain) }
+        }
+        if (areDurable) {
+            instances(1).pickOrNull()?.let { fleet.submitDurable(job, it.id, duration) }
+        } else {
+            fleet.submit(job, domain, duration) { submission -> instances(submission).pickOrNull() }
         }
     }
 
@@ -67,6 +78,7 @@
             FleetFault.TARGET_ANSWERS_LOST -> fleet.loseAnswers(target, millis)
             FleetFault.TARGET_RESTARTED -> fleet.restart(target)
             FleetFault.CALLERS_RESET -> fleet.resetCallers(instance)
+            FleetFault.TARGETS_LOST -> fleet.targetsOf(fleet.domainNames.first()).forEach(fleet::crashForGood)
         }
     }
 
@@ -82,12 +94,17 @@
 
     private fun <T> List<T>.pickOrNull(): T? = if (isEmpty()) null else pick()
 
-    private companion object {
-        const val STEPS = 150
-        const val MAX_FAULT_MILLIS = 4_000L
-        const val SLOW_CLOCK_RATE = 0.98
+    companion object {
+        /** Faults after which everything works again. */
+        val RECOVERABLE = FleetFault.entries - FleetFault.TARGETS_LOST
+        private const val STEPS = 150
+        private const val MAX_FAULT_MILLIS = 4_000L
+        private const val SLOW_CLOCK_RATE = 0.98
 
         /** Covers the last submissions and late requests. */
-        const val SETTLE_MILLIS = 15_000L
+        private const val SETTLE_MILLIS = 15_000L
+
+        /** Covers the time until the jobs of a failure domain without targets and instances may move. */
+        private const val DURABLE_SETTLE_MILLIS = 45_000L
     }
 }
--- a/fleet/src/test/kotlin/io/jackdawring/fleet/model/ResubmissionModelTest.kt
+++ b/fleet/src/test/kotlin/io/jackdawring/fleet/model/ResubmissionModelTest.kt
@@ -8,13 +8,32 @@
  * although all of their submissions were refused, under random faults with fixed seeds.
  */
 class ResubmissionModelTest {
-    private fun schedules(faults: List<FleetFault>) =
-        (FIRST_SEED until FIRST_SEED + SEEDS).map { seed ->
-            DynamicTest.dynamicTest("seed $seed") { FleetSchedule(seed, faults).play() }
-        }
+    private fun schedules(
+        faults: List<FleetFault>,
+        areDurable: Boolean = false,
+    ) = (FIRST_SEED until FIRST_SEED + SEEDS).map { seed ->
+        DynamicTest.dynamicTest("seed $seed") { FleetSchedule(seed, faults, areDurable).play() }
+    }
+
+    @TestFactory
+    fun `a fleet under random faults`() = schedules(FleetSchedule.RECOVERABLE)
 
     @TestFactory
-    fun `a fleet under random faults`() = schedules(FleetFault.entries)
+    fun `durable jobs of a fleet under random faults`() = schedules(FleetSchedule.RECOVERABLE, areDurable = true)
+
+    @TestFactory
+    fun `durable jobs of a fleet that loses the targets of a failure domain under faults of its instances`() =
+        schedules(
+            listOf(
+                FleetFault.TARGETS_LOST,
+                FleetFault.INSTANCE_KILLED,
+                FleetFault.INSTANCE_FROZEN,
+                FleetFault.DOMAIN_CUT_OFF,
+                FleetFault.STORE_CUT_OFF,
+                FleetFault.STORE_SLOW,
+            ),
+            areDurable = true,
+        )
 
     @TestFactory
     fun `a fleet under faults of the store, restarted targets and graceful stops`() =
--- a/testing/src/main/kotlin/io/jackdawring/testing/shard/FakeShard.kt
+++ b/testing/src/main/kotlin/io/jackdawring/testing/shard/FakeShard.kt
@@ -4,6 +4,7 @@
 import io.jackdawring.core.shard.Admission
 import io.jackdawring.core.shard.DurableJob
 import io.jackdawring.core.shard.JobId
+import io.jackdawring.core.shard.JobNeeds
 import io.jackdawring.core.shard.JobOutcome
 import io.jackdawring.core.shard.JobRequest
 import io.jackdawring.core.shard.JobSnapshot
@@ -370,7 +371,7 @@
 
     fun durableJobState(job: JobSpec): JobState? = holder.dispatcher.durableJobState(job.id)
 
-    fun backlogMillis(): Long? = holder.dispatcher.backlogMillis("orders", nowMillis)
+    fun delayMillis(job: JobSpec): Long? = holder.dispatcher.delayMillis(JobNeeds(job.service, job.steps), nowMillis)
 
     /** Number of waiting tasks, targets and runs that the holder's decisions have examined. */
     val examined: Long get() = holder.dispatcher.examined
--- a/testing/src/test/kotlin/io/jackdawring/testing/shard/DurableJobPatternTest.kt
+++ b/testing/src/test/kotlin/io/jackdawring/testing/shard/DurableJobPatternTest.kt
@@ -61,18 +61,19 @@
             },
             Row("a backlog is reported as the time that the targets need for it") {
                 val shard = shard(count = 1)
-                assertEquals(0, shard.backlogMillis())
-                repeat(20) { shard.submitDurable(job("k$it", tasks = 2, estimateMillis = 400, cpuMillis = 16_000)) }
+                val jobs = List(20) { job("k$it", tasks = 2, estimateMillis = 400, cpuMillis = 16_000) }
+                assertEquals(0, shard.delayMillis(jobs.first()))
+                jobs.forEach(shard::submitDurable)
                 // 38 of 40 tasks wait, two at a time fit.
-                assertEquals(19 * 400, shard.backlogMillis()?.toInt())
+                assertEquals(19 * 400, shard.delayMillis(jobs.first())?.toInt())
                 shard.runFor(20_000)
-                assertEquals(0, shard.backlogMillis())
+                assertEquals(0, shard.delayMillis(jobs.first()))
             },
             Row("without a target that answers, there is no estimate of the backlog") {
                 val shard = shard(count = 1)
                 shard.targets.single().mode = Mode.SILENT
                 shard.runFor(2_000)
-                assertNull(shard.backlogMillis())
+                assertNull(shard.delayMillis(job("k")))
             },
             Row("targets full of long tasks: an urgent job meets its objective") {
                 val shard = shard(count = 2)
