Search all targets for a task that the freest ones cannot run

Cause: the placement of tasks selects from the 64 targets with the most free CPU. Label, memory, accelerators, and the limit of tasks on one target were checked only among these. As soon as 64 targets that cannot run a task have more free CPU, it has no candidate, and an idle fleet keeps this order. The check of whether an arriving job has room passed the label to its search, but neither memory nor accelerators.

Evidence: SuitableTargetTest with 100 targets that have more CPU, on the code before: the rows with a label, memory and accelerators fail for durable jobs (queued after 1 s) and for awaited ones. Leases, health and lists of targets were excluded: the same targets run the tasks that need nothing of this.

Change: if none of the candidates can take a task and others were left out, all targets are searched for those that can. Tasks with the same needs are searched for once in a call. A step with a limit per target counts as a need of its own, so that its other tasks are not searched for again and again. The check on arrival uses the same search.

--- a/core/src/main/kotlin/io/jackdawring/core/shard/JobAdmissionCheck.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/JobAdmissionCheck.kt
@@ -71,15 +71,7 @@
     private fun hasRoom(
         job: TrackedJob,
         nowMillis: Long,
-    ): Boolean {
-        val task = job.steps.first().first()
-        val candidates =
-            control.byFreeCpu.candidates(
-                task.spec.demand.cpuMillis,
-                nowMillis,
-            ) { TargetSelector.matches(it, task) }
-        return selector.select(task, candidates, nowMillis) != null
-    }
+    ): Boolean = selector.select(job.steps.first().first(), control.byFreeCpu, nowMillis) != null
 
     private companion object {
         /** Share of the objective within which the forecast of a job that hardly waits lies on most targets. */
--- a/core/src/main/kotlin/io/jackdawring/core/shard/Placement.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/Placement.kt
@@ -14,6 +14,8 @@
         val service: String,
         val demand: Resources,
         val requiredLabel: String?,
+        /** Step of the task if the number of its tasks on a target is limited. */
+        val limitedStep: Pair<JobId, Int>?,
     )
 
     /** Starts as many waiting tasks as the free capacity allows; those of durable jobs only if [mayStartDurable]. */
@@ -22,22 +24,19 @@
         mayStartDurable: Boolean,
     ) {
         var candidates = candidates(nowMillis)
-        var free = largestFree(candidates)
         val unmet = HashSet<Requirements>()
         for (task in waiting.inOrder()) {
             control.cost.add()
-            if (candidates.isEmpty() || unmet.size == MAX_UNMET) return
-            if (!task.spec.demand.fitsInto(free)) continue
+            if (candidates.targets.isEmpty() || unmet.size == MAX_UNMET) return
+            if (candidates.isTooSmall(task.spec.demand)) continue
             if (!task.job.isAwaited(nowMillis) || task.job.isDurable && !mayStartDurable) continue
             // A run from an earlier submission of the job may still be stopping.
             if (control.isPresent(task.key) || !task.mayStart(nowMillis)) continue
-            val requirements = Requirements(task.job.spec.service, task.spec.demand, task.spec.requiredLabel)
+            val requirements = requirementsOf(task)
             if (requirements in unmet) continue
-            control.cost.add(candidates.size)
-            val target = selector.select(task, candidates, nowMillis)
+            val target = findTarget(task, candidates, nowMillis)
             if (target == null) {
-                val runsAlone = task.crashes.runsAlone(nowMillis)
-                if (task.spec.maxPerTarget == null && !runsAlone) unmet.add(requirements)
+                if (!task.crashes.runsAlone(nowMillis)) unmet.add(requirements)
                 continue
             }
             waiting.remove(task)
@@ -46,21 +45,38 @@
             control.start(task, target, expected, nowMillis)
             onStarted(task)
             candidates = candidates(nowMillis)
-            free = largestFree(candidates)
+        }
+    }
+
+    private fun requirementsOf(task: TrackedTask): Requirements {
+        val step = task.key.jobId to task.key.step
+        val limitedStep = step.takeIf { task.spec.maxPerTarget != null }
+        return Requirements(task.job.spec.service, task.spec.demand, task.spec.requiredLabel, limitedStep)
+    }
+
+    /** The best of [candidates] for [task]; if none of them can take it, the best of all targets. */
+    private fun findTarget(
+        task: TrackedTask,
+        candidates: TargetsByFreeCpu.Candidates,
+        nowMillis: Long,
+    ): TrackedTarget? {
+        control.cost.add(candidates.targets.size)
+        val found = selector.select(task, candidates.targets, nowMillis)
+        return if (found != null || candidates.isComplete) {
+            found
+        } else {
+            selector.select(task, control.byFreeCpu, nowMillis)
         }
     }
 
     /** Targets with enough free CPU for the smallest task that waits for their service. */
-    private fun candidates(nowMillis: Long): List<TrackedTarget> {
-        val smallestMillis = waiting.smallestCpuMillis ?: return emptyList()
+    private fun candidates(nowMillis: Long): TargetsByFreeCpu.Candidates {
+        val smallestMillis = waiting.smallestCpuMillis ?: Int.MAX_VALUE
         return control.byFreeCpu.candidates(smallestMillis, nowMillis) { target ->
             waiting.smallestCpuMillis(target.registration.service)?.let { it <= target.free.cpuMillis } == true
         }
     }
 
-    private fun largestFree(candidates: List<TrackedTarget>): Resources =
-        candidates.fold(Resources()) { most, target -> most.elementwiseMax(target.free) }
-
     private companion object {
         /** Limits the failed searches of one call; the next event starts again at the front of the queue. */
         const val MAX_UNMET = 200
--- a/core/src/main/kotlin/io/jackdawring/core/shard/TargetSelector.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/TargetSelector.kt
@@ -5,7 +5,21 @@
     private val durations: DurationEstimator,
     private val offRackFactor: Double,
 ) {
-    /** The best target for [task], or null if none can take it now. */
+    /** The best target for [task] among those with the most free CPU that can take it now, or null if none can. */
+    fun select(
+        task: TrackedTask,
+        targets: TargetsByFreeCpu,
+        nowMillis: Long,
+    ): TrackedTarget? {
+        val demand = task.spec.demand
+        val able =
+            targets.candidates(demand.cpuMillis, nowMillis) {
+                demand.fitsInto(it.free) && canRun(it, task, nowMillis)
+            }
+        return select(task, able.targets, nowMillis)
+    }
+
+    /** The best of [targets] for [task], or null if none can take it now. */
     fun select(
         task: TrackedTask,
         targets: Collection<TrackedTarget>,
--- a/core/src/main/kotlin/io/jackdawring/core/shard/TargetsByFreeCpu.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/TargetsByFreeCpu.kt
@@ -23,14 +23,27 @@
         cpuMillis: Int,
         nowMillis: Long,
         wanted: (TrackedTarget) -> Boolean,
-    ): List<TrackedTarget> {
+    ): Candidates {
         val found = ArrayList<TrackedTarget>()
         for (target in ordered) {
             cost.add()
-            if (target.free.cpuMillis < cpuMillis || found.size == MAX_CANDIDATES) break
-            if (wanted(target) && TargetSelector.isUsable(target, nowMillis)) found.add(target)
+            if (target.free.cpuMillis < cpuMillis) break
+            if (!wanted(target) || !TargetSelector.isUsable(target, nowMillis)) continue
+            if (found.size == MAX_CANDIDATES) return Candidates(found, isComplete = false)
+            found.add(target)
         }
-        return found
+        return Candidates(found, isComplete = true)
+    }
+
+    /** Targets found by a search; unless it [isComplete], there are others with less free CPU. */
+    class Candidates(
+        val targets: List<TrackedTarget>,
+        val isComplete: Boolean,
+    ) {
+        private val largestFree = targets.fold(Resources()) { most, target -> most.elementwiseMax(target.free) }
+
+        /** Whether no target can have enough free capacity for [demand]. */
+        fun isTooSmall(demand: Resources): Boolean = isComplete && !demand.fitsInto(largestFree)
     }
 
     private companion object {
