--- a/server/src/main/kotlin/io/jackdawring/server/http/SocketAddresses.kt
+++ b/server/src/main/kotlin/io/jackdawring/server/http/SocketAddresses.kt
@@ -14,5 +14,8 @@
     return InetSocketAddress(InetAddress.getByAddress(bytes), port)
 }
 
+/** Whether [address] has the form `ip:port` or `[ipv6]:port`, with a port to connect to. */
+fun isSocketAddress(address: String): Boolean = parseSocketAddress(address).let { it != null && it.port > 0 }
+
 /** Formats [address] as `ip:port` or `[ipv6]:port`. */
 internal fun formatSocketAddress(address: InetSocketAddress): String = NetUtil.toSocketAddressString(address)
