Continue the search for targets behind tasks that cannot run

Cause: a placement stops after 200 needs for which it found no target, and the next one started at the front of the queue again. Overdue jobs keep their order, so what lies behind 200 others that cannot run was never looked at.

Change: the next placement continues behind the needs that have found no target, until the end of the queue is reached. With up to 200 such needs, nothing changes. The limit of one call stays, so its cost does not grow.

--- a/core/src/main/kotlin/io/jackdawring/core/shard/Placement.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/Placement.kt
@@ -18,6 +18,9 @@
         val limitedStep: Pair<JobId, Int>?,
     )
 
+    /** Requirements for which earlier calls found no target since the queue was last searched to its end. */
+    private val unmetBefore = HashSet<Requirements>()
+
     /** Starts as many waiting tasks as the free capacity allows; those of durable jobs only if [mayStartDurable]. */
     fun place(
         nowMillis: Long,
@@ -27,13 +30,17 @@
         val unmet = HashSet<Requirements>()
         for (task in waiting.inOrder()) {
             control.cost.add()
-            if (candidates.targets.isEmpty() || unmet.size == MAX_UNMET) return
+            if (candidates.targets.isEmpty()) return
             if (candidates.isTooSmall(task.spec.demand)) continue
             if (!task.job.isAwaited(nowMillis) || task.job.isDurable && !mayStartDurable) continue
             // A run from an earlier submission of the job may still be stopping.
             if (control.isPresent(task.key) || !task.mayStart(nowMillis)) continue
             val requirements = requirementsOf(task)
-            if (requirements in unmet) continue
+            if (requirements in unmet || requirements in unmetBefore) continue
+            if (unmet.size == MAX_UNMET) {
+                unmetBefore.addAll(unmet)
+                return
+            }
             val target = findTarget(task, candidates, nowMillis)
             if (target == null) {
                 if (!task.crashes.runsAlone(nowMillis)) unmet.add(requirements)
@@ -46,6 +53,7 @@
             onStarted(task)
             candidates = candidates(nowMillis)
         }
+        unmetBefore.clear()
     }
 
     private fun requirementsOf(task: TrackedTask): Requirements {
@@ -78,7 +86,7 @@
     }
 
     private companion object {
-        /** Limits the failed searches of one call; the next event starts again at the front of the queue. */
+        /** Limits the failed searches of one call; the next one continues behind them. */
         const val MAX_UNMET = 200
     }
 }
