Decide nothing about writes from a conflict that names no item

A conflict tells which revisions the conditions of a write have. If the shard's own key is missing, the answer is incomplete, and a missing record must not be taken for one that was moved. Not seen; found while reading the handling of moves. DurableJobStoreTest has a row for it.

--- a/fleet/src/main/kotlin/io/jackdawring/fleet/durable/DurableJobStore.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/durable/DurableJobStore.kt
@@ -278,6 +278,10 @@
             return
         }
         nextWriteMillis = loop.nowMillis() + RETRY_MILLIS
+        if (shard == null) {
+            logger.warn { "$shardKey: the store reports a conflict without the shard's own key" }
+            return
+        }
         // An earlier write whose answer was lost has been applied.
         batch.saves.forEach {
             it.entry.revision = present[
--- a/fleet/src/test/kotlin/io/jackdawring/fleet/durable/DurableJobStoreTest.kt
+++ b/fleet/src/test/kotlin/io/jackdawring/fleet/durable/DurableJobStoreTest.kt
@@ -320,6 +320,16 @@
                 pass(500)
                 assertMovedOnce()
             },
+            Row("a conflict that names no item decides nothing about a move") {
+                val from = holder("a")
+                from.acceptAndMove("j", Mode.EMPTY_CONFLICTS)
+                pass(1_000)
+                assertEquals(emptyList(), from.moved.toList())
+                assertEquals(JobLocation(from.holding.shardId), location("j"))
+                store.mode = Mode.HEALTHY
+                pass(500)
+                assertMovedOnce()
+            },
             Row("a job that comes back is found again") {
                 val first = holder("a")
                 first.acceptAndMove("j")
--- a/fleet/src/test/kotlin/io/jackdawring/fleet/store/FakeTransactionalStore.kt
+++ b/fleet/src/test/kotlin/io/jackdawring/fleet/store/FakeTransactionalStore.kt
@@ -1,6 +1,7 @@
 package io.jackdawring.fleet.store
 
 import io.jackdawring.fleet.FakeControlLoop
+import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.toImmutableList
 
 /** A store on virtual time that checks conditions and injects faults. */
@@ -16,6 +17,9 @@
         /** Applies commits and does not answer. */
         ANSWERS_LOST,
 
+        /** Reports conflicts that name no item, and applies nothing. */
+        EMPTY_CONFLICTS,
+
         /** Does not answer, and applies commits seconds later. */
         LATE,
     }
@@ -61,6 +65,8 @@
             Mode.HEALTHY -> loop.schedule(latencyMillis) { onResult(apply(change)) }
             Mode.REFUSES ->
                 loop.schedule(latencyMillis) { onResult(CommitResult.Unavailable("503", mayHaveApplied = false)) }
+            Mode.EMPTY_CONFLICTS ->
+                loop.schedule(latencyMillis) { onResult(CommitResult.Conflict(persistentListOf())) }
             Mode.ANSWERS_LOST -> {
                 loop.schedule(latencyMillis) { apply(change) }
                 loop.schedule(TIMEOUT_MILLIS) { onResult(CommitResult.Unavailable("timed out")) }
