Ask about all stalled jobs in turn

A holder asks the other shards about up to 32 jobs at a time that do not run in its own. It always took the first ones, so 32 jobs that no shard can run kept all others from moving.

MovedJobTest has a row with 100 such jobs, which failed before (the job behind them stayed running in its shard) and passes now.

--- a/core/src/main/kotlin/io/jackdawring/core/shard/TargetSelector.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/TargetSelector.kt
@@ -100,15 +100,16 @@
         fun isCapable(
             target: TrackedTarget,
             step: StepSpec,
-        ): Boolean =
-            step.demand.fitsInto(target.registration.capacity) &&
-                (step.requiredLabel == null || step.requiredLabel in target.registration.labels)
+        ): Boolean = step.demand.fitsInto(target.registration.capacity) && hasLabel(target, step)
 
         fun matches(
             target: TrackedTarget,
             task: TrackedTask,
-        ): Boolean =
-            target.registration.service == task.job.spec.service &&
-                (task.spec.requiredLabel == null || task.spec.requiredLabel in target.registration.labels)
+        ): Boolean = target.registration.service == task.job.spec.service && hasLabel(target, task.spec)
+
+        private fun hasLabel(
+            target: TrackedTarget,
+            step: StepSpec,
+        ) = step.requiredLabel == null || step.requiredLabel in target.registration.labels
     }
 }
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/durable/StalledJobMover.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/durable/StalledJobMover.kt
@@ -22,6 +22,9 @@
     private val move: (JobId, ShardId, () -> JobSnapshot) -> Unit,
 ) {
     private var isAsking = false
+
+    /** Position of the stalled job that is next in turn. */
+    private var nextIndex = 0
     private var stopped = false
 
     fun start() = loop.repeatEvery(INTERVAL_MILLIS, ::runRound)
@@ -32,8 +35,9 @@
 
     private fun runRound(): Boolean {
         if (stopped) return false
-        val stalled = dispatcher.stalledJobs(loop.nowMillis()).take(MAX_JOBS)
-        if (isAsking || stalled.isEmpty()) return true
+        if (isAsking) return true
+        val stalled = nextOf(dispatcher.stalledJobs(loop.nowMillis()))
+        if (stalled.isEmpty()) return true
         isAsking = true
         capacities.query(shardId, stalled.map { it.needs }) { delays ->
             isAsking = false
@@ -49,6 +53,13 @@
         return true
     }
 
+    /** Up to [MAX_JOBS] of [all], in turn, so that jobs that no shard can run do not keep the others from moving. */
+    private fun nextOf(all: List<StalledJob>): List<StalledJob> {
+        val first = if (nextIndex < all.size) nextIndex else 0
+        nextIndex = first + MAX_JOBS
+        return all.drop(first).take(MAX_JOBS)
+    }
+
     private fun moveIfUseful(
         job: StalledJob,
         delaysMillis: Map<ShardId, Long?>,
--- a/fleet/src/test/kotlin/io/jackdawring/fleet/model/MovedJobTest.kt
+++ b/fleet/src/test/kotlin/io/jackdawring/fleet/model/MovedJobTest.kt
@@ -1,6 +1,7 @@
 package io.jackdawring.fleet.model
 
 import io.jackdawring.core.shard.JobSpec
+import io.jackdawring.core.shard.JobState
 import org.junit.jupiter.api.DynamicTest
 import org.junit.jupiter.api.TestFactory
 import kotlin.test.assertEquals
@@ -165,6 +166,16 @@
                 run(5_000)
                 assertCompletedElsewhere(job)
             },
+            Row("many jobs that no shard can run do not keep another one from moving") {
+                repeat(100) { submitDurable(FakeFleet.job("blocked$it", requiredLabel = "none"), "a1", 400) }
+                run(4_000)
+                val job = keep()
+                loseTargets("a")
+                run(15_000)
+                val (domain, state) = storedJobs().getValue(job.id)
+                assertEquals(JobState.COMPLETED, state)
+                assertTrue(domain != "a", "the job is still in its first shard")
+            },
             Row("a job waits in its shard while no target of any shard has its label") {
                 val job = keep(requiredLabel = "none")
                 run(20_000)
