--- a/fleet/src/main/kotlin/io/jackdawring/fleet/durable/StalledJobMover.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/durable/StalledJobMover.kt
@@ -41,14 +41,7 @@
         isAsking = true
         capacities.query(shardId, stalled.map { it.needs }) { delays ->
             isAsking = false
-            if (!stopped) {
-                stalled.forEachIndexed {
-                    index,
-                    job,
-                    ->
-                    moveIfUseful(job, delays.mapValues { it.value[index] })
-                }
-            }
+            if (!stopped) moveAll(stalled, delays)
         }
         return true
     }
@@ -60,6 +53,14 @@
         return all.drop(first).take(MAX_JOBS)
     }
 
+    /** Moves those of [jobs] that can start sooner elsewhere; [delaysMillis] has a value for each of them. */
+    private fun moveAll(
+        jobs: List<StalledJob>,
+        delaysMillis: Map<ShardId, List<Long?>>,
+    ) {
+        for ((index, job) in jobs.withIndex()) moveIfUseful(job, delaysMillis.mapValues { it.value[index] })
+    }
+
     private fun moveIfUseful(
         job: StalledJob,
         delaysMillis: Map<ShardId, Long?>,
