Log on which grounds a holder resumes jobs that may have run

The hypotheses about tasks that one instance started twice could not be told apart: no line says that a job waits for runs of previous holders, on what grounds it continues, how many targets a hand-over names, that a target lists the end of a run its holder does not know, and which address a target had before and after a change.

New lines: 'job waits for earlier runs', 'job resumed', 'end without a job found', 'hand-over of shard', and both addresses where one changes.

--- a/core/src/main/kotlin/io/jackdawring/core/shard/JobLifecycle.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/JobLifecycle.kt
@@ -89,6 +89,7 @@
         nowMillis: Long,
     ) {
         val progressChanged = previousRuns.claim(job)
+        reportResumed(job, nowMillis)
         val exhausted = job.tasks().firstOrNull { it.failures >= job.spec.maxAttempts }
         val crashing = job.tasks().firstOrNull { it.crashes.isExhausted && !it.done }
         if (exhausted != null) {
@@ -101,6 +102,17 @@
         }
     }
 
+    /** Reports that [job], which may have run, continues, and on which grounds. */
+    fun reportResumed(
+        job: TrackedJob,
+        nowMillis: Long,
+    ) {
+        val adopted = job.tasks().sumOf { it.runs.size }
+        effects.report(
+            ShardDecision.JobResumed(job.spec.id, control.previousRuns(nowMillis), control.targets.size, adopted),
+        )
+    }
+
     /**
      * Adds a stored job, which is resumed once all of its runs by previous holders are known.
      *
--- a/core/src/main/kotlin/io/jackdawring/core/shard/PreviousHolderRuns.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/PreviousHolderRuns.kt
@@ -35,7 +35,7 @@
 
     /** Removes and returns the added jobs if all runs of previous holders are known now. */
     fun takeRecoverable(nowMillis: Long): List<TrackedJob> {
-        if (awaitingRecovery.isEmpty() || !control.allRunsKnown(nowMillis)) return emptyList()
+        if (awaitingRecovery.isEmpty() || control.previousRuns(nowMillis) == PreviousRuns.UNCERTAIN) return emptyList()
         return awaitingRecovery.values.toList().also { awaitingRecovery.clear() }
     }
 
--- a/core/src/main/kotlin/io/jackdawring/core/shard/RealShardDispatcher.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/RealShardDispatcher.kt
@@ -78,13 +78,15 @@
     ) {
         val spec = request.job
         val job = TrackedJob(spec, nextJobSequence++, nowMillis, nowMillis + request.remainingMillis)
-        if (request.mayRun && !control.allRunsKnown(nowMillis)) {
+        if (request.mayRun && control.previousRuns(nowMillis) == PreviousRuns.UNCERTAIN) {
             job.started = true
             lifecycle.add(job, waiter)
             lifecycle.previousRuns.add(job)
+            effects.report(ShardDecision.JobDelayed(spec.id, control.targets.size))
             return
         }
         lifecycle.previousRuns.claim(job)
+        if (request.mayRun) lifecycle.reportResumed(job, nowMillis)
         when (val decision = admissionCheck.decide(job, request.admission, nowMillis)) {
             is AdmissionDecision.Refused -> {
                 effects.report(
--- a/core/src/main/kotlin/io/jackdawring/core/shard/ShardDecision.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/ShardDecision.kt
@@ -45,6 +45,28 @@
         val targetId: TargetId,
     ) : ShardDecision
 
+    /** A target lists the end of a run that this holder has not started, or has given up. */
+    data class EndFound(
+        val task: TaskKey,
+        val attempt: Int,
+        val targetId: TargetId,
+        val ending: EndedRun.Ending,
+    ) : ShardDecision
+
+    /** A job that may have run waits until the runs of previous holders are known. */
+    data class JobDelayed(
+        val jobId: JobId,
+        val knownTargets: Int,
+    ) : ShardDecision
+
+    /** A job that may have run continues on the grounds of [previousRuns], with [adoptedRuns] of its runs. */
+    data class JobResumed(
+        val jobId: JobId,
+        val previousRuns: PreviousRuns,
+        val knownTargets: Int,
+        val adoptedRuns: Int,
+    ) : ShardDecision
+
     /** A start was not answered; the target may carry it out now, later or never. */
     data class StartUnanswered(
         val task: TaskKey,
--- a/core/src/main/kotlin/io/jackdawring/core/shard/TargetControl.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/TargetControl.kt
@@ -16,6 +16,7 @@
     private val stopper = RunStopper(effects)
     private val index = RunIndex()
     private val adoption = AdoptionWindow(options)
+    private val previousRunsCheck = PreviousRunsCheck(registry, poller.maxLeaseMillis)
 
     val targets: Collection<TrackedTarget> get() = registry.targets
     val byFreeCpu: TargetsByFreeCpu get() = registry.byFreeCpu
@@ -27,33 +28,20 @@
     var recovered = false
         private set
 
-    /** Time of the first tick; null before. */
-    private var heldSinceMillis: Long? = null
+    /** What is known about the runs that previous holders started. */
+    fun previousRuns(nowMillis: Long): PreviousRuns = previousRunsCheck.state(nowMillis)
 
-    /**
-     * Whether no run that previous holders started goes on, not even on targets that are out of reach.
-     *
-     * A previous holder that is cut off notices that only when its [ShardOwnership] expires.
-     */
-    fun foreignRunsOver(nowMillis: Long): Boolean {
-        val since = heldSinceMillis ?: return false
-        if (targets.any { it.mayHaveMoreEnds }) return false
-        val allFenced = registry.inherited && targets.all { it.hasAnswered }
-        return allFenced || nowMillis - since >= ShardOwnership.LIFETIME_MILLIS + 2 * poller.maxLeaseMillis
-    }
-
-    /** Whether all runs that previous holders started are known or over. */
-    fun allRunsKnown(nowMillis: Long): Boolean {
-        if (targets.any { it.mayHaveMoreEnds }) return false
-        val since = registry.firstListedAtMillis ?: return foreignRunsOver(nowMillis)
-        return (registry.inherited && targets.all { it.hasAnswered }) || nowMillis - since >= poller.maxLeaseMillis
-    }
+    /** Whether no run that previous holders started goes on, not even on targets that are out of reach. */
+    fun foreignRunsOver(nowMillis: Long): Boolean = previousRunsCheck.areOver(nowMillis)
 
     fun updateTargets(
         listed: ImmutableCollection<ShardTarget>,
         nowMillis: Long,
     ) {
-        registry.update(listed, nowMillis) { forgetIncarnation(it, "address changed", nowMillis) }
+        registry.update(listed, nowMillis) { target, address ->
+            val reason = "address changed from ${target.registration.address} to $address"
+            forgetIncarnation(target, reason, nowMillis)
+        }
         targets.forEach { poller.poll(it, nowMillis) }
     }
 
@@ -278,6 +266,7 @@
         run?.recordCheckpoint(end.checkpoint)
         if (owner == null) {
             run?.let(::remove)
+            effects.report(ShardDecision.EndFound(end.task, end.attempt, target.id, end.ending))
             val version = listener.onUnknownEnd(end, nowMillis) ?: if (recovered) return else 0
             target.pendingEnds.addLast(PendingEnd(end.sequence, end.task.jobId, version))
             return
@@ -412,7 +401,7 @@
         nowMillis: Long,
         isOwnershipExpired: Boolean,
     ) {
-        heldSinceMillis = heldSinceMillis ?: nowMillis
+        previousRunsCheck.onTick(nowMillis)
         for (target in targets.toList()) {
             target.isLeaseWithheld = isOwnershipExpired && target.hasDurableRuns
             if (target.contact != TrackedTarget.Contact.HELD && nowMillis >= target.leaseExpiresAtMillis) {
--- a/core/src/main/kotlin/io/jackdawring/core/shard/TargetRegistry.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/TargetRegistry.kt
@@ -23,11 +23,11 @@
 
     operator fun get(id: TargetId): TrackedTarget? = byId[id]
 
-    /** Applies the platform's list; [onMoved] is called for targets whose address changed. */
+    /** Applies the platform's list; [onMoved] is called for targets whose address changes, with the new one. */
     fun update(
         listed: ImmutableCollection<ShardTarget>,
         nowMillis: Long,
-        onMoved: (TrackedTarget) -> Unit,
+        onMoved: (target: TrackedTarget, address: String) -> Unit,
     ) {
         if (firstListedAtMillis == null && listed.isNotEmpty()) firstListedAtMillis = nowMillis
         val seen = HashSet<TargetId>()
@@ -36,7 +36,7 @@
             val target = byId.getOrPut(registration.id) { newTarget(registration) }
             val state = if (registration.draining) "draining" else "ready"
             if (target.registration.draining != registration.draining) onChanged(target, state, "target list changed")
-            if (target.registration.address != registration.address) onMoved(target)
+            if (target.registration.address != registration.address) onMoved(target, registration.address)
             if (target.registration != registration) target.registration = registration
             target.unlistedSinceMillis = null
         }
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/HeldShards.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/HeldShards.kt
@@ -230,6 +230,10 @@
         } else {
             val seenAt = election.lastSeenMillis(message.shardId, loop.nowMillis())
             claim(message.shardId, message.revision) { taken ->
+                logger.info {
+                    "hand-over of ${FleetKeys.shard(message.shardId)} at revision ${message.revision} with " +
+                        "${message.targets.size} targets: ${if (taken) "taken" else "not taken"}"
+                }
                 hosts[message.shardId]?.inherit(message.targets.map { it.toTarget() }.toImmutableList())
                 if (seenAt != null) hosts[message.shardId]?.onPreviousHolderSeen(seenAt)
                 onResult(taken)
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/metrics/FleetMetrics.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/metrics/FleetMetrics.kt
@@ -37,6 +37,7 @@
         registry.counter("jackdawring_kept_jobs", "Changes of kept jobs at held shards, by new state.", "state")
     private val repeatedRuns = registry.counter("jackdawring_repeated_runs", "Runs that were over without a result.")
     private val foundRuns = registry.counter("jackdawring_found_runs", "Runs found on targets without a job.")
+    private val foundEnds = registry.counter("jackdawring_found_ends", "Ends of runs on targets without a job.")
     private val unansweredStarts = registry.counter("jackdawring_unanswered_starts", "Starts that were not answered.")
     private val stopRequests = registry.counter("jackdawring_stop_requests", "Runs whose stop was requested.")
     private val targetCrashes =
@@ -83,6 +84,8 @@
 
     fun runFound() = foundRuns.inc()
 
+    fun endFound() = foundEnds.inc()
+
     fun startUnanswered() = unansweredStarts.inc()
 
     fun stopRequested() = stopRequests.inc()
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/shard/DecisionLog.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/shard/DecisionLog.kt
@@ -24,6 +24,9 @@
             is ShardDecision.DurableJobChanged -> onDurableJobChanged(decision)
             is ShardDecision.RunLost -> onLost(decision)
             is ShardDecision.RunFound -> onFound(decision)
+            is ShardDecision.EndFound -> onEndFound(decision)
+            is ShardDecision.JobDelayed -> onDelayed(decision)
+            is ShardDecision.JobResumed -> onResumed(decision)
             is ShardDecision.StartUnanswered -> onStartUnanswered(decision)
             is ShardDecision.RunStopRequested -> onStopRequested(decision)
             is ShardDecision.TargetCrashed -> onTargetCrashed(decision)
@@ -75,6 +78,28 @@
         logRun("run without a job found", decision.task, decision.attempt, decision.targetId, "listed by the target")
     }
 
+    private fun onEndFound(decision: ShardDecision.EndFound) {
+        metrics.endFound()
+        val reason = "ended as ${decision.ending.name.lowercase()}"
+        logRun("end without a job found", decision.task, decision.attempt, decision.targetId, reason)
+    }
+
+    private fun onDelayed(decision: ShardDecision.JobDelayed) =
+        log(
+            "job waits for earlier runs",
+            "job" to decision.jobId.value,
+            "knownTargets" to decision.knownTargets,
+        )
+
+    private fun onResumed(decision: ShardDecision.JobResumed) =
+        log(
+            "job resumed",
+            "job" to decision.jobId.value,
+            "earlierRuns" to decision.previousRuns.name.lowercase(),
+            "knownTargets" to decision.knownTargets,
+            "adoptedRuns" to decision.adoptedRuns,
+        )
+
     private fun onStartUnanswered(decision: ShardDecision.StartUnanswered) {
         metrics.startUnanswered()
         logRun("start not answered", decision.task, decision.attempt, decision.targetId, decision.reason)
