--- a/fleet/src/test/kotlin/io/jackdawring/fleet/model/FakeFleet.kt
+++ b/fleet/src/test/kotlin/io/jackdawring/fleet/model/FakeFleet.kt
@@ -49,11 +49,7 @@
     val instances: List<FakeEntryInstance> get() = instancesById.values.toList()
 
     init {
-        targets.keys.forEach { id ->
-            store.commit(
-                StoreChange(writes = persistentListOf(StoreChange.Write("$TARGETS$id", id.encodeToByteArray()))),
-            )
-        }
+        targets.keys.forEach(::list)
         for (domain in domainNames) repeat(instancesPerDomain) { startInstance("$domain${it + 1}") }
         run(STARTUP_MILLIS)
     }
@@ -222,9 +218,18 @@
     fun crashForGood(target: String) {
         restart(target)
         silence(target, FOREVER_MILLIS)
-        clock.schedule(UNLISTED_AFTER_MILLIS) {
-            store.commit(StoreChange(removals = persistentListOf("$TARGETS$target")))
-        }
+        clock.schedule(UNLISTED_AFTER_MILLIS) { unlist(target) }
+    }
+
+    /** Adds [target] to the list of targets in the store. */
+    fun list(target: String) {
+        val entry = StoreChange.Write("$TARGETS$target", target.encodeToByteArray())
+        store.commit(StoreChange(writes = persistentListOf(entry)))
+    }
+
+    /** Removes [target] from the list of targets in the store, as if it did not reach the store for a while. */
+    fun unlist(target: String) {
+        store.commit(StoreChange(removals = persistentListOf("$TARGETS$target")))
     }
 
     fun targetsOf(domain: String): List<String> = targets.keys.filter { it.startsWith("$domain-") }
