Tell a successor whether the handed-over targets have all runs

What callers saw: tasks of one job ran twice at a time; both runs were started by the same instance, the first one was not stopped and its end was taken note of.

Cause: a new holder resumes jobs that may have run as soon as all targets have listed their runs, if it got the list of targets from its predecessor. It took that list for complete. An instance of another failure domain that claims an abandoned shard knows only the targets in the store's list, and while the store turns a failure domain away, the entries of its live targets expire. When it hands the shard back a moment later, jobs resume although their runs go on, under leases of the holder before, on targets that are not listed yet. The list could also lack a target that was listed, and got a start, after it was sent.

Fix: the hand-over says whether all runs are on its targets. That is so only if the sender itself has learned of all earlier runs, or is the first holder of the shard, and if the receiver's claim follows the sender's holding directly. Otherwise the successor waits until earlier leases have ended. Targets that are listed during an offer get no starts until the offer is declined.

--- a/core/src/main/kotlin/io/jackdawring/core/shard/PreviousRunsCheck.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/PreviousRunsCheck.kt
@@ -8,7 +8,7 @@
     /** Time of the first tick; null before. */
     private var heldSinceMillis: Long? = null
 
-    private val areAllListed: Boolean get() = registry.inherited && registry.targets.all { it.hasAnswered }
+    private val areAllListed: Boolean get() = registry.knowsAllWithRuns && registry.targets.all { it.hasAnswered }
 
     fun onTick(nowMillis: Long) {
         heldSinceMillis = heldSinceMillis ?: nowMillis
--- a/core/src/main/kotlin/io/jackdawring/core/shard/RealShardDispatcher.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/RealShardDispatcher.kt
@@ -46,12 +46,14 @@
     override fun targetViews(nowMillis: Long): ImmutableList<TargetView> =
         control.targets.map { it.toView(nowMillis) }.toImmutableList()
 
-    override fun knownTargets(): ImmutableList<ShardTarget> = control.targets.map { it.registration }.toImmutableList()
+    override fun handOver(nowMillis: Long): HandOver = control.handOver(nowMillis)
+
+    override fun cancelHandOver() = control.cancelHandOver()
 
     override fun inherit(
-        targets: ImmutableCollection<ShardTarget>,
+        handOver: HandOver,
         nowMillis: Long,
-    ) = control.inherit(targets, nowMillis)
+    ) = control.inherit(handOver, nowMillis)
 
     override fun onPreviousHolderSeen(seenAtMillis: Long) = control.onPreviousHolderSeen(seenAtMillis)
 
--- a/core/src/main/kotlin/io/jackdawring/core/shard/ShardDispatcher.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/ShardDispatcher.kt
@@ -19,16 +19,20 @@
         nowMillis: Long,
     )
 
-    /** All targets that may have runs of this shard, including those that left the list. */
-    fun knownTargets(): ImmutableList<ShardTarget>
+    /** What a successor has to know; starts on further targets are held back until [cancelHandOver] or the release. */
+    fun handOver(nowMillis: Long): HandOver
+
+    /** Continues without a successor. */
+    fun cancelHandOver()
 
     /**
      * Adds the targets that the previous holder knew, some of which the list may lack for a while.
      *
-     * Without this call, jobs that may already run wait until every lease of the previous holder has expired.
+     * Without this call, or if runs may be on other targets too, jobs that may already run wait until every lease of
+     * the previous holder has expired.
      */
     fun inherit(
-        targets: ImmutableCollection<ShardTarget>,
+        handOver: HandOver,
         nowMillis: Long,
     )
 
--- a/core/src/main/kotlin/io/jackdawring/core/shard/TargetControl.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/TargetControl.kt
@@ -2,6 +2,7 @@
 
 import io.jackdawring.core.TargetId
 import kotlinx.collections.immutable.ImmutableCollection
+import kotlinx.collections.immutable.toImmutableList
 
 /** Tracks the targets of a shard with their leases and runs, and reconciles them with the runs that targets list. */
 internal class TargetControl(
@@ -45,13 +46,26 @@
         targets.forEach { poller.poll(it, nowMillis) }
     }
 
+    /** What a successor has to know; targets that are listed later get no starts until [cancelHandOver]. */
+    fun handOver(nowMillis: Long): HandOver {
+        registry.isHandingOver = true
+        val registrations = targets.filterNot { it.isHeldBack }.map { it.registration }.toImmutableList()
+        return HandOver(registrations, previousRuns(nowMillis) != PreviousRuns.UNCERTAIN)
+    }
+
+    /** Continues without a successor. */
+    fun cancelHandOver() {
+        registry.isHandingOver = false
+        targets.forEach { it.isHeldBack = false }
+    }
+
     /** Adds the targets that the previous holder knew. */
     fun inherit(
-        known: ImmutableCollection<ShardTarget>,
+        handOver: HandOver,
         nowMillis: Long,
     ) {
         onPreviousHolderSeen(nowMillis)
-        registry.inherit(known, nowMillis)
+        registry.inherit(handOver, nowMillis)
         targets.forEach { poller.poll(it, nowMillis) }
     }
 
--- a/core/src/main/kotlin/io/jackdawring/core/shard/TargetRegistry.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/TargetRegistry.kt
@@ -17,10 +17,13 @@
     var firstListedAtMillis: Long? = null
         private set
 
-    /** Whether the targets of the previous holder are known; the list alone may lack some that still have runs. */
-    var inherited = false
+    /** Whether the previous holder has named all targets with runs; the list alone may lack some of them. */
+    var knowsAllWithRuns = false
         private set
 
+    /** Whether a successor has been told the targets, so that those listed from now on must not get runs. */
+    var isHandingOver = false
+
     operator fun get(id: TargetId): TrackedTarget? = byId[id]
 
     /** Applies the platform's list; [onMoved] is called for targets whose address changes, with the new one. */
@@ -49,17 +52,18 @@
 
     /** Adds the targets that the previous holder knew. */
     fun inherit(
-        targets: ImmutableCollection<ShardTarget>,
+        handOver: HandOver,
         nowMillis: Long,
     ) {
-        inherited = true
-        if (firstListedAtMillis == null) firstListedAtMillis = nowMillis
-        for (registration in targets) {
+        if (handOver.areAllRunsThere) knowsAllWithRuns = true
+        if (firstListedAtMillis == null && handOver.targets.isNotEmpty()) firstListedAtMillis = nowMillis
+        for (registration in handOver.targets) {
             byId.getOrPut(registration.id) { newTarget(registration).apply { unlistedSinceMillis = nowMillis } }
         }
     }
 
-    private fun newTarget(registration: ShardTarget) = TrackedTarget(registration, nextSequence++, byFreeCpu)
+    private fun newTarget(registration: ShardTarget) =
+        TrackedTarget(registration, nextSequence++, byFreeCpu).apply { isHeldBack = isHandingOver }
 
     /** Forgets targets that left the list, have no runs and may not start any. */
     fun forgetGone(nowMillis: Long) {
--- a/core/src/main/kotlin/io/jackdawring/core/shard/TrackedTarget.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/TrackedTarget.kt
@@ -56,6 +56,9 @@
     /** Latest time on the monotonic clock at which a requested lease can expire. */
     var leaseExpiresAtMillis = Long.MIN_VALUE / 2
 
+    /** Whether the target gets no starts, because a successor would not know that it may have runs. */
+    var isHeldBack = false
+
     /**
      * Whether the target has no runs that no job has claimed, no run that goes on although it should stop, and room in
      * its list of ended runs.
@@ -64,6 +67,7 @@
         get() =
             !unansweredStarts.isOpen &&
                 !isLeaseWithheld &&
+                !isHeldBack &&
                 !mayHaveMoreEnds &&
                 pendingEnds.size < MAX_PENDING_ENDS &&
                 runs.values.none { it.owner == null || it.isStopOverdue }
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/HeldShards.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/HeldShards.kt
@@ -7,6 +7,7 @@
 import io.jackdawring.core.fleet.ShardElection
 import io.jackdawring.core.fleet.ShardHolding
 import io.jackdawring.core.fleet.ShardId
+import io.jackdawring.core.shard.HandOver
 import io.jackdawring.core.shard.ShardDispatcher
 import io.jackdawring.core.shard.ShardTarget
 import io.jackdawring.fleet.durable.DurableJobStore
@@ -15,7 +16,6 @@
 import io.jackdawring.fleet.peer.HandOverMessage
 import io.jackdawring.fleet.peer.PeerClient
 import io.jackdawring.fleet.peer.PeerReply
-import io.jackdawring.fleet.peer.TargetMessage
 import io.jackdawring.fleet.shard.DecisionLog
 import io.jackdawring.fleet.shard.ShardHost
 import io.jackdawring.fleet.store.CommitResult
@@ -25,7 +25,6 @@
 import io.jackdawring.fleet.store.StoreMirror
 import kotlinx.collections.immutable.ImmutableCollection
 import kotlinx.collections.immutable.persistentListOf
-import kotlinx.collections.immutable.toImmutableList
 
 private val logger = KotlinLogging.logger("io.jackdawring.fleet")
 
@@ -102,6 +101,7 @@
     ) {
         val seenAt = election.lastSeenMillis(id, loop.nowMillis())
         claim(id, previous?.revision ?: 0) { taken ->
+            if (taken && previous == null) hosts[id]?.inherit(HandOver.NONE)
             if (taken && seenAt != null) hosts[id]?.onPreviousHolderSeen(seenAt)
         }
     }
@@ -195,27 +195,34 @@
 
     private fun successors() = election.successors(directory.members.values, loop.nowMillis())
 
+    /**
+     * Offers the shard of [host] to [candidates], one after the other.
+     *
+     * An offer without an answer may still be taken; the offers are then not [areDeclined] for certain.
+     */
     private fun handOver(
         host: ShardHost,
         candidates: List<FleetMember>,
         isRepeated: Boolean,
+        areDeclined: Boolean = true,
     ) {
         val id = host.holding.shardId
         if (hosts[id] !== host) return
         val successor = candidates.firstOrNull()
         if (successor == null) {
             handingOver.remove(id)
+            if (areDeclined) host.cancelHandOver()
             if (isRepeated) loop.schedule(HAND_OVER_RETRY_MILLIS) { handOver(host, successors(), isRepeated = true) }
             return
         }
         handingOver.add(id)
-        val message = HandOverMessage(id, host.holding.revision, host.knownTargets().map(TargetMessage::of))
-        peers.handOver(successor, message) { reply ->
+        peers.handOver(successor, HandOverMessage.of(host.holding, host.handOver())) { reply ->
             val taken = reply is PeerReply.Answered && reply.message.taken
+            val isAnswered = reply !is PeerReply.NoResponse && reply !is PeerReply.Cancelled
             when {
                 hosts[id] !== host -> Unit
                 taken -> release(host, "handed over to ${successor.instanceId.value}")
-                else -> handOver(host, candidates.drop(1), isRepeated)
+                else -> handOver(host, candidates.drop(1), isRepeated, areDeclined && isAnswered)
             }
         }
     }
@@ -229,13 +236,17 @@
             onResult(false)
         } else {
             val seenAt = election.lastSeenMillis(message.shardId, loop.nowMillis())
+            val before = hosts[message.shardId]
             claim(message.shardId, message.revision) { taken ->
+                val host = hosts[message.shardId]
                 logger.info {
                     "hand-over of ${FleetKeys.shard(message.shardId)} at revision ${message.revision} with " +
-                        "${message.targets.size} targets: ${if (taken) "taken" else "not taken"}"
+                        "${message.targets.size} targets, all runs there: ${message.areAllRunsThere}, taken: $taken"
                 }
-                hosts[message.shardId]?.inherit(message.targets.map { it.toTarget() }.toImmutableList())
-                if (seenAt != null) hosts[message.shardId]?.onPreviousHolderSeen(seenAt)
+                val handOver = message.toHandOver()
+                // A shard that was held before has had other holders since the message was sent.
+                host?.inherit(if (host === before) handOver.copy(areAllRunsThere = false) else handOver)
+                if (seenAt != null) host?.onPreviousHolderSeen(seenAt)
                 onResult(taken)
             }
         }
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/peer/PeerMessages.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/peer/PeerMessages.kt
@@ -2,11 +2,14 @@
 
 import io.jackdawring.core.FailureDomainId
 import io.jackdawring.core.TargetId
+import io.jackdawring.core.fleet.ShardHolding
 import io.jackdawring.core.fleet.ShardId
+import io.jackdawring.core.shard.HandOver
 import io.jackdawring.core.shard.JobOutcome
 import io.jackdawring.core.shard.JobRequest
 import io.jackdawring.core.shard.Resources
 import io.jackdawring.core.shard.ShardTarget
+import kotlinx.collections.immutable.toImmutableList
 import kotlinx.collections.immutable.toImmutableSet
 import kotlinx.serialization.Serializable
 
@@ -104,13 +107,32 @@
     val taken: Boolean,
 )
 
-/** Asks a peer to take over [shardId], whose store key has [revision] and which may have runs on [targets]. */
+/**
+ * Asks a peer to take over [shardId], whose store key has [revision] and which may have runs on [targets].
+ *
+ * Unless [areAllRunsThere], other targets may have runs too.
+ */
 @Serializable
 internal data class HandOverMessage(
     val shardId: ShardId,
     val revision: Long,
     val targets: List<TargetMessage>,
-)
+    val areAllRunsThere: Boolean = false,
+) {
+    fun toHandOver() = HandOver(targets.map { it.toTarget() }.toImmutableList(), areAllRunsThere)
+
+    companion object {
+        fun of(
+            holding: ShardHolding,
+            handOver: HandOver,
+        ) = HandOverMessage(
+            holding.shardId,
+            holding.revision,
+            handOver.targets.map(TargetMessage::of),
+            handOver.areAllRunsThere,
+        )
+    }
+}
 
 /** A target known to the holder that hands its shard over, encoded for its successor. */
 @Serializable
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/shard/ShardHost.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/shard/ShardHost.kt
@@ -2,6 +2,7 @@
 
 import io.jackdawring.core.PauseGuard
 import io.jackdawring.core.fleet.ShardHolding
+import io.jackdawring.core.shard.HandOver
 import io.jackdawring.core.shard.JobId
 import io.jackdawring.core.shard.JobNeeds
 import io.jackdawring.core.shard.JobOutcome
@@ -74,12 +75,15 @@
     fun updateTargets(listed: ImmutableCollection<ShardTarget>) = dispatcher.updateTargets(listed, loop.nowMillis())
 
     /** Adds the targets that the previous holder knew. */
-    fun inherit(targets: ImmutableCollection<ShardTarget>) = dispatcher.inherit(targets, loop.nowMillis())
+    fun inherit(handOver: HandOver) = dispatcher.inherit(handOver, loop.nowMillis())
 
     /** Records that the previous holder, which has failed since, was last known to hold the shard at [seenAtMillis]. */
     fun onPreviousHolderSeen(seenAtMillis: Long) = dispatcher.onPreviousHolderSeen(seenAtMillis)
 
-    fun knownTargets(): List<ShardTarget> = dispatcher.knownTargets()
+    /** What a successor has to know; [cancelHandOver] follows if there is none. */
+    fun handOver(): HandOver = dispatcher.handOver(loop.nowMillis())
+
+    fun cancelHandOver() = dispatcher.cancelHandOver()
 
     /** Submits a job on behalf of [relay]; [onOutcome] is called at most once. */
     fun submit(
--- a/testing/src/main/kotlin/io/jackdawring/testing/shard/FakeShard.kt
+++ b/testing/src/main/kotlin/io/jackdawring/testing/shard/FakeShard.kt
@@ -3,6 +3,7 @@
 import io.jackdawring.core.PauseGuard
 import io.jackdawring.core.shard.Admission
 import io.jackdawring.core.shard.DurableJob
+import io.jackdawring.core.shard.HandOver
 import io.jackdawring.core.shard.JobId
 import io.jackdawring.core.shard.JobNeeds
 import io.jackdawring.core.shard.JobOutcome
@@ -36,6 +37,8 @@
  */
 class FakeShard(
     val targets: List<FakeShardTarget>,
+    /** Targets in the first list. */
+    listed: List<FakeShardTarget> = targets,
 ) {
     private inner class Holder : ShardEffects {
         val pauses = PauseGuard()
@@ -266,7 +269,8 @@
     private var holder = Holder()
 
     init {
-        list(targets.map { it.registration })
+        holder.dispatcher.inherit(HandOver.NONE, nowMillis)
+        list(listed.map { it.registration })
         holder.dispatcher.recover(persistentListOf(), attemptBase = 0, nowMillis)
         tick()
     }
@@ -310,11 +314,11 @@
         handOver: Boolean = false,
         seenAtMillis: Long? = null,
     ) {
-        val known = holder.dispatcher.knownTargets()
+        val offer = holder.dispatcher.handOver(nowMillis)
         holder.alive = false
         holder = Holder()
         list(listed.map { it.registration })
-        if (handOver) holder.dispatcher.inherit(known, nowMillis)
+        if (handOver) holder.dispatcher.inherit(offer, nowMillis)
         seenAtMillis?.let(holder.dispatcher::onPreviousHolderSeen)
         val reader = holder
         val attemptBase = ++holders * ATTEMPTS_PER_HOLDER
@@ -323,6 +327,11 @@
         }
     }
 
+    /** Lets the holder offer the shard to a successor. */
+    fun handOver(): HandOver = holder.dispatcher.handOver(nowMillis)
+
+    fun cancelHandOver() = holder.dispatcher.cancelHandOver()
+
     /** Restarts [target], which refuses connections while it starts. */
     fun restart(
         target: FakeShardTarget,
--- a/testing/src/test/kotlin/io/jackdawring/testing/shard/RunOverlapTest.kt
+++ b/testing/src/test/kotlin/io/jackdawring/testing/shard/RunOverlapTest.kt
@@ -6,6 +6,7 @@
 import io.jackdawring.testing.shard.FakeShard.Companion.job
 import io.jackdawring.testing.shard.FakeShardTarget.Mode
 import org.junit.jupiter.api.DynamicTest
+import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.TestFactory
 import kotlin.test.assertEquals
 
@@ -177,6 +178,44 @@
             },
         )
 
+    /** Guards against a successor that takes an incomplete list of targets for all that may have runs. */
+    @TestFactory
+    fun `a shard is handed over by a holder that does not know all targets`() =
+        listOf(0, 1).flatMap { known ->
+            listOf(5L, 100L, 400L).map { heldMillis ->
+                DynamicTest.dynamicTest("$known of 2 targets known, held for $heldMillis ms") {
+                    val shard = shard()
+                    shard.submit(job("a", tasks = 4, estimateMillis = 900), remainingMillis = 10_000)
+                    shard.runFor(100)
+                    shard.replaceHolder(listed = shard.targets.take(known))
+                    shard.runFor(heldMillis)
+                    shard.replaceHolder(listed = shard.targets.take(known), handOver = true)
+                    val again = shard.submit(job("a", tasks = 4, estimateMillis = 900), 10_000, mayRun = true)
+                    shard.runFor(600)
+                    shard.list(shard.targets.map { it.registration })
+                    shard.runFor(4_000)
+                    assertEquals(JobOutcome.Completed, shard.answers[again]?.outcome)
+                }
+            }
+        }
+
+    /** Guards against a run on a target that was listed after the successor was told the targets. */
+    @Test
+    fun `a target that is listed during a hand-over gets no starts until it is cancelled`() {
+        val targets = List(3) { FakeShardTarget("t$it") }
+        val shard = FakeShard(targets, listed = targets.take(2))
+        shard.runFor(50)
+        shard.handOver()
+        shard.list(targets.map { it.registration })
+        shard.runFor(50)
+        shard.submit(job("a", tasks = 6, estimateMillis = 900), remainingMillis = 10_000)
+        shard.runFor(100)
+        assertEquals(setOf("t0", "t1"), shard.starts.map { it.second }.toSet())
+        shard.cancelHandOver()
+        shard.runFor(100)
+        assertEquals(setOf("t0", "t1", "t2"), shard.starts.map { it.second }.toSet())
+    }
+
     /** A job that fills two targets and runs for longer than a lease. */
     private fun longJob(
         shard: FakeShard,
