Release an earlier holding of a shard when it is acquired again

What callers could see: tasks that run twice at a time. An instance that is offered a shard which it still believes to hold, because no news of the holder in between has arrived, claimed it again and left the dispatcher of its earlier holding running: nothing released it, not even a target that rejects its fencing token. On targets that the new dispatcher does not know yet, the earlier one went on renewing leases and starting tasks.

Found by reading; whether the record shows it is not known. HeldShardsTest failed before: the earlier dispatcher still took in jobs (expected [Moved], was []).

--- a/fleet/src/main/kotlin/io/jackdawring/fleet/HeldShards.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/HeldShards.kt
@@ -144,6 +144,7 @@
     ) {
         if (draining) return
         val name = FleetKeys.shard(holding.shardId)
+        hosts[holding.shardId]?.let { release(it, "acquired again, after a holder of which no news has arrived") }
         metrics.shardAcquired()
         logger.info { "acquired shard $name with fencing token ${holding.revision}" }
         val host = createHost(holding)
