Keep runs of a previous holder until the lease that it requested has ended

What callers could see: a task that runs twice at a time after a change of the holder. A new holder that has not renewed the lease of a target yet, because the stored jobs are not loaded and it never saw its predecessor, has no time at which that lease ends. When such a target fell silent after its first list, the next tick took all its runs for over, and jobs that may have run started again, up to a lease too early.

Fix: the first list of a target counts as the latest moment at which its previous holder can have renewed the lease. Start requests do not extend that lease.

Found by reading; whether the record shows it is not known.

--- a/core/src/main/kotlin/io/jackdawring/core/shard/TargetControl.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/TargetControl.kt
@@ -255,6 +255,8 @@
         target.lastAnswerAtMillis = nowMillis
         val isFirstList = !target.hasAnswered
         target.hasAnswered = true
+        // The previous holder may have renewed the lease just before.
+        if (isFirstList) target.foreignLeaseExpiresAtMillis = nowMillis + poller.maxLeaseMillis
         target.clockOffsetMillis = snapshot.clockMillis - nowMillis
         if (target.contact != TrackedTarget.Contact.HELD) {
             target.contact = TrackedTarget.Contact.HELD
@@ -418,7 +420,7 @@
         previousRunsCheck.onTick(nowMillis)
         for (target in targets.toList()) {
             target.isLeaseWithheld = isOwnershipExpired && target.hasDurableRuns
-            if (target.contact != TrackedTarget.Contact.HELD && nowMillis >= target.leaseExpiresAtMillis) {
+            if (target.contact != TrackedTarget.Contact.HELD && target.isLeaseOver(nowMillis)) {
                 target.mayHaveMoreEnds = false
                 target.runs.values
                     .toList()
--- a/core/src/main/kotlin/io/jackdawring/core/shard/TrackedTarget.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/TrackedTarget.kt
@@ -56,6 +56,12 @@
     /** Latest time on the monotonic clock at which a requested lease can expire. */
     var leaseExpiresAtMillis = Long.MIN_VALUE / 2
 
+    /** Latest time at which a lease that a previous holder requested can expire. */
+    var foreignLeaseExpiresAtMillis = Long.MIN_VALUE / 2
+
+    /** Whether no lease can go on, so that all runs are over if the target cannot be asked. */
+    fun isLeaseOver(nowMillis: Long): Boolean = nowMillis >= maxOf(leaseExpiresAtMillis, foreignLeaseExpiresAtMillis)
+
     /** Whether the target gets no starts, because a successor would not know that it may have runs. */
     var isHeldBack = false
 
