Do not take a rejection for proof that a listed task does not run

A start that its target rejects counted as not executed, even if the target lists that very run or another attempt of the task. Its task started elsewhere while that run was at work. A target that speaks the protocol does not answer so; a late start of a previous holder that reaches a restarted target, or a surplus response, can lead to it.

Fix: such a start counts as unanswered, so its run is stopped before the task starts again. StartAnswerTest: two rows failed before (2 starts instead of 1).

--- a/core/src/main/kotlin/io/jackdawring/core/shard/StartResult.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/StartResult.kt
@@ -45,5 +45,9 @@
 
         /** The request is invalid. */
         INVALID,
+        ;
+
+        /** Whether the target has decided about this start, and not about the holder or its address. */
+        internal val isAboutStart: Boolean get() = this != FENCED && this != OTHER_INCARNATION
     }
 }
--- a/core/src/main/kotlin/io/jackdawring/core/shard/TargetControl.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/TargetControl.kt
@@ -138,6 +138,10 @@
         nowMillis: Long,
     ) {
         val target = run.target
+        if (reason.isAboutStart && run.contradictsRejection) {
+            onUnanswered(run, "rejected as ${reason.name} although the target lists the task", nowMillis)
+            return
+        }
         when (reason) {
             StartResult.Reason.FENCED -> {
                 effects.fenced(target.registration)
@@ -334,7 +338,11 @@
             if (entry != null) onListed(run, entry, nowMillis) else onAbsent(run, nowMillis)
         }
         for (entry in running) {
-            if (entry.task in target.runs) continue
+            val known = target.runs[entry.task]
+            if (known != null) {
+                known.isOtherAttemptListed = known.attempt != entry.attempt
+                continue
+            }
             val run = adopt(target, entry, nowMillis)
             // Later lists have no runs of previous holders, whose fencing tokens are outdated.
             if (!isFirstList) stop(run, "the run was given up before", nowMillis)
--- a/core/src/main/kotlin/io/jackdawring/core/shard/TrackedRun.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/TrackedRun.kt
@@ -63,6 +63,12 @@
     /** Whether the target has confirmed the start, or listed the run. */
     var isStartConfirmed = isAdopted
 
+    /** Whether the target's last list has another attempt of the same task. */
+    var isOtherAttemptListed = false
+
+    /** Whether the lists contradict a rejection of the start, so that only a stop shows that nothing runs. */
+    val contradictsRejection: Boolean get() = isStartConfirmed || isOtherAttemptListed
+
     /** Whether the target has accepted a stop request. */
     var isStopAccepted = false
 
--- a/testing/src/test/kotlin/io/jackdawring/testing/shard/StartAnswerTest.kt
+++ b/testing/src/test/kotlin/io/jackdawring/testing/shard/StartAnswerTest.kt
@@ -172,6 +172,22 @@
                 nowMillis++
                 list(it.target)
             },
+            // Guards against a run of another attempt that goes on unnoticed while the task starts elsewhere.
+            Row("a start has no room beside another attempt of its task, which the target has listed", 1) {
+                nowMillis++
+                list(it.target, RunningRun(it.request.task, it.request.attempt + 1))
+                nowMillis++
+                answer(it, StartResult.Rejected(StartResult.Reason.NO_ROOM, nowMillis))
+                dispatcher.tick(nowMillis)
+            },
+            // Guards against a listed run that counts as over because of an answer that cannot be its own.
+            Row("a start is rejected although the target has listed its run", 1) {
+                nowMillis++
+                list(it.target, RunningRun(it.request.task, it.request.attempt))
+                nowMillis++
+                answer(it, StartResult.Rejected(StartResult.Reason.UNHEALTHY, nowMillis))
+                dispatcher.tick(nowMillis)
+            },
         )
 
     @TestFactory
