Keep the runs of a target that is listed at another address

What callers could see: tasks that run twice at a time, all those of one target at once. An entry in the list that names another address, such as an outdated one, counted as the end of all runs of its target, and so did an answer of another target at that address (421).

Neither says anything about the runs. What the list says of an address is a belief about where the target is. A holder now keeps the address at which the target answers, and tries the listed and the last confirmed one in turn once it does not. Runs end when the target lists that, when it answers as another incarnation, or with their lease. A start that gets a 421 was not executed, so that one alone starts elsewhere. A 421 is evidence of a crash only at an address that the list and the target's last answer agree on.

--- a/core/src/main/kotlin/io/jackdawring/core/shard/TargetControl.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/TargetControl.kt
@@ -39,13 +39,20 @@
         listed: ImmutableCollection<ShardTarget>,
         nowMillis: Long,
     ) {
-        registry.update(listed, nowMillis) { target, address ->
-            val reason = "address changed from ${target.registration.address} to $address"
-            forgetIncarnation(target, reason, nowMillis)
-        }
+        registry.update(listed, nowMillis) { onMoved(it, nowMillis) }
         targets.forEach { poller.poll(it, nowMillis) }
     }
 
+    /** An entry in the list does not prove that the target has left its address, nor that its runs are over. */
+    private fun onMoved(
+        target: TrackedTarget,
+        nowMillis: Long,
+    ) {
+        report(target, "moved", "listed at ${target.listedAddress}, in use is ${target.registration.address}")
+        if (target.contact == TrackedTarget.Contact.HELD || !target.useListedAddress()) return
+        poller.pollNow(target, nowMillis)
+    }
+
     /** What a successor has to know; targets that are listed later get no starts until [cancelHandOver]. */
     fun handOver(nowMillis: Long): HandOver {
         registry.isHandingOver = true
@@ -162,7 +169,6 @@
 
             StartResult.Reason.OTHER_INCARNATION -> {
                 onOtherIncarnation(target, nowMillis)
-                return
             }
 
             StartResult.Reason.INVALID -> {
@@ -232,14 +238,14 @@
         nowMillis: Long,
     ) {
         val target = registry[id] ?: return
-        // The answer to a replaced poll may be older than the known state.
+        // The answer to a replaced poll may be older than the known state, or come from another address.
         if (request.sequence != target.pollSequence) return
         target.pollInFlight = false
         when (result) {
             is PollResult.Snapshot -> onSnapshot(target, request, result, nowMillis)
             is PollResult.Fenced -> effects.fenced(target.registration)
             is PollResult.OtherIncarnation -> onOtherIncarnation(target, nowMillis)
-            is PollResult.Unknown -> poller.markSilent(target, result.detail, nowMillis)
+            is PollResult.Unknown -> onUnreachable(target, result.detail, nowMillis)
         }
         poller.poll(target, nowMillis)
     }
@@ -259,6 +265,7 @@
         target.lastAnswerAtMillis = nowMillis
         val isFirstList = !target.hasAnswered
         target.hasAnswered = true
+        target.confirmAddress()
         // The previous holder may have renewed the lease just before.
         if (isFirstList) target.foreignLeaseExpiresAtMillis = nowMillis + poller.maxLeaseMillis
         target.clockOffsetMillis = snapshot.clockMillis - nowMillis
@@ -494,23 +501,23 @@
         stopper.sendAgain(run, nowMillis)
     }
 
-    private fun onOtherIncarnation(
+    private fun onUnreachable(
         target: TrackedTarget,
+        detail: String,
         nowMillis: Long,
     ) {
-        forgetIncarnation(target, "another incarnation answered", nowMillis)
-        listener.onAnswered(target.id, incarnationStartMillis = null, nowMillis)
+        target.tryOtherAddress()
+        poller.markSilent(target, detail, nowMillis)
     }
 
-    private fun forgetIncarnation(
+    /** Another target has the address; that does not prove that the runs are over, so they last until their lease ends. */
+    private fun onOtherIncarnation(
         target: TrackedTarget,
-        reason: String,
         nowMillis: Long,
     ) {
-        resetIncarnation(target, reason)
-        target.runs.values
-            .toList()
-            .forEach { markLost(it, reason, nowMillis, mayBeCrash = true) }
+        val isReplaced = target.isAddressCertain
+        onUnreachable(target, "another target answered at ${target.registration.address}", nowMillis)
+        if (isReplaced) listener.onAnswered(target.id, incarnationStartMillis = null, nowMillis)
     }
 
     private fun resetIncarnation(
--- a/core/src/main/kotlin/io/jackdawring/core/shard/TargetRegistry.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/TargetRegistry.kt
@@ -26,11 +26,11 @@
 
     operator fun get(id: TargetId): TrackedTarget? = byId[id]
 
-    /** Applies the platform's list; [onMoved] is called for targets whose address changes, with the new one. */
+    /** Applies the platform's list; [onMoved] is called for targets that are listed at another address than before. */
     fun update(
         listed: ImmutableCollection<ShardTarget>,
         nowMillis: Long,
-        onMoved: (target: TrackedTarget, address: String) -> Unit,
+        onMoved: (TrackedTarget) -> Unit,
     ) {
         if (firstListedAtMillis == null && listed.isNotEmpty()) firstListedAtMillis = nowMillis
         val seen = HashSet<TargetId>()
@@ -39,8 +39,12 @@
             val target = byId.getOrPut(registration.id) { newTarget(registration) }
             val state = if (registration.draining) "draining" else "ready"
             if (target.registration.draining != registration.draining) onChanged(target, state, "target list changed")
-            if (target.registration.address != registration.address) onMoved(target, registration.address)
-            if (target.registration != registration) target.registration = registration
+            val isMoved = target.listedAddress != registration.address
+            target.listedAddress = registration.address
+            // The list may be outdated: a target that answers keeps its address.
+            val current = registration.copy(address = target.registration.address)
+            if (target.registration != current) target.registration = current
+            if (isMoved) onMoved(target)
             target.unlistedSinceMillis = null
         }
         for (target in byId.values) {
--- a/core/src/main/kotlin/io/jackdawring/core/shard/TrackedTarget.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/TrackedTarget.kt
@@ -13,6 +13,36 @@
             updateFree()
         }
     val id get() = registration.id
+
+    /** Address in the platform's list; that of [registration] is the one in use. */
+    var listedAddress = registration.address
+
+    /** Address from which the target last answered; null before its first answer. */
+    private var confirmedAddress: String? = null
+
+    /** Whether the list names the address in use, and the target has answered from there. */
+    val isAddressCertain: Boolean get() = listedAddress == confirmedAddress && listedAddress == registration.address
+
+    /** Records that the target has answered from the address in use. */
+    fun confirmAddress() {
+        confirmedAddress = registration.address
+    }
+
+    /** Uses the address in the list from now on; returns whether that is another one. */
+    fun useListedAddress(): Boolean {
+        if (registration.address == listedAddress) return false
+        registration = registration.copy(address = listedAddress)
+        return true
+    }
+
+    /** Tries the listed address and the confirmed one in turn, after a request to the other one has failed. */
+    fun tryOtherAddress() {
+        val confirmed = confirmedAddress
+        if (!useListedAddress() && confirmed != null && confirmed != listedAddress) {
+            registration = registration.copy(address = confirmed)
+        }
+    }
+
     val runs = LinkedHashMap<TaskKey, TrackedRun>()
     val unansweredStarts = UnansweredStarts()
     val health = TargetHealth()
--- a/testing/src/main/kotlin/io/jackdawring/testing/shard/FakeShard.kt
+++ b/testing/src/main/kotlin/io/jackdawring/testing/shard/FakeShard.kt
@@ -47,6 +47,12 @@
 
         private fun target(registration: ShardTarget) = targets.first { it.registration.id == registration.id }
 
+        /** Whether another target answers at the address that the holder uses. */
+        private fun isElsewhere(
+            fake: FakeShardTarget,
+            used: ShardTarget,
+        ) = fake.isReplaced || fake.registration.address != used.address
+
         override fun start(
             target: ShardTarget,
             request: StartRequest,
@@ -56,7 +62,7 @@
             val fake = target(target)
             val knownCapacity = capacities.knownCapacity(target.id)
             schedule(LATENCY_MILLIS) {
-                val result = deliver(fake, request, knownCapacity)
+                val result = deliver(target, request, knownCapacity)
                 if (result != null && !fake.mode.answersNothing) {
                     schedule(LATENCY_MILLIS) { reply { it.onStart(target.id, request, result, nowMillis) } }
                 } else {
@@ -68,17 +74,20 @@
 
         /** The target's answer, or null if the request did not reach it. */
         private fun deliver(
-            fake: FakeShardTarget,
+            target: ShardTarget,
             request: StartRequest,
             knownCapacity: Resources,
         ): StartResult? {
+            val fake = target(target)
             if (fake.mode == FakeShardTarget.Mode.SILENT) {
                 crashes.onUndelivered(fake.registration.id, request.task)
                 fake.lateStartMillis?.let { schedule(it) { carryOut(fake, request, knownCapacity) } }
                 return null
             }
             if (nowMillis < fake.startingUntilMillis) return StartResult.NotSent("refused")
-            if (fake.isReplaced) return StartResult.Rejected(StartResult.Reason.OTHER_INCARNATION, nowMillis)
+            if (isElsewhere(fake, target)) {
+                return StartResult.Rejected(StartResult.Reason.OTHER_INCARNATION, nowMillis)
+            }
             return carryOut(fake, request, knownCapacity)
         }
 
@@ -118,7 +127,7 @@
         ) {
             if (!alive) return
             val fake = target(target)
-            val silent = fake.mode == FakeShardTarget.Mode.SILENT || fake.losesStops
+            val silent = fake.mode == FakeShardTarget.Mode.SILENT || fake.losesStops || isElsewhere(fake, target)
             if (!silent) schedule(LATENCY_MILLIS) { fake.stop(task, attempt, nowMillis) }
             val result = if (silent) StopResult.Unknown("timed out") else StopResult.Accepted
             val delay = if (silent) TIMEOUT_MILLIS else 2 * LATENCY_MILLIS
@@ -139,7 +148,11 @@
                 val incarnation = fake.incarnationStartMillis
                 schedule(LATENCY_MILLIS + fake.firstPollDelayMillis) {
                     fake.firstPollDelayMillis = 0
-                    awaitEnd(fake, incarnation, request, nowMillis + request.waitMillis)
+                    if (isElsewhere(fake, target)) {
+                        reply { it.onPoll(target.id, request, PollResult.OtherIncarnation, nowMillis) }
+                    } else {
+                        awaitEnd(fake, incarnation, request, nowMillis + request.waitMillis)
+                    }
                 }
             }
         }
@@ -342,6 +355,15 @@
         target.startingUntilMillis = nowMillis + downMillis
     }
 
+    /** Restarts [target] at [address]; the list has its former address for now. */
+    fun restartAt(
+        target: FakeShardTarget,
+        address: String,
+    ) {
+        restart(target)
+        target.moveTo(address)
+    }
+
     /** Changes the capacity of [target]; the holder learns of it [delayMillis] later. */
     fun resize(
         target: FakeShardTarget,
--- a/testing/src/main/kotlin/io/jackdawring/testing/shard/FakeShardTarget.kt
+++ b/testing/src/main/kotlin/io/jackdawring/testing/shard/FakeShardTarget.kt
@@ -43,6 +43,10 @@
         registration = registration.copy(capacity = capacity)
     }
 
+    internal fun moveTo(address: String) {
+        registration = registration.copy(address = address)
+    }
+
     /** What the runs leave of [capacity]. */
     internal fun freeOf(capacity: Resources): Resources = runs.values.fold(capacity) { free, run -> free - run.demand }
 
--- a/testing/src/test/kotlin/io/jackdawring/testing/shard/StartAnswerTest.kt
+++ b/testing/src/test/kotlin/io/jackdawring/testing/shard/StartAnswerTest.kt
@@ -188,6 +188,28 @@
                 answer(it, StartResult.Rejected(StartResult.Reason.UNHEALTHY, nowMillis))
                 dispatcher.tick(nowMillis)
             },
+            // Guards against a start at a new address with a lease on the clock of the process at the former one.
+            Row("the former address of another target answers after its address has changed", 1) {
+                val other = TARGETS.first { target -> target.id != it.target }
+                val moved =
+                    TARGETS.map { target ->
+                        if (target ===
+                            other
+                        ) {
+                            target.copy(address = NEW_ADDRESS)
+                        } else {
+                            target
+                        }
+                    }
+                val poll = polls.last { sent -> sent.target == other.id }.request
+                dispatcher.updateTargets(moved.toImmutableList(), nowMillis)
+                nowMillis++
+                list(other.id, poll = poll)
+                val last = polls.last { sent -> sent.target == other.id }.request
+                dispatcher.onPoll(other.id, last, PollResult.Unknown("reset"), nowMillis)
+                val atNewAddress = polls.filter { sent -> sent.address == NEW_ADDRESS }
+                assertEquals(listOf(null), atNewAddress.map { sent -> sent.request.leaseUntilMillis }, "leases")
+            },
         )
 
     @TestFactory
@@ -231,6 +253,7 @@
         val TARGETS = List(2) { FakeShardTarget("t$it").registration }
         val JOB = job("a")
         const val TICK_MILLIS = 20L
+        const val NEW_ADDRESS = "10.0.0.9:1"
 
         /** Longest time for which a target keeps a lease that its previous holder renewed just before. */
         const val MAX_LEASE_MILLIS = 1_130L
