--- a/standins/src/main/kotlin/io/jackdawring/standins/platform/StandInPlatformStore.kt
+++ b/standins/src/main/kotlin/io/jackdawring/standins/platform/StandInPlatformStore.kt
@@ -2,6 +2,7 @@
 
 import io.jackdawring.server.http.HttpExchange
 import io.jackdawring.server.http.HttpResponseMessage
+import io.jackdawring.server.http.HttpServer
 import io.jackdawring.server.http.HttpTransport
 import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.serialization.json.Json
@@ -35,7 +36,7 @@
     private val executor = transport.executor()
     private val state = PlatformStoreState(HISTORY_LIMIT)
     private val watches = ArrayList<Watch>()
-    private val server = transport.serverFactory().start(address, ::handle)
+    private val server = transport.serverFactory().start(address) { handle(it, mode) }
 
     val address: String get() = server.address
 
@@ -89,7 +90,46 @@
         answerWatches()
     }
 
-    private fun handle(exchange: HttpExchange) {
+    /**
+     * A further address of this store, which may turn away its clients while the store serves all others.
+     *
+     * Its methods block; do not call them on the event loop. While it refuses connections, another process may take an
+     * [address] whose port the system hands out to clients.
+     */
+    inner class Door(
+        val address: String,
+    ) : AutoCloseable {
+        @Volatile
+        private var doorMode = Mode.HEALTHY
+        private var server = open()
+
+        /** The event loop releases the port of a closed listener only a little later. */
+        private fun open(): HttpServer {
+            repeat(OPEN_TRIES) {
+                val server = runCatching { transport.serverFactory().start(address) { handle(it, doorMode) } }
+                server.onSuccess { return it }
+                Thread.sleep(OPEN_RETRY_MILLIS)
+            }
+            error("cannot listen on $address again")
+        }
+
+        /** Closes all connections and refuses new ones. */
+        fun refuse() = server.close()
+
+        /** Closes all connections and responds to new ones as in [mode]. */
+        fun reopen(mode: Mode = Mode.HEALTHY) {
+            server.close()
+            doorMode = mode
+            server = open()
+        }
+
+        override fun close() = server.close()
+    }
+
+    private fun handle(
+        exchange: HttpExchange,
+        mode: Mode,
+    ) {
         when (mode) {
             Mode.HEALTHY -> answer(exchange)
 
@@ -251,6 +291,8 @@
         const val PAGE_ITEMS = 500
         const val HISTORY_LIMIT = 10_000
         const val LEASE_CHECK_MILLIS = 50L
+        const val OPEN_TRIES = 100
+        const val OPEN_RETRY_MILLIS = 5L
     }
 }
 
--- a/standins/src/main/kotlin/io/jackdawring/standins/platform/StandInPlatformTarget.kt
+++ b/standins/src/main/kotlin/io/jackdawring/standins/platform/StandInPlatformTarget.kt
@@ -14,7 +14,7 @@
 /**
  * A target with the platform's protocol: capacity, fencing token, one lease for all runs, numbered ended runs.
  *
- * All runs take [runMillis].
+ * All runs take [runMillis], or what [runMillisOf] says for the name of their task.
  */
 class StandInPlatformTarget(
     val id: String,
@@ -22,11 +22,26 @@
     private val slots: Int = 4,
     private val runMillis: Long = 30,
     address: String = "127.0.0.1:0",
+    private val runMillisOf: (task: String) -> Long = { runMillis },
 ) : AutoCloseable {
-    private class Run(
+    /** A run and how it ended; times are those of the target's clock. */
+    inner class Run(
         val task: String,
         val attempt: Long,
-    )
+        val fencingToken: Long,
+        val startMillis: Long,
+    ) {
+        val targetId: String get() = id
+
+        /** Time of the end, null before it. */
+        @Volatile
+        var endMillis: Long? = null
+            internal set
+
+        @Volatile
+        var ending: String? = null
+            internal set
+    }
 
     private class EndedRun(
         val sequence: Long,
@@ -56,15 +71,19 @@
     /** Names of the started tasks in order; complete only on the event loop or once no request is in progress. */
     val starts = java.util.concurrent.CopyOnWriteArrayList<String>()
 
+    /** All runs since the start of the target, in order. */
+    val allRuns = java.util.concurrent.ConcurrentLinkedQueue<Run>()
+
     private fun clockMillis() = TimeUnit.NANOSECONDS.toMillis(System.nanoTime())
 
-    /** The target's registration in the store. */
+    /** The target's registration in the store; [listedAddress] differs from [address] in an outdated one. */
     fun registration(
         failureDomain: String,
         service: String,
         state: String = "ready",
+        listedAddress: String = address,
     ): String =
-        """{"service":"$service","address":"$address","zone":"$failureDomain","version":"v1","slots":8,""" +
+        """{"service":"$service","address":"$listedAddress","zone":"$failureDomain","version":"v1","slots":8,""" +
             """"state":"$state","coldMs":0,"capacity":{"cpu":${slots * CPU_PER_SLOT},"memMb":65536,"gpu":0},"labels":["a"],"seqNo":1}"""
 
     private fun handle(exchange: HttpExchange) {
@@ -99,7 +118,7 @@
             runs[task]?.attempt == attempt -> exchange.clock()
             attempt <= (endedAttempts[task] ?: 0) -> exchange.conflict("old")
             runs.size >= slots -> exchange.conflict("room")
-            else -> begin(exchange, Run(task, attempt), untilMillis)
+            else -> begin(exchange, Run(task, attempt, fencingToken, clockMillis()), untilMillis)
         }
     }
 
@@ -110,8 +129,15 @@
     ) {
         runs[run.task] = run
         starts.add(run.task)
+        allRuns.add(run)
         extendLease(untilMillis)
-        executor.schedule({ if (runs[run.task] === run) end(run, "done") }, runMillis, TimeUnit.MILLISECONDS)
+        executor.schedule({
+            if (runs[run.task] ===
+                run
+            ) {
+                end(run, "done")
+            }
+        }, runMillisOf(run.task), TimeUnit.MILLISECONDS)
         exchange.clock()
     }
 
@@ -139,6 +165,8 @@
         reason: String,
     ) {
         runs.remove(run.task)
+        run.endMillis = clockMillis()
+        run.ending = reason
         endedAttempts.merge(run.task, run.attempt, ::maxOf)
         endedRuns.add(EndedRun(nextEndSequence++, run.task, run.attempt, reason))
         polls.toList().forEach(::answer)
--- a/standins/src/main/kotlin/io/jackdawring/standins/platform/StandInSite.kt
+++ b/standins/src/main/kotlin/io/jackdawring/standins/platform/StandInSite.kt
@@ -49,17 +49,19 @@
     fun settings(
         name: String,
         addresses: Addresses,
+        failureDomain: String = FAILURE_DOMAIN,
+        storeAddress: String = store.address,
     ): String =
         """
         nodeName = "$name"
-        zone = "$FAILURE_DOMAIN"
+        zone = "$failureDomain"
         portRange = [${addresses.metrics.substringAfter(':')}]
         [listen]
         front = "${addresses.callers}"
         ready = "${addresses.ready}"
         control = "${addresses.peers}"
         [platform]
-        address = "${store.address}"
+        address = "$storeAddress"
         """.trimIndent()
 
     /** Waits until the entry instance is ready. */
