--- a/cli/src/test/kotlin/io/jackdawring/cli/process/StoreOutageProbe.kt
+++ b/cli/src/test/kotlin/io/jackdawring/cli/process/StoreOutageProbe.kt
@@ -27,7 +27,8 @@
  * `mvn -o -q -B test -pl cli -am -Dtest=StoreOutageProbe -Dsurefire.failIfNoSpecifiedTests=false`
  *
  * Properties start with `jackdawring.probe.`: `seeds` (number of them, 1), `firstSeed` (1), `parallel` (seeds at a
- * time, 1), `lengths` (of the outages in seconds, separated by commas), `restoreMillis` (2000; the entries of targets
+ * time, 1), `lengths` (of the outages in seconds, separated by commas; `e3.1` ends one 3.1 s after the domain's last member
+ * entry has expired, and instances of other domains claim its shard 3 s after that), `restoreMillis` (2000; the entries of targets
  * are back within this time), `addresses` (true: a target's entry names another address for a while after an outage),
  * `dir` (of the report and the logs, `target/process-tests/probe`).
  */
@@ -154,7 +155,7 @@
             setting(
                 "lengths",
                 "10.0,11.0,12.0,12.8,13.2,13.6",
-            ).split(',').map { outage((it.toDouble() * 1_000).toLong()) }
+            ).split(',').map(::outage)
         stopping = true
         callers.forEach(Thread::join)
         Thread.sleep(SETTLE_MILLIS)
@@ -168,39 +169,52 @@
         return cases.size
     }
 
-    private fun outage(lengthMillis: Long): Outage {
+    private fun outage(length: String): Outage {
         val domain = DOMAINS.random(random)
         val kind = listOf("refuse", "busy").random(random)
-        val outage = Outage(domain, kind, lengthMillis, clockMillis())
-        // In the order of their delays; each step has a time after the start of the outage.
-        val steps = ArrayList<Pair<Long, () -> Unit>>()
-        for (instance in instances.filter { it.domain == domain }) {
+        val cutOff = instances.filter { it.domain == domain }
+        val startMillis = clockMillis()
+        val beginning = ArrayList<Pair<Long, () -> Unit>>()
+        val ending = ArrayList<Pair<Long, () -> Unit>>()
+        for (instance in cutOff) {
             val turnAway = { if (kind == "refuse") instance.door.refuse() else instance.door.reopen(BUSY) }
-            steps += random.nextLong(CUT_SPREAD_MILLIS) to turnAway
-            steps += lengthMillis + random.nextLong(RETURN_SPREAD_MILLIS) to { instance.door.reopen() }
+            beginning += random.nextLong(CUT_SPREAD_MILLIS) to turnAway
+            ending += random.nextLong(RETURN_SPREAD_MILLIS) to { instance.door.reopen() }
         }
         for (target in targets.getValue(domain)) {
             val removed = random.nextLong(ENTRY_LIFE_MILLIS, ENTRY_LIFE_MILLIS + ENTRY_SPREAD_MILLIS)
-            steps += removed to { site.store.remove("servers/${target.id}") }
-            val restored = lengthMillis + random.nextLong(number("restoreMillis", RESTORE_MILLIS).toLong())
-            steps += restored to { list(domain, target) }
-        }
-        if (setting("addresses", "false").toBoolean()) steps += outdatedEntry(domain, lengthMillis)
-        for ((delay, step) in steps.sortedBy { it.first }) {
-            Thread.sleep(maxOf(0, outage.startMillis + delay - clockMillis()))
-            step()
+            beginning += removed to { site.store.remove("servers/${target.id}") }
+            ending += random.nextLong(number("restoreMillis", RESTORE_MILLIS).toLong()) to { list(domain, target) }
         }
+        if (setting("addresses", "false").toBoolean()) ending += outdatedEntry(domain)
+        take(beginning, startMillis)
+        val endMillis =
+            if (length.startsWith("e")) {
+                awaitTrue("no member entries of $domain") {
+                    cutOff.all { site.store.read("jackdawring/members/${it.name}") == null }
+                }
+                clockMillis() + (length.drop(1).toDouble() * 1_000).toLong()
+            } else {
+                startMillis + (length.toDouble() * 1_000).toLong()
+            }
+        take(ending, endMillis)
         Thread.sleep(SETTLE_MILLIS)
-        return outage
+        return Outage(domain, kind, endMillis - startMillis, startMillis)
+    }
+
+    /** Takes [steps], each its delay after [fromMillis]. */
+    private fun take(
+        steps: List<Pair<Long, () -> Unit>>,
+        fromMillis: Long,
+    ) = steps.sortedBy { it.first }.forEach { (delay, step) ->
+        Thread.sleep(maxOf(0, fromMillis + delay - clockMillis()))
+        step()
     }
 
     /** Steps after which the entry of one target names the address of another one for a while. */
-    private fun outdatedEntry(
-        domain: String,
-        lengthMillis: Long,
-    ): List<Pair<Long, () -> Unit>> {
+    private fun outdatedEntry(domain: String): List<Pair<Long, () -> Unit>> {
         val (target, other) = targets.getValue(domain).shuffled(random)
-        val from = lengthMillis + number("restoreMillis", RESTORE_MILLIS) + random.nextLong(ENTRY_SPREAD_MILLIS)
+        val from = number("restoreMillis", RESTORE_MILLIS) + random.nextLong(ENTRY_SPREAD_MILLIS)
         val until = from + random.nextLong(ENTRY_SPREAD_MILLIS)
         return listOf(from to { list(domain, target, other.address) }, until to { list(domain, target) })
     }
