Do not take a surplus response for the answer to the next request

A server that answers a request twice could have its second response, read together with the first, counted as the answer to another request: the result callback of the first sends the next request on the same connection at once. A start could count as rejected that way although it was executed. The call is now completed after the whole read; a connection with anything beyond the response is closed.

RealHttpClientTest: 'surplus' was returned instead of 'second' before. The other new tests, on partial writes and late responses, passed before too.

--- a/server/src/main/kotlin/io/jackdawring/server/http/HttpClientConnection.kt
+++ b/server/src/main/kotlin/io/jackdawring/server/http/HttpClientConnection.kt
@@ -34,6 +34,9 @@
     private var call: PendingHttpCall? = null
     private var response: HttpResponse? = null
     private val body = BodyBuffer()
+
+    /** The complete response, until all that arrived with it is read. */
+    private var answer: HttpResponseMessage? = null
     private var closing = false
 
     /** The request is not fully written; if its response arrives before that, the connection is not reused. */
@@ -90,6 +93,7 @@
         message: Any,
     ) {
         try {
+            if (answer != null) closing = true
             if (closing || message !is HttpObject) return
             if (call == null || message.decoderResult().isFailure) {
                 fail("$address sent an invalid response")
@@ -118,6 +122,18 @@
         if (status < FIRST_FINAL_STATUS) return
         val message = HttpResponseMessage(status, response.headers().toLowerCaseMap(), body.take())
         if (writing || !HttpUtil.isKeepAlive(response)) closing = true
+        answer = message
+    }
+
+    /** Completes the call only now, so that a surplus response in the same read does not answer the next request. */
+    override fun channelReadComplete(context: ChannelHandlerContext) {
+        deliver()
+        context.fireChannelReadComplete()
+    }
+
+    private fun deliver() {
+        val message = answer ?: return
+        answer = null
         val completed = detachCall()
         // Released first, so that a request sent by the result callback can reuse the connection.
         pool.release(this)
@@ -130,6 +146,7 @@
         cancelled: Boolean = false,
     ) {
         closing = true
+        deliver()
         val failed = detachCall()
         if (failed != null) discardUnsentBytes()
         channel.close()
--- a/server/src/test/kotlin/io/jackdawring/server/http/RealHttpClientTest.kt
+++ b/server/src/test/kotlin/io/jackdawring/server/http/RealHttpClientTest.kt
@@ -177,8 +177,83 @@
         assertTrue(highest.get() <= 2, "requests in progress at once: ${highest.get()}")
     }
 
+    /** Guards against a request that counts as not sent although the server has received the beginning of it. */
+    @Test
+    fun `a request of which only a part was written has no response`() {
+        ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { listener ->
+            // Larger than the buffers of both sockets, and not read by the server.
+            val request = HttpRequestMessage("POST", "/x", body = ByteArray(PARTIAL_BODY_BYTES))
+            val result = transport.client().call("127.0.0.1:${listener.localPort}", request, timeoutMillis = 500)
+            assertIs<HttpResult.NoResponse>(result)
+            listener.accept().use { assertTrue(it.getInputStream().read() >= 0) }
+        }
+    }
+
+    /** Guards against an answer to a start that is taken for the answer to the next one. */
+    @Test
+    fun `the late response to a request that timed out is not read for the next request`() {
+        ServerSocket(0, 2, InetAddress.getLoopbackAddress()).use { listener ->
+            val client = transport.client()
+            val late = CountDownLatch(1)
+            val isWritten = CountDownLatch(1)
+            Thread {
+                listener.accept().use {
+                    it.getInputStream().read()
+                    late.await()
+                    runCatching { it.getOutputStream().write(response("first", status = 503)) }
+                    isWritten.countDown()
+                    listener.accept().use { next ->
+                        next.getInputStream().read()
+                        next.getOutputStream().write(response("second"))
+                        next.getInputStream().readAllBytes()
+                    }
+                }
+            }.start()
+            val address = "127.0.0.1:${listener.localPort}"
+            assertIs<HttpResult.NoResponse>(client.call(address, timeoutMillis = 200))
+            late.countDown()
+            isWritten.await()
+            val second = assertIs<HttpResult.Answered>(client.call(address))
+            assertEquals("second", second.response.body.decodeToString())
+        }
+    }
+
+    /** Guards against a surplus response that is taken for the rejection of a start that the server carries out. */
+    @Test
+    fun `a surplus response is not read for the next request`() {
+        ServerSocket(0, 2, InetAddress.getLoopbackAddress()).use { listener ->
+            Thread {
+                runCatching {
+                    listener.accept().use {
+                        it.getInputStream().read()
+                        it.getOutputStream().write(response("first") + response("surplus", status = 503))
+                        listener.accept().use { next ->
+                            next.getInputStream().read()
+                            next.getOutputStream().write(response("second"))
+                            next.getInputStream().readAllBytes()
+                        }
+                    }
+                }
+            }.start()
+            val client = transport.client()
+            val address = "127.0.0.1:${listener.localPort}"
+            val request = HttpRequestMessage("POST", "/x")
+            val second = CompletableFuture<HttpResult>()
+            // Sent by the result callback, like a holder's next start, so that it may reuse the connection.
+            client.send(address, request, 5_000) { client.send(address, request, 5_000, second::complete) }
+            val answered = assertIs<HttpResult.Answered>(second.get(20, TimeUnit.SECONDS))
+            assertEquals("second", answered.response.body.decodeToString())
+        }
+    }
+
+    private fun response(
+        body: String,
+        status: Int = 200,
+    ) = "HTTP/1.1 $status X\r\ncontent-length: ${body.length}\r\n\r\n$body".encodeToByteArray()
+
     private companion object {
         /** Timeout of the request, and the time for which its event loop is busy. */
         const val BUSY_MILLIS = 1_000L
+        const val PARTIAL_BODY_BYTES = 64 * 1024 * 1024
     }
 }
