Count a claim as a sign of life of the new holder, and ask adopters for one

Instances of other failure domains took an abandoned shard from each other about every 300 ms, and members of the returned domain took it from its new holder within 5 to 15 ms.

Cause: a member that was last heard long ago counts as silent from the moment at which the store names it as the holder, and instances that hold no shard never ask the holder of an adopted one for a sign of life.

Fix: a newer holding is evidence that its holder was alive when it became known, so older silence, refusals and denials no longer count. Holders of shards that another failure domain has adopted are pinged by all instances, which would adopt them next.

--- a/core/src/main/kotlin/io/jackdawring/core/fleet/ShardElection.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/fleet/ShardElection.kt
@@ -21,6 +21,13 @@
         /** Time of the last ping to which the member replied that it holds its shards; own pauses do not shift it. */
         var lastHoldingMillis: Long? = null,
     ) {
+        /** What was known of the member before its claim of a shard is outdated. */
+        fun onClaimed(nowMillis: Long) {
+            lastHeardMillis = nowMillis
+            consecutiveRefusals = 0
+            consecutiveDenials = 0
+        }
+
         fun isLive(nowMillis: Long) =
             heardFrom && consecutiveRefusals == 0 && nowMillis - lastHeardMillis < SUSPECT_AFTER_MILLIS
     }
@@ -55,7 +62,7 @@
         if (holds) memberState.lastHoldingMillis = sentAtMillis
     }
 
-    /** Records the holder of a shard according to the store. */
+    /** Records the holder of a shard according to the store; a change of it shows that the new holder is alive. */
     fun onHolder(
         holding: ShardHolding,
         nowMillis: Long,
@@ -64,6 +71,7 @@
         if (known != null && holding.revision <= known.revision) return
         val seenAtMillis = lastSeenMillis(holding.shardId, nowMillis)
         val holder = holding.holder.instanceId
+        if (known != null) memberStates.getOrPut(holder) { MemberState(nowMillis) }.onClaimed(nowMillis)
         successions[holding.shardId] = Succession(holding.revision, holder, nowMillis, known != null, seenAtMillis)
     }
 
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/PeerHealthMonitor.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/PeerHealthMonitor.kt
@@ -60,7 +60,8 @@
         ).filter { it.instanceId != self.instanceId }.forEach(::ping)
 
     /**
-     * The holders of the local failure domain and those that have pending requests of this relay.
+     * The holders of the local failure domain, those of shards that other failure domains have adopted, and those that
+     * have pending requests of this relay.
      *
      * While a local holder is missing or suspected, all members of the failure domain are pinged to learn its
      * successor, because the store may be unreachable.
@@ -78,7 +79,14 @@
         // Holders exchange loads with each other by pings, and pass them on to the relays that ping them.
         val otherHolders = if (shards.held.isEmpty()) emptyList() else directory.holdings.values.map { it.holder }
         val localHolders = holdings.mapNotNull { it?.holder }
-        return (localHolders + holdersWithPendingRequests + domainMembers + otherHolders).distinctBy { it.instanceId }
+        // This instance adopts such a shard itself once its holder is silent.
+        val adopters =
+            directory.holdings.values
+                .filter { it.holder.failureDomain != it.shardId.failureDomain }
+                .map { it.holder }
+        return (localHolders + adopters + holdersWithPendingRequests + domainMembers + otherHolders).distinctBy {
+            it.instanceId
+        }
     }
 
     private fun ping(holder: FleetMember) {
