Do not count an unanswered offer of a shard as declined in a later round

What callers could see: tasks that run twice at a time after a graceful stop. Each round of offers started anew, so an offer that had got no answer was forgotten, and once a later one was declined or no successor was left, targets that the first offer lacks got starts. Its receiver, frozen or with a slow claim, could still take it.

Such a holder now keeps those targets unused until it is released.

The receiver also says that it took a shard only if it holds a newer revision than offered, not if it has an outdated holding of it.

--- a/fleet/src/main/kotlin/io/jackdawring/fleet/HeldShards.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/HeldShards.kt
@@ -52,6 +52,9 @@
     private val hosts = HashMap<ShardId, ShardHost>()
     private val claiming = HashSet<ShardId>()
     private val handingOver = HashSet<ShardId>()
+
+    /** Hosts with an offer that was not answered and may still be taken, however later ones are answered. */
+    private val undecided = HashSet<ShardHost>()
     private val abandoned = AbandonedShards(self)
     private var draining = false
     val election = ShardElection(self)
@@ -184,6 +187,7 @@
         metrics.shardReleased()
         hosts.remove(host.holding.shardId)
         handingOver.remove(host.holding.shardId)
+        undecided.remove(host)
         host.release()
         onHeldChanged()
     }
@@ -196,34 +200,29 @@
 
     private fun successors() = election.successors(directory.members.values, loop.nowMillis())
 
-    /**
-     * Offers the shard of [host] to [candidates], one after the other.
-     *
-     * An offer without an answer may still be taken; the offers are then not [areDeclined] for certain.
-     */
+    /** Offers the shard of [host] to [candidates], one after the other. */
     private fun handOver(
         host: ShardHost,
         candidates: List<FleetMember>,
         isRepeated: Boolean,
-        areDeclined: Boolean = true,
     ) {
         val id = host.holding.shardId
         if (hosts[id] !== host) return
         val successor = candidates.firstOrNull()
         if (successor == null) {
             handingOver.remove(id)
-            if (areDeclined) host.cancelHandOver()
+            if (host !in undecided) host.cancelHandOver()
             if (isRepeated) loop.schedule(HAND_OVER_RETRY_MILLIS) { handOver(host, successors(), isRepeated = true) }
             return
         }
         handingOver.add(id)
         peers.handOver(successor, HandOverMessage.of(host.holding, host.handOver())) { reply ->
-            val taken = reply is PeerReply.Answered && reply.message.taken
-            val isAnswered = reply !is PeerReply.NoResponse && reply !is PeerReply.Cancelled
-            when {
-                hosts[id] !== host -> Unit
-                taken -> release(host, "handed over to ${successor.instanceId.value}")
-                else -> handOver(host, candidates.drop(1), isRepeated, areDeclined && isAnswered)
+            if (hosts[id] !== host) return@handOver
+            if (reply is PeerReply.NoResponse || reply is PeerReply.Cancelled) undecided.add(host)
+            if (reply is PeerReply.Answered && reply.message.taken) {
+                release(host, "handed over to ${successor.instanceId.value}")
+            } else {
+                handOver(host, candidates.drop(1), isRepeated)
             }
         }
     }
@@ -238,8 +237,9 @@
         } else {
             val seenAt = election.lastSeenMillis(message.shardId, loop.nowMillis())
             val before = hosts[message.shardId]
-            claim(message.shardId, message.revision) { taken ->
+            claim(message.shardId, message.revision) {
                 val host = hosts[message.shardId]
+                val taken = host != null && host.holding.revision > message.revision
                 logger.info {
                     "hand-over of ${FleetKeys.shard(message.shardId)} at revision ${message.revision} with " +
                         "${message.targets.size} targets, all runs there: ${message.areAllRunsThere}, taken: $taken"
--- a/testing/src/test/kotlin/io/jackdawring/testing/shard/RunOverlapTest.kt
+++ b/testing/src/test/kotlin/io/jackdawring/testing/shard/RunOverlapTest.kt
@@ -216,6 +216,27 @@
         assertEquals(setOf("t0", "t1", "t2"), shard.starts.map { it.second }.toSet())
     }
 
+    /** Trial of a review: guards against a chain of hand-overs that makes the last holder wait for a lease. */
+    @TestFactory
+    fun `hand-overs in quick succession keep what is known`() =
+        listOf(0L, 1L, 2L, 10L).map { gapMillis ->
+            DynamicTest.dynamicTest("$gapMillis ms between the hand-overs") {
+                val shard = shard()
+                shard.submit(job("a", tasks = 2, estimateMillis = 300), remainingMillis = 10_000)
+                shard.runFor(100)
+                repeat(3) {
+                    shard.replaceHolder(handOver = true)
+                    shard.runFor(gapMillis)
+                }
+                val again = shard.submit(job("a", tasks = 2, estimateMillis = 300), 10_000, mayRun = true)
+                val sentAtMillis = shard.nowMillis
+                shard.runFor(3_000)
+                val answer = checkNotNull(shard.answers[again])
+                assertEquals(JobOutcome.Completed, answer.outcome)
+                check(answer.atMillis - sentAtMillis < 600) { "answered after ${answer.atMillis - sentAtMillis} ms" }
+            }
+        }
+
     /** A job that fills two targets and runs for longer than a lease. */
     private fun longJob(
         shard: FakeShard,
--- a/testing/src/test/kotlin/io/jackdawring/testing/shard/TargetAddressTest.kt
+++ b/testing/src/test/kotlin/io/jackdawring/testing/shard/TargetAddressTest.kt
@@ -78,6 +78,22 @@
             }
         }
 
+    /** Trial of a review: guards against a successor that drops the address which its predecessor has confirmed. */
+    @org.junit.jupiter.api.Test
+    fun `a successor reaches a target at the address that its predecessor used`() {
+        val shard = FakeShard(List(2) { FakeShardTarget("t$it") }).apply { runFor(50) }
+        shard.submit(job("a", tasks = 4, estimateMillis = 900), remainingMillis = 10_000)
+        shard.runFor(100)
+        shard.listAt(OTHER_ADDRESS)
+        shard.runFor(100)
+        shard.replaceHolder(listed = emptyList(), handOver = true)
+        shard.listAt(OTHER_ADDRESS)
+        val again = shard.submit(job("a", tasks = 4, estimateMillis = 900), 10_000, mayRun = true)
+        shard.runFor(4_000)
+        assertEquals(JobOutcome.Completed, shard.answers[again]?.outcome)
+        assertEquals(4, shard.starts.size, "starts")
+    }
+
     private companion object {
         const val OTHER_ADDRESS = "10.0.0.9:1"
     }
