Hand over the address from which a target last answered

A successor knew only the listed address of a target. If that was outdated, it did not reach the target after a hand-over, and its runs lapsed.

--- a/core/src/main/kotlin/io/jackdawring/core/shard/TargetControl.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/TargetControl.kt
@@ -56,7 +56,7 @@
     /** What a successor has to know; targets that are listed later get no starts until [cancelHandOver]. */
     fun handOver(nowMillis: Long): HandOver {
         registry.isHandingOver = true
-        val registrations = targets.filterNot { it.isHeldBack }.map { it.registration }.toImmutableList()
+        val registrations = targets.filterNot { it.isHeldBack }.map { it.confirmedRegistration }.toImmutableList()
         val areAllRunsThere = registry.knowsAllWithRuns || previousRuns(nowMillis) != PreviousRuns.UNCERTAIN
         return HandOver(registrations, areAllRunsThere)
     }
--- a/core/src/main/kotlin/io/jackdawring/core/shard/TargetRegistry.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/TargetRegistry.kt
@@ -62,7 +62,9 @@
         if (handOver.areAllRunsThere) knowsAllWithRuns = true
         if (firstListedAtMillis == null && handOver.targets.isNotEmpty()) firstListedAtMillis = nowMillis
         for (registration in handOver.targets) {
-            byId.getOrPut(registration.id) { newTarget(registration).apply { unlistedSinceMillis = nowMillis } }
+            val target =
+                byId.getOrPut(registration.id) { newTarget(registration).apply { unlistedSinceMillis = nowMillis } }
+            target.suggestAddress(registration.address)
         }
     }
 
--- a/core/src/main/kotlin/io/jackdawring/core/shard/TrackedTarget.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/TrackedTarget.kt
@@ -17,9 +17,13 @@
     /** Address in the platform's list; that of [registration] is the one in use. */
     var listedAddress = registration.address
 
-    /** Address from which the target last answered; null before its first answer. */
+    /** Address from which the target last answered, to this holder or to the previous one; null if that is not known. */
     private var confirmedAddress: String? = null
 
+    /** The registration with the address from which the target last answered. */
+    val confirmedRegistration: ShardTarget
+        get() = confirmedAddress?.let { registration.copy(address = it) } ?: registration
+
     /** Whether the list names the address in use, and the target has answered from there. */
     val isAddressCertain: Boolean get() = listedAddress == confirmedAddress && listedAddress == registration.address
 
@@ -28,6 +32,11 @@
         confirmedAddress = registration.address
     }
 
+    /** Lets [address], at which the previous holder has reached the target, be tried too. */
+    fun suggestAddress(address: String) {
+        confirmedAddress = confirmedAddress ?: address
+    }
+
     /** Uses the address in the list from now on; returns whether that is another one. */
     fun useListedAddress(): Boolean {
         if (registration.address == listedAddress) return false
--- a/testing/src/test/kotlin/io/jackdawring/testing/shard/TargetAddressTest.kt
+++ b/testing/src/test/kotlin/io/jackdawring/testing/shard/TargetAddressTest.kt
@@ -5,6 +5,7 @@
 import io.jackdawring.testing.shard.FakeShard.Companion.job
 import io.jackdawring.testing.shard.FakeShardTarget.Mode
 import org.junit.jupiter.api.DynamicTest
+import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.TestFactory
 import kotlin.test.assertEquals
 
@@ -78,8 +79,8 @@
             }
         }
 
-    /** Trial of a review: guards against a successor that drops the address which its predecessor has confirmed. */
-    @org.junit.jupiter.api.Test
+    /** Guards against a successor that drops the address which its predecessor has confirmed. */
+    @Test
     fun `a successor reaches a target at the address that its predecessor used`() {
         val shard = FakeShard(List(2) { FakeShardTarget("t$it") }).apply { runFor(50) }
         shard.submit(job("a", tasks = 4, estimateMillis = 900), remainingMillis = 10_000)
