Do not count leases where the previous holder may be cut off

What callers could see: tasks that run twice at a time while a failure domain is cut off. The instance that adopts its shard counted the longest lease from its first listed target. A holder that is only cut off renews leases until a target rejects it, which a common target does at its next poll, and no one does for targets that the adopter does not know.

Fix: an adopter resumes jobs that callers wait for only once all targets with runs have listed them, or after the time in which every holder has noticed. Durable jobs keep the earlier rule, because a holder that is cut off stops their runs itself.

ResubmissionModelTest, MovedJobTest, HandOverAfterOutageTest and the tests of shards pass.

--- a/core/src/main/kotlin/io/jackdawring/core/shard/JobLifecycle.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/JobLifecycle.kt
@@ -108,9 +108,8 @@
         nowMillis: Long,
     ) {
         val adopted = job.tasks().sumOf { it.runs.size }
-        effects.report(
-            ShardDecision.JobResumed(job.spec.id, control.previousRuns(nowMillis), control.targets.size, adopted),
-        )
+        val previousRuns = control.previousRuns(nowMillis, job.isDurable)
+        effects.report(ShardDecision.JobResumed(job.spec.id, previousRuns, control.targets.size, adopted))
     }
 
     /**
--- a/core/src/main/kotlin/io/jackdawring/core/shard/PreviousHolderRuns.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/PreviousHolderRuns.kt
@@ -33,10 +33,15 @@
 
     fun isAwaitingRecovery(id: JobId): Boolean = id in awaitingRecovery
 
-    /** Removes and returns the added jobs if all runs of previous holders are known now. */
+    /** Removes and returns the added jobs for which all runs of previous holders are known now. */
     fun takeRecoverable(nowMillis: Long): List<TrackedJob> {
-        if (awaitingRecovery.isEmpty() || control.previousRuns(nowMillis) == PreviousRuns.UNCERTAIN) return emptyList()
-        return awaitingRecovery.values.toList().also { awaitingRecovery.clear() }
+        if (awaitingRecovery.isEmpty()) return emptyList()
+        val recoverable =
+            awaitingRecovery.values.groupBy { it.isDurable }.flatMap { (isDurable, jobs) ->
+                jobs.takeIf { control.previousRuns(nowMillis, isDurable) != PreviousRuns.UNCERTAIN }.orEmpty()
+            }
+        recoverable.forEach { awaitingRecovery.remove(it.spec.id) }
+        return recoverable
     }
 
     /** Assigns runs of previous holders to the tasks of [job]; returns whether ended runs changed its progress. */
--- a/core/src/main/kotlin/io/jackdawring/core/shard/PreviousRunsCheck.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/PreviousRunsCheck.kt
@@ -8,15 +8,26 @@
     /** Time of the first tick; null before. */
     private var heldSinceMillis: Long? = null
 
+    /**
+     * Whether the previous holder may be alive and cut off, so that it renews leases for as long as no target rejects it.
+     *
+     * Runs of durable jobs are excepted: it stops those itself.
+     */
+    var mayHolderBeCutOff = false
+
     private val areAllListed: Boolean get() = registry.knowsAllWithRuns && registry.targets.all { it.hasAnswered }
 
     fun onTick(nowMillis: Long) {
         heldSinceMillis = heldSinceMillis ?: nowMillis
     }
 
-    fun state(nowMillis: Long): PreviousRuns {
+    /** What is known of the runs of all jobs, or of durable jobs only. */
+    fun state(
+        nowMillis: Long,
+        durableOnly: Boolean,
+    ): PreviousRuns {
         if (registry.targets.any { it.mayHaveMoreEnds }) return PreviousRuns.UNCERTAIN
-        val since = registry.firstListedAtMillis
+        val since = registry.firstListedAtMillis.takeIf { durableOnly || !mayHolderBeCutOff }
         return when {
             areAllListed -> PreviousRuns.LISTED
             since != null && nowMillis - since >= maxLeaseMillis -> PreviousRuns.LEASES_ENDED
--- a/core/src/main/kotlin/io/jackdawring/core/shard/RealShardDispatcher.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/RealShardDispatcher.kt
@@ -57,6 +57,8 @@
 
     override fun onPreviousHolderSeen(seenAtMillis: Long) = control.onPreviousHolderSeen(seenAtMillis)
 
+    override fun onAdopted() = control.onAdopted()
+
     override fun submit(
         request: JobRequest,
         waiter: WaiterId,
--- a/core/src/main/kotlin/io/jackdawring/core/shard/ShardDispatcher.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/ShardDispatcher.kt
@@ -43,6 +43,14 @@
      */
     fun onPreviousHolderSeen(seenAtMillis: Long)
 
+    /**
+     * Records that the shard belongs to a failure domain whose instances the store does not see.
+     *
+     * Its previous holder may go on with its targets, so jobs that callers wait for and that may already run are resumed
+     * only if all runs are listed.
+     */
+    fun onAdopted()
+
     /** Adds a request for a job, or joins it to the job if that is known; [ShardEffects.answer] gets the outcome. */
     fun submit(
         request: JobRequest,
--- a/core/src/main/kotlin/io/jackdawring/core/shard/TargetControl.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/TargetControl.kt
@@ -29,8 +29,16 @@
     var recovered = false
         private set
 
-    /** What is known about the runs that previous holders started. */
-    fun previousRuns(nowMillis: Long): PreviousRuns = previousRunsCheck.state(nowMillis)
+    /** What is known about the runs that previous holders started, of all jobs or of durable ones only. */
+    fun previousRuns(
+        nowMillis: Long,
+        durableOnly: Boolean = false,
+    ): PreviousRuns = previousRunsCheck.state(nowMillis, durableOnly)
+
+    /** Records that the previous holder may be alive and cut off. */
+    fun onAdopted() {
+        previousRunsCheck.mayHolderBeCutOff = true
+    }
 
     /** Whether no run that previous holders started goes on, not even on targets that are out of reach. */
     fun foreignRunsOver(nowMillis: Long): Boolean = previousRunsCheck.areOver(nowMillis)
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/HeldShards.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/HeldShards.kt
@@ -104,6 +104,7 @@
     ) {
         val seenAt = election.lastSeenMillis(id, loop.nowMillis())
         claim(id, previous?.revision ?: 0) { taken ->
+            if (taken && id.failureDomain != self.failureDomain) hosts[id]?.onAdopted()
             if (taken && previous == null) hosts[id]?.inherit(HandOver.NONE)
             if (taken && seenAt != null) hosts[id]?.onPreviousHolderSeen(seenAt)
         }
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/shard/ShardHost.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/shard/ShardHost.kt
@@ -77,6 +77,9 @@
     /** Adds the targets that the previous holder knew. */
     fun inherit(handOver: HandOver) = dispatcher.inherit(handOver, loop.nowMillis())
 
+    /** Records that the shard is taken from a failure domain whose instances the store does not see. */
+    fun onAdopted() = dispatcher.onAdopted()
+
     /** Records that the previous holder, which has failed since, was last known to hold the shard at [seenAtMillis]. */
     fun onPreviousHolderSeen(seenAtMillis: Long) = dispatcher.onPreviousHolderSeen(seenAtMillis)
 
