--- a/cli/src/test/kotlin/io/jackdawring/cli/process/StoreOutageProbe.kt
+++ b/cli/src/test/kotlin/io/jackdawring/cli/process/StoreOutageProbe.kt
@@ -151,11 +151,7 @@
         instances.forEach { site.awaitReady(it.addresses) }
         val callers = List(CALLERS) { thread(isDaemon = true) { call(it) } }
         Thread.sleep(SETTLE_MILLIS)
-        val outages =
-            setting(
-                "lengths",
-                "10.0,11.0,12.0,12.8,13.2,13.6",
-            ).split(',').map(::outage)
+        val outages = setting("lengths", "10.0,11.0,12.0,12.8,13.2,13.6").split(',').map(::outage)
         stopping = true
         callers.forEach(Thread::join)
         Thread.sleep(SETTLE_MILLIS)
@@ -286,18 +282,16 @@
         val times = outage.startMillis..<(next?.startMillis ?: Long.MAX_VALUE)
         val found = cases.filter { it.second.startMillis in times }
         val end = timeOfDay(outage.startMillis + outage.lengthMillis)
-        val text = "${outage.domain} ${outage.kind} for ${outage.lengthMillis} ms, ${timeOfDay(
-            outage.startMillis,
-        )} to $end"
+        val start = timeOfDay(outage.startMillis)
+        val text = "${outage.domain} ${outage.kind} for ${outage.lengthMillis} ms, $start to $end"
         write("$text: ${found.size} tasks with two runs at a time")
         found.forEach { (first, second) -> write("  ${first.task}: ${describe(first)}; ${describe(second)}") }
     }
 
     private fun describe(run: StandInPlatformTarget.Run): String {
         val end = run.endMillis?.let { "${timeOfDay(it)} ${run.ending}" } ?: "no end"
-        return "attempt ${run.attempt} on ${run.targetId} with token ${run.fencingToken}, ${timeOfDay(
-            run.startMillis,
-        )} to $end"
+        val start = timeOfDay(run.startMillis)
+        return "attempt ${run.attempt} on ${run.targetId} with token ${run.fencingToken}, $start to $end"
     }
 
     override fun close() {
--- a/fleet/src/test/kotlin/io/jackdawring/fleet/HeldShardsTest.kt
+++ b/fleet/src/test/kotlin/io/jackdawring/fleet/HeldShardsTest.kt
@@ -10,15 +10,8 @@
 import io.jackdawring.core.shard.JobOutcome
 import io.jackdawring.core.shard.JobRequest
 import io.jackdawring.core.shard.JobSpec
-import io.jackdawring.core.shard.PollRequest
-import io.jackdawring.core.shard.PollResult
 import io.jackdawring.core.shard.Resources
-import io.jackdawring.core.shard.ShardTarget
-import io.jackdawring.core.shard.StartRequest
-import io.jackdawring.core.shard.StartResult
 import io.jackdawring.core.shard.StepSpec
-import io.jackdawring.core.shard.StopResult
-import io.jackdawring.core.shard.TaskKey
 import io.jackdawring.fleet.metrics.FleetMetrics
 import io.jackdawring.fleet.peer.HandOverMessage
 import io.jackdawring.fleet.peer.PeerClient
@@ -41,7 +34,7 @@
             store,
             mirror,
             FleetDirectory(),
-            SilentTargets,
+            NoTargets,
             PeerClient(FakeHttpClient()),
             ShardLoads(loop),
             FleetMetrics(),
@@ -67,31 +60,6 @@
         assertEquals(listOf<JobOutcome>(JobOutcome.Moved), outcomes)
     }
 
-    /** Targets that answer nothing. */
-    private object SilentTargets : TargetClient {
-        override fun start(
-            target: ShardTarget,
-            request: StartRequest,
-            fencingToken: Long,
-            onResult: (StartResult) -> Unit,
-        ) = Unit
-
-        override fun stop(
-            target: ShardTarget,
-            task: TaskKey,
-            attempt: Int,
-            fencingToken: Long,
-            onResult: (StopResult) -> Unit,
-        ) = Unit
-
-        override fun poll(
-            target: ShardTarget,
-            request: PollRequest,
-            fencingToken: Long,
-            onResult: (PollResult) -> Unit,
-        ) = Unit
-    }
-
     private companion object {
         val SELF = FleetMember(InstanceId("a1"), "a1-1", FailureDomainId("a"), "10.0.0.1:1", 1.0)
         val OTHER = FleetMember(InstanceId("b1"), "b1-1", FailureDomainId("b"), "10.0.0.2:1", 1.0)
--- a/fleet/src/test/kotlin/io/jackdawring/fleet/RealShardClientTest.kt
+++ b/fleet/src/test/kotlin/io/jackdawring/fleet/RealShardClientTest.kt
@@ -9,15 +9,8 @@
 import io.jackdawring.core.shard.JobId
 import io.jackdawring.core.shard.JobRequest
 import io.jackdawring.core.shard.JobSpec
-import io.jackdawring.core.shard.PollRequest
-import io.jackdawring.core.shard.PollResult
 import io.jackdawring.core.shard.Resources
-import io.jackdawring.core.shard.ShardTarget
-import io.jackdawring.core.shard.StartRequest
-import io.jackdawring.core.shard.StartResult
 import io.jackdawring.core.shard.StepSpec
-import io.jackdawring.core.shard.StopResult
-import io.jackdawring.core.shard.TaskKey
 import io.jackdawring.fleet.metrics.FleetMetrics
 import io.jackdawring.fleet.peer.PeerClient
 import io.jackdawring.fleet.peer.PeerClocks
@@ -179,30 +172,6 @@
             }
         }
 
-    private object NoTargets : TargetClient {
-        override fun start(
-            target: ShardTarget,
-            request: StartRequest,
-            fencingToken: Long,
-            onResult: (StartResult) -> Unit,
-        ) = error("no targets")
-
-        override fun stop(
-            target: ShardTarget,
-            task: TaskKey,
-            attempt: Int,
-            fencingToken: Long,
-            onResult: (StopResult) -> Unit,
-        ) = error("no targets")
-
-        override fun poll(
-            target: ShardTarget,
-            request: PollRequest,
-            fencingToken: Long,
-            onResult: (PollResult) -> Unit,
-        ) = error("no targets")
-    }
-
     private companion object {
         val SELF = FleetMember(InstanceId("e1"), "1", FailureDomainId("a"), "10.0.0.1:1", 1.0)
         val PEER = member("b")
--- a/standins/src/main/kotlin/io/jackdawring/standins/platform/StandInPlatformTarget.kt
+++ b/standins/src/main/kotlin/io/jackdawring/standins/platform/StandInPlatformTarget.kt
@@ -131,13 +131,8 @@
         starts.add(run.task)
         allRuns.add(run)
         extendLease(untilMillis)
-        executor.schedule({
-            if (runs[run.task] ===
-                run
-            ) {
-                end(run, "done")
-            }
-        }, runMillisOf(run.task), TimeUnit.MILLISECONDS)
+        val complete = { if (runs[run.task] === run) end(run, "done") }
+        executor.schedule(complete, runMillisOf(run.task), TimeUnit.MILLISECONDS)
         exchange.clock()
     }
 
