Log how long a holder has held its shard, and what it leaves behind

A job is resumed when earlier leases have ended, or when enough time has passed; the log does not tell which. It does not show either whether a holder that is released leaves runs on targets. No decision is changed.

--- a/core/src/main/kotlin/io/jackdawring/core/shard/JobLifecycle.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/JobLifecycle.kt
@@ -109,7 +109,8 @@
     ) {
         val adopted = job.tasks().sumOf { it.runs.size }
         val previousRuns = control.previousRuns(nowMillis, job.isDurable)
-        effects.report(ShardDecision.JobResumed(job.spec.id, previousRuns, control.targets.size, adopted))
+        val heldMillis = control.heldMillis(nowMillis)
+        effects.report(ShardDecision.JobResumed(job.spec.id, previousRuns, control.targets.size, adopted, heldMillis))
     }
 
     /**
--- a/core/src/main/kotlin/io/jackdawring/core/shard/PreviousRunsCheck.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/PreviousRunsCheck.kt
@@ -21,6 +21,9 @@
         heldSinceMillis = heldSinceMillis ?: nowMillis
     }
 
+    /** Time for which this holder has held the shard. */
+    fun heldMillis(nowMillis: Long): Long = heldSinceMillis?.let { nowMillis - it } ?: 0
+
     /** What is known of the runs of all jobs, or of durable jobs only. */
     fun state(
         nowMillis: Long,
--- a/core/src/main/kotlin/io/jackdawring/core/shard/ShardDecision.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/ShardDecision.kt
@@ -59,12 +59,17 @@
         val knownTargets: Int,
     ) : ShardDecision
 
-    /** A job that may have run continues on the grounds of [previousRuns], with [adoptedRuns] of its runs. */
+    /**
+     * A job that may have run continues on the grounds of [previousRuns], with [adoptedRuns] of its runs.
+     *
+     * The holder has held the shard for [heldMillis].
+     */
     data class JobResumed(
         val jobId: JobId,
         val previousRuns: PreviousRuns,
         val knownTargets: Int,
         val adoptedRuns: Int,
+        val heldMillis: Long,
     ) : ShardDecision
 
     /** A start was not answered; the target may carry it out now, later or never. */
--- a/core/src/main/kotlin/io/jackdawring/core/shard/TargetControl.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/TargetControl.kt
@@ -40,6 +40,9 @@
         previousRunsCheck.mayHolderBeCutOff = true
     }
 
+    /** Time for which this holder has held the shard. */
+    fun heldMillis(nowMillis: Long): Long = previousRunsCheck.heldMillis(nowMillis)
+
     /** Whether no run that previous holders started goes on, not even on targets that are out of reach. */
     fun foreignRunsOver(nowMillis: Long): Boolean = previousRunsCheck.areOver(nowMillis)
 
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/HeldShards.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/HeldShards.kt
@@ -184,7 +184,11 @@
         reason: String,
     ) {
         val name = FleetKeys.shard(host.holding.shardId)
-        logger.info { "released shard $name with fencing token ${host.holding.revision}: $reason" }
+        val targets = host.describe().targets
+        logger.info {
+            "released shard $name with fencing token ${host.holding.revision} and ${targets.sumOf { it.runs }} runs " +
+                "on ${targets.size} targets: $reason"
+        }
         metrics.shardReleased()
         hosts.remove(host.holding.shardId)
         handingOver.remove(host.holding.shardId)
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/shard/DecisionLog.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/shard/DecisionLog.kt
@@ -98,6 +98,7 @@
             "earlierRuns" to decision.previousRuns.name.lowercase(),
             "knownTargets" to decision.knownTargets,
             "adoptedRuns" to decision.adoptedRuns,
+            "heldMillis" to decision.heldMillis,
         )
 
     private fun onStartUnanswered(decision: ShardDecision.StartUnanswered) {
