Resume jobs of a cut off holder only once it has stopped

What callers saw: slower answers; three tasks of one run ran on two targets at a time, after a failure domain was cut off for 31 s.

Cause: a holder that had held the shard for 15 s and two leases took all runs of earlier holders to be over, and told its successor so. That time is the one after which a cut off holder stops its durable runs. Jobs that callers wait for go on there, as they should. So when the domain was back, its relays sent their open jobs to the new holder, which started them again at once, or handed the belief to the former holder, which did the same.

Elapsed time no longer counts for such jobs. The store records, with the claim of a shard, up to which fencing token earlier holders may be cut off; relays say to which holder a job was sent first. A job that such a holder may run waits until that holder says that it has stopped, and on which targets it has runs. If it never returns, only jobs that were sent to it wait, up to their callers' deadlines.

--- a/core/src/main/kotlin/io/jackdawring/core/fleet/ShardHolding.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/fleet/ShardHolding.kt
@@ -5,4 +5,15 @@
     val shardId: ShardId,
     val holder: FleetMember,
     val revision: Long,
-)
+    /** Revision up to which earlier holders were possibly cut off when this one claimed the shard; null if none was. */
+    val cutOffRevision: Long? = null,
+) {
+    /** As [cutOffRevision], for [claimant] that claims the shard because this holder is missing or suspected. */
+    fun cutOffRevisionFor(claimant: FleetMember): Long? {
+        // The claim succeeded without an answer, so this process has never held the shard with it.
+        val isUnansweredClaim = holder.instanceId == claimant.instanceId && holder.incarnation == claimant.incarnation
+        val domain = shardId.failureDomain
+        val isAdopted = claimant.failureDomain != domain || holder.failureDomain != domain
+        return if (isAdopted && !isUnansweredClaim) revision else cutOffRevision
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/CutOffHolders.kt
@@ -0,0 +1,62 @@
+package io.jackdawring.core.shard
+
+/**
+ * Earlier holders of the shard that may be alive and cut off, and those of them that have stopped since.
+ *
+ * Such a holder goes on with its targets, some of which this one may not know, until it says that it has stopped. No
+ * time limit shows that.
+ */
+internal class CutOffHolders {
+    private class Stop(
+        val fencingToken: Long,
+        val handOver: HandOver,
+        val atMillis: Long,
+    )
+
+    private val stops = ArrayDeque<Stop>()
+
+    /** Fencing token up to which earlier holders may go on; null if all have stopped. */
+    var upToToken: Long? = null
+        private set
+
+    /** Whether the holders that have stopped knew all runs of the shard. */
+    var areRunsKnown = true
+        private set
+
+    /** Time at which the last of them was known to have stopped; null if there was none. */
+    var stoppedAtMillis: Long? = null
+        private set
+
+    /** Records that holders up to [fencingToken] may be cut off. */
+    fun onCutOff(fencingToken: Long) {
+        upToToken = maxOf(upToToken ?: 0, fencingToken)
+        applyStops()
+    }
+
+    /** Records that the holder with [fencingToken] has stopped, and what it knew then. */
+    fun onStopped(
+        fencingToken: Long,
+        handOver: HandOver,
+        nowMillis: Long,
+    ) {
+        stops.addLast(Stop(fencingToken, handOver, nowMillis))
+        if (stops.size > MAX_STOPS) stops.removeFirst()
+        applyStops()
+    }
+
+    private fun applyStops() {
+        while (true) {
+            val token = upToToken ?: return
+            val stop =
+                stops.firstOrNull { it.fencingToken >= token && (it.handOver.cutOffToken ?: 0) < token } ?: return
+            upToToken = stop.handOver.cutOffToken
+            areRunsKnown = areRunsKnown && stop.handOver.areAllRunsThere
+            stoppedAtMillis = maxOf(stoppedAtMillis ?: stop.atMillis, stop.atMillis)
+        }
+    }
+
+    private companion object {
+        /** Far more than the holders of a shard within the deadline of a job. */
+        const val MAX_STOPS = 16
+    }
+}
--- a/core/src/main/kotlin/io/jackdawring/core/shard/JobLifecycle.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/JobLifecycle.kt
@@ -108,7 +108,7 @@
         nowMillis: Long,
     ) {
         val adopted = job.tasks().sumOf { it.runs.size }
-        val previousRuns = control.previousRuns(nowMillis, job.isDurable)
+        val previousRuns = control.previousRuns(job, nowMillis)
         val heldMillis = control.heldMillis(nowMillis)
         effects.report(ShardDecision.JobResumed(job.spec.id, previousRuns, control.targets.size, adopted, heldMillis))
     }
--- a/core/src/main/kotlin/io/jackdawring/core/shard/PreviousHolderRuns.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/PreviousHolderRuns.kt
@@ -37,9 +37,11 @@
     fun takeRecoverable(nowMillis: Long): List<TrackedJob> {
         if (awaitingRecovery.isEmpty()) return emptyList()
         val recoverable =
-            awaitingRecovery.values.groupBy { it.isDurable }.flatMap { (isDurable, jobs) ->
-                jobs.takeIf { control.previousRuns(nowMillis, isDurable) != PreviousRuns.UNCERTAIN }.orEmpty()
-            }
+            awaitingRecovery.values
+                .groupBy { it.isDurable to it.firstFencingToken }
+                .values
+                .filter { jobs -> control.previousRuns(jobs.first(), nowMillis) != PreviousRuns.UNCERTAIN }
+                .flatten()
         recoverable.forEach { awaitingRecovery.remove(it.spec.id) }
         return recoverable
     }
--- a/core/src/main/kotlin/io/jackdawring/core/shard/PreviousRunsCheck.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/PreviousRunsCheck.kt
@@ -1,21 +1,16 @@
 package io.jackdawring.core.shard
 
-/** Decides from the lists of the targets and the time when all runs of previous holders are known or over. */
+/** Decides from the lists of the targets and from leases when all runs of previous holders are known or over. */
 internal class PreviousRunsCheck(
     private val registry: TargetRegistry,
+    private val cutOff: CutOffHolders,
     private val maxLeaseMillis: Long,
 ) {
     /** Time of the first tick; null before. */
     private var heldSinceMillis: Long? = null
 
-    /**
-     * Whether the previous holder may be alive and cut off, so that it renews leases for as long as no target rejects it.
-     *
-     * Runs of durable jobs are excepted: it stops those itself.
-     */
-    var mayHolderBeCutOff = false
-
-    private val areAllListed: Boolean get() = registry.knowsAllWithRuns && registry.targets.all { it.hasAnswered }
+    private val areAllListed: Boolean
+        get() = registry.knowsAllWithRuns && cutOff.areRunsKnown && registry.targets.all { it.hasAnswered }
 
     fun onTick(nowMillis: Long) {
         heldSinceMillis = heldSinceMillis ?: nowMillis
@@ -24,29 +19,52 @@
     /** Time for which this holder has held the shard. */
     fun heldMillis(nowMillis: Long): Long = heldSinceMillis?.let { nowMillis - it } ?: 0
 
-    /** What is known of the runs of all jobs, or of durable jobs only. */
+    /** What is known of the runs of [job]. */
     fun state(
+        job: TrackedJob,
+        nowMillis: Long,
+    ): PreviousRuns = if (job.isDurable) durableState(nowMillis) else awaitedState(job.firstFencingToken, nowMillis)
+
+    /** What is known of the runs of a job that callers wait for and that was first sent to the holder with [firstToken]. */
+    fun awaitedState(
+        firstToken: Long,
         nowMillis: Long,
-        durableOnly: Boolean,
     ): PreviousRuns {
-        if (registry.targets.any { it.mayHaveMoreEnds }) return PreviousRuns.UNCERTAIN
-        val since = registry.firstListedAtMillis.takeIf { durableOnly || !mayHolderBeCutOff }
+        val mayRunAtCutOffHolder = cutOff.upToToken?.let { firstToken <= it } == true
         return when {
+            mayRunAtCutOffHolder || mayHaveMoreEnds() -> PreviousRuns.UNCERTAIN
             areAllListed -> PreviousRuns.LISTED
-            since != null && nowMillis - since >= maxLeaseMillis -> PreviousRuns.LEASES_ENDED
-            since == null && areOver(nowMillis) -> PreviousRuns.LEASES_ENDED
+            areLeasesOver(nowMillis) -> PreviousRuns.LEASES_ENDED
             else -> PreviousRuns.UNCERTAIN
         }
     }
 
+    /** What is known of the runs of durable jobs, which a holder that is cut off stops itself. */
+    private fun durableState(nowMillis: Long): PreviousRuns =
+        when {
+            mayHaveMoreEnds() -> PreviousRuns.UNCERTAIN
+            cutOff.upToToken == null && areAllListed -> PreviousRuns.LISTED
+            areLeasesOver(nowMillis) -> PreviousRuns.LEASES_ENDED
+            registry.firstListedAtMillis == null && areDurableRunsOver(nowMillis) -> PreviousRuns.LEASES_ENDED
+            else -> PreviousRuns.UNCERTAIN
+        }
+
+    private fun mayHaveMoreEnds() = registry.targets.any { it.mayHaveMoreEnds }
+
+    private fun areLeasesOver(nowMillis: Long): Boolean {
+        val listedAt = registry.firstListedAtMillis ?: return false
+        return nowMillis - maxOf(listedAt, cutOff.stoppedAtMillis ?: listedAt) >= maxLeaseMillis
+    }
+
     /**
-     * Whether no run that previous holders started goes on, not even on targets that are out of reach.
+     * Whether no run of a durable job that previous holders started goes on, not even on targets that are out of reach.
      *
-     * A previous holder that is cut off notices that only when its [ShardOwnership] expires.
+     * A previous holder that is cut off stops such runs when its [ShardOwnership] expires.
      */
-    fun areOver(nowMillis: Long): Boolean {
+    fun areDurableRunsOver(nowMillis: Long): Boolean {
         val since = heldSinceMillis ?: return false
-        if (registry.targets.any { it.mayHaveMoreEnds }) return false
-        return areAllListed || nowMillis - since >= ShardOwnership.LIFETIME_MILLIS + 2 * maxLeaseMillis
+        if (mayHaveMoreEnds()) return false
+        val areKnown = cutOff.upToToken == null && areAllListed
+        return areKnown || nowMillis - since >= ShardOwnership.LIFETIME_MILLIS + 2 * maxLeaseMillis
     }
 }
--- a/core/src/main/kotlin/io/jackdawring/core/shard/RealShardDispatcher.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/RealShardDispatcher.kt
@@ -57,7 +57,20 @@
 
     override fun onPreviousHolderSeen(seenAtMillis: Long) = control.onPreviousHolderSeen(seenAtMillis)
 
-    override fun onAdopted() = control.onAdopted()
+    override fun onHoldersCutOff(
+        fencingToken: Long,
+        isPredecessor: Boolean,
+    ) = control.onHoldersCutOff(fencingToken, isPredecessor)
+
+    override fun onHolderStopped(
+        fencingToken: Long,
+        handOver: HandOver,
+        nowMillis: Long,
+    ) {
+        if (released) return
+        control.onHolderStopped(fencingToken, handOver, nowMillis)
+        place(nowMillis)
+    }
 
     override fun submit(
         request: JobRequest,
@@ -82,7 +95,8 @@
     ) {
         val spec = request.job
         val job = TrackedJob(spec, nextJobSequence++, nowMillis, nowMillis + request.remainingMillis)
-        if (request.mayRun && control.previousRuns(nowMillis) == PreviousRuns.UNCERTAIN) {
+        job.firstFencingToken = request.firstFencingToken
+        if (request.mayRun && control.previousRuns(job, nowMillis) == PreviousRuns.UNCERTAIN) {
             job.started = true
             lifecycle.add(job, waiter)
             lifecycle.previousRuns.add(job)
--- a/core/src/main/kotlin/io/jackdawring/core/shard/ShardDispatcher.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/ShardDispatcher.kt
@@ -44,12 +44,22 @@
     fun onPreviousHolderSeen(seenAtMillis: Long)
 
     /**
-     * Records that the shard belongs to a failure domain whose instances the store does not see.
+     * Records that earlier holders up to [fencingToken] may be alive and cut off, with targets that this one may not know.
      *
-     * Its previous holder may go on with its targets, so jobs that callers wait for and that may already run are resumed
-     * only if all runs are listed.
+     * Jobs that callers wait for, and that were sent to one of them, are resumed only after [onHolderStopped]. With
+     * [isPredecessor], there was no other holder since.
      */
-    fun onAdopted()
+    fun onHoldersCutOff(
+        fencingToken: Long,
+        isPredecessor: Boolean,
+    )
+
+    /** Records that the earlier holder with [fencingToken] has stopped, and what it knew then. */
+    fun onHolderStopped(
+        fencingToken: Long,
+        handOver: HandOver,
+        nowMillis: Long,
+    )
 
     /** Adds a request for a job, or joins it to the job if that is known; [ShardEffects.answer] gets the outcome. */
     fun submit(
--- a/core/src/main/kotlin/io/jackdawring/core/shard/StalledJobs.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/StalledJobs.kt
@@ -39,7 +39,7 @@
     ): Boolean =
         !job.isMoving &&
             !previousRuns.isAwaitingRecovery(job.spec.id) &&
-            (!job.mayHaveForeignRuns || control.foreignRunsOver(nowMillis))
+            (!job.mayHaveForeignRuns || control.areDurableRunsOver(nowMillis))
 
     private fun needsOf(job: TrackedJob): JobNeeds {
         val steps = job.steps.filter { tasks -> tasks.any { it.waiting } }.map { it.first().spec }
--- a/core/src/main/kotlin/io/jackdawring/core/shard/TargetControl.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/TargetControl.kt
@@ -17,7 +17,8 @@
     private val stopper = RunStopper(effects)
     private val index = RunIndex()
     private val adoption = AdoptionWindow(options)
-    private val previousRunsCheck = PreviousRunsCheck(registry, poller.maxLeaseMillis)
+    private val cutOffHolders = CutOffHolders()
+    private val previousRunsCheck = PreviousRunsCheck(registry, cutOffHolders, poller.maxLeaseMillis)
 
     val targets: Collection<TrackedTarget> get() = registry.targets
     val byFreeCpu: TargetsByFreeCpu get() = registry.byFreeCpu
@@ -29,22 +30,37 @@
     var recovered = false
         private set
 
-    /** What is known about the runs that previous holders started, of all jobs or of durable ones only. */
+    /** What is known about the runs of [job] that previous holders started. */
     fun previousRuns(
+        job: TrackedJob,
         nowMillis: Long,
-        durableOnly: Boolean = false,
-    ): PreviousRuns = previousRunsCheck.state(nowMillis, durableOnly)
+    ): PreviousRuns = previousRunsCheck.state(job, nowMillis)
 
-    /** Records that the previous holder may be alive and cut off. */
-    fun onAdopted() {
-        previousRunsCheck.mayHolderBeCutOff = true
+    /** Records that earlier holders up to [fencingToken] may be cut off; with [isPredecessor], there was none since. */
+    fun onHoldersCutOff(
+        fencingToken: Long,
+        isPredecessor: Boolean,
+    ) {
+        cutOffHolders.onCutOff(fencingToken)
+        if (isPredecessor) registry.knowsAllWithRuns = true
+    }
+
+    /** Records that the holder with [fencingToken] has stopped, and adds the targets that it knew. */
+    fun onHolderStopped(
+        fencingToken: Long,
+        handOver: HandOver,
+        nowMillis: Long,
+    ) {
+        cutOffHolders.onStopped(fencingToken, handOver, nowMillis)
+        registry.add(handOver.targets, nowMillis)
+        targets.forEach { poller.poll(it, nowMillis) }
     }
 
     /** Time for which this holder has held the shard. */
     fun heldMillis(nowMillis: Long): Long = previousRunsCheck.heldMillis(nowMillis)
 
-    /** Whether no run that previous holders started goes on, not even on targets that are out of reach. */
-    fun foreignRunsOver(nowMillis: Long): Boolean = previousRunsCheck.areOver(nowMillis)
+    /** Whether no durable run that previous holders started goes on, not even on targets that are out of reach. */
+    fun areDurableRunsOver(nowMillis: Long): Boolean = previousRunsCheck.areDurableRunsOver(nowMillis)
 
     fun updateTargets(
         listed: ImmutableCollection<ShardTarget>,
@@ -68,8 +84,9 @@
     fun handOver(nowMillis: Long): HandOver {
         registry.isHandingOver = true
         val registrations = targets.filterNot { it.isHeldBack }.map { it.confirmedRegistration }.toImmutableList()
-        val areAllRunsThere = registry.knowsAllWithRuns || previousRuns(nowMillis) != PreviousRuns.UNCERTAIN
-        return HandOver(registrations, areAllRunsThere)
+        val areLaterRunsKnown = previousRunsCheck.awaitedState(Long.MAX_VALUE, nowMillis) != PreviousRuns.UNCERTAIN
+        val areAllRunsThere = registry.knowsAllWithRuns && cutOffHolders.areRunsKnown || areLaterRunsKnown
+        return HandOver(registrations, areAllRunsThere, cutOffHolders.upToToken)
     }
 
     /** Continues without a successor. */
@@ -84,7 +101,9 @@
         nowMillis: Long,
     ) {
         onPreviousHolderSeen(nowMillis)
-        registry.inherit(handOver, nowMillis)
+        handOver.cutOffToken?.let(cutOffHolders::onCutOff)
+        if (handOver.areAllRunsThere) registry.knowsAllWithRuns = true
+        registry.add(handOver.targets, nowMillis)
         targets.forEach { poller.poll(it, nowMillis) }
     }
 
--- a/core/src/main/kotlin/io/jackdawring/core/shard/TargetRegistry.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/TargetRegistry.kt
@@ -17,9 +17,12 @@
     var firstListedAtMillis: Long? = null
         private set
 
-    /** Whether the previous holder has named all targets with runs; the list alone may lack some of them. */
+    /**
+     * Whether previous holders have named all targets with runs; the list alone may lack some of them.
+     *
+     * Runs of [CutOffHolders] do not count.
+     */
     var knowsAllWithRuns = false
-        private set
 
     /** Whether a successor has been told the targets, so that those listed from now on must not get runs. */
     var isHandingOver = false
@@ -54,14 +57,13 @@
         }
     }
 
-    /** Adds the targets that the previous holder knew. */
-    fun inherit(
-        handOver: HandOver,
+    /** Adds [known] targets of an earlier holder, which the list may lack. */
+    fun add(
+        known: Collection<ShardTarget>,
         nowMillis: Long,
     ) {
-        if (handOver.areAllRunsThere) knowsAllWithRuns = true
-        if (firstListedAtMillis == null && handOver.targets.isNotEmpty()) firstListedAtMillis = nowMillis
-        for (registration in handOver.targets) {
+        if (firstListedAtMillis == null && known.isNotEmpty()) firstListedAtMillis = nowMillis
+        for (registration in known) {
             val target =
                 byId.getOrPut(registration.id) { newTarget(registration).apply { unlistedSinceMillis = nowMillis } }
             target.suggestAddress(registration.address)
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/FleetDirectory.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/FleetDirectory.kt
@@ -11,7 +11,11 @@
 import kotlinx.collections.immutable.ImmutableMap
 import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.collections.immutable.toImmutableMap
+import kotlinx.serialization.DeserializationStrategy
+import kotlinx.serialization.Serializable
 import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.jsonObject
 
 private val logger = KotlinLogging.logger("io.jackdawring.fleet")
 
@@ -45,14 +49,21 @@
         val number = parts.lastOrNull()?.toIntOrNull()
         val holder = decodeMember(item)
         if (parts.size != SHARD_KEY_PARTS || number == null || holder == null) return null
-        return ShardHolding(ShardId(FailureDomainId(parts.first()), number), holder, item.revision)
+        val history = decode(item, HoldingHistory.serializer()) ?: return null
+        val id = ShardId(FailureDomainId(parts.first()), number)
+        return ShardHolding(id, holder, item.revision, history.cutOffRevision)
     }
 
-    private fun decodeMember(item: StoreItem): FleetMember? =
+    private fun decodeMember(item: StoreItem): FleetMember? = decode(item, FleetMember.serializer())
+
+    private fun <T> decode(
+        item: StoreItem,
+        type: DeserializationStrategy<T>,
+    ): T? =
         try {
-            peerJson.decodeFromString(FleetMember.serializer(), item.value.decodeToString())
+            peerJson.decodeFromString(type, item.value.decodeToString())
         } catch (e: SerializationException) {
-            logger.warn { "store item ${item.key} at revision ${item.revision} is not a valid member: ${e.message}" }
+            logger.warn { "store item ${item.key} at revision ${item.revision} is not valid: ${e.message}" }
             null
         }
 
@@ -74,3 +85,16 @@
 
 internal fun FleetMember.encode(): ByteArray =
     peerJson.encodeToString(FleetMember.serializer(), this).encodeToByteArray()
+
+/** Value of the key of a shard that this member claims; see [ShardHolding.cutOffRevision]. */
+internal fun FleetMember.encodeClaim(cutOffRevision: Long?): ByteArray {
+    val member = peerJson.encodeToJsonElement(FleetMember.serializer(), this).jsonObject
+    val history = peerJson.encodeToJsonElement(HoldingHistory.serializer(), HoldingHistory(cutOffRevision)).jsonObject
+    return JsonObject(member + history).toString().encodeToByteArray()
+}
+
+/** What the key of a shard says beside its holder; see [ShardHolding.cutOffRevision]. */
+@Serializable
+private data class HoldingHistory(
+    val cutOffRevision: Long? = null,
+)
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/HeldShards.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/HeldShards.kt
@@ -56,6 +56,7 @@
     /** Hosts with an offer that was not answered and may still be taken, however later ones are answered. */
     private val undecided = HashSet<ShardHost>()
     private val abandoned = AbandonedShards(self)
+    private val stopped = StoppedHoldings(directory, peers, loop, hosts::get)
     private var draining = false
     val election = ShardElection(self)
 
@@ -73,6 +74,7 @@
             if (election.shouldClaim(id, holding, directory.members.values, now)) claimFrom(id, holding)
         }
         hosts.values.toList().forEach(::returnToOwnDomain)
+        stopped.announce()
     }
 
     /** Hands over a shard of another failure domain once that domain has registered entry instances again. */
@@ -91,6 +93,14 @@
             if (current.revision <= host.holding.revision) continue
             release(host, "store names ${current.holder.instanceId.value} as holder")
         }
+        stopped.announce()
+    }
+
+    /** Passes the news of a stopped holder on to a later one in this process; returns whether there is one. */
+    fun onHolderStopped(message: HandOverMessage): Boolean {
+        val host = hosts[message.shardId]?.takeIf { it.holding.revision > message.revision } ?: return false
+        host.onHolderStopped(message.revision, message.toHandOver())
+        return true
     }
 
     fun onTargetsChanged() = hosts.values.forEach { it.updateTargets(targetsOf(it.holding.shardId)) }
@@ -103,8 +113,7 @@
         previous: ShardHolding?,
     ) {
         val seenAt = election.lastSeenMillis(id, loop.nowMillis())
-        claim(id, previous?.revision ?: 0) { taken ->
-            if (taken && id.failureDomain != self.failureDomain) hosts[id]?.onAdopted()
+        claim(id, previous?.revision ?: 0, previous?.cutOffRevisionFor(self)) { taken ->
             if (taken && previous == null) hosts[id]?.inherit(HandOver.NONE)
             if (taken && seenAt != null) hosts[id]?.onPreviousHolderSeen(seenAt)
         }
@@ -113,11 +122,12 @@
     private fun claim(
         id: ShardId,
         revision: Long,
+        cutOffRevision: Long?,
         onResult: (Boolean) -> Unit,
     ) {
         claiming.add(id)
         val key = FleetKeys.shard(id)
-        val value = self.encode()
+        val value = self.encodeClaim(cutOffRevision)
         val change =
             StoreChange(
                 persistentListOf(StoreChange.Condition(key, revision)),
@@ -128,7 +138,8 @@
             when (result) {
                 is CommitResult.Committed ->
                     startHolding(
-                        ShardHolding(id, self, result.revision),
+                        ShardHolding(id, self, result.revision, cutOffRevision),
+                        revision,
                         StoreItem(key, value, result.revision),
                     )
                 is CommitResult.Conflict -> result.items.forEach(mirror::applyIfNewer)
@@ -144,6 +155,7 @@
 
     private fun startHolding(
         holding: ShardHolding,
+        previousRevision: Long,
         item: StoreItem,
     ) {
         if (draining) return
@@ -152,11 +164,13 @@
         metrics.shardAcquired()
         logger.info { "acquired shard $name with fencing token ${holding.revision}" }
         val host = createHost(holding)
+        holding.cutOffRevision?.let { host.onHoldersCutOff(it, isPredecessor = it == previousRevision) }
         hosts[holding.shardId] = host
         onHeldChanged()
         mirror.applyIfNewer(item)
         host.updateTargets(targetsOf(holding.shardId))
         host.start()
+        stopped.announce()
     }
 
     private fun createHost(holding: ShardHolding): ShardHost =
@@ -193,6 +207,7 @@
         hosts.remove(host.holding.shardId)
         handingOver.remove(host.holding.shardId)
         undecided.remove(host)
+        stopped.add(host.holding, host.handOver())
         host.release()
         onHeldChanged()
     }
@@ -242,12 +257,13 @@
         } else {
             val seenAt = election.lastSeenMillis(message.shardId, loop.nowMillis())
             val before = hosts[message.shardId]
-            claim(message.shardId, message.revision) {
+            claim(message.shardId, message.revision, message.cutOffRevision) {
                 val host = hosts[message.shardId]
                 val taken = host != null && host.holding.revision > message.revision
                 logger.info {
                     "hand-over of ${FleetKeys.shard(message.shardId)} at revision ${message.revision} with " +
-                        "${message.targets.size} targets, all runs there: ${message.areAllRunsThere}, taken: $taken"
+                        "${message.targets.size} targets, all runs there: ${message.areAllRunsThere}, " +
+                        "cut off up to: ${message.cutOffRevision}, taken: $taken"
                 }
                 val handOver = message.toHandOver()
                 // A shard that was held before has had other holders since the message was sent.
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/peer/PeerApi.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/peer/PeerApi.kt
@@ -39,6 +39,7 @@
                 PeerPaths.JOB -> onJob(exchange, decode(exchange, JobMessage.serializer()))
                 PeerPaths.PING -> onPing(exchange, decode(exchange, PingMessage.serializer()))
                 PeerPaths.HAND_OVER -> onHandOver(exchange, decode(exchange, HandOverMessage.serializer()))
+                PeerPaths.STOPPED -> onHolderStopped(exchange, decode(exchange, HandOverMessage.serializer()))
                 PeerPaths.KEEP -> onPersist(exchange, decode(exchange, PersistMessage.serializer()))
                 PeerPaths.KEPT_STATE -> onJobState(exchange, decode(exchange, JobStateMessage.serializer()))
                 PeerPaths.PENDING -> onPending(exchange, decode(exchange, PendingMessage.serializer()))
@@ -142,6 +143,14 @@
         shards.takeOver(message) { taken -> exchange.respond(json(HandOverReply.serializer(), HandOverReply(taken))) }
     }
 
+    private fun onHolderStopped(
+        exchange: HttpExchange,
+        message: HandOverMessage,
+    ) {
+        val taken = shards.onHolderStopped(message)
+        exchange.respond(json(HandOverReply.serializer(), HandOverReply(taken)))
+    }
+
     private fun <T> json(
         type: KSerializer<T>,
         value: T,
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/peer/PeerClient.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/peer/PeerClient.kt
@@ -70,6 +70,22 @@
             onReply,
         )
 
+    /** Tells [member], which holds the shard of [message], that an earlier holder has stopped. */
+    fun announceStop(
+        member: FleetMember,
+        message: HandOverMessage,
+        onReply: (PeerReply<HandOverReply>) -> Unit,
+    ): HttpCall =
+        send(
+            member,
+            PeerPaths.STOPPED,
+            HandOverMessage.serializer(),
+            message,
+            HandOverReply.serializer(),
+            PING_TIMEOUT_MILLIS,
+            onReply,
+        )
+
     /** Asks [member] to store a durable job; its answer takes up to [timeoutMillis]. */
     fun persist(
         member: FleetMember,
@@ -218,6 +234,7 @@
     const val JOB = "/peer/job"
     const val PING = "/peer/ping"
     const val HAND_OVER = "/peer/hand-over"
+    const val STOPPED = "/peer/stopped"
     const val KEEP = "/peer/keep"
     const val KEPT_STATE = "/peer/kept-state"
     const val PENDING = "/peer/pending"
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/peer/PeerMessages.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/peer/PeerMessages.kt
@@ -101,16 +101,17 @@
     val revision: Long,
 )
 
-/** Reply to a [HandOverMessage]; [taken] is whether the peer holds the shard now. */
+/** Reply to a [HandOverMessage]; [taken] is whether the peer holds the shard now, later than the sender. */
 @Serializable
 internal data class HandOverReply(
     val taken: Boolean,
 )
 
 /**
- * Asks a peer to take over [shardId], whose store key has [revision] and which may have runs on [targets].
+ * Asks a peer to take over [shardId], whose store key has [revision] and which may have runs on [targets]; or tells the
+ * present holder that the one with [revision] has stopped.
  *
- * Unless [areAllRunsThere], other targets may have runs too.
+ * Unless [areAllRunsThere], other targets may have runs too. Holders up to [cutOffRevision] may be cut off and go on.
  */
 @Serializable
 internal data class HandOverMessage(
@@ -118,8 +119,9 @@
     val revision: Long,
     val targets: List<TargetMessage>,
     val areAllRunsThere: Boolean = false,
+    val cutOffRevision: Long? = null,
 ) {
-    fun toHandOver() = HandOver(targets.map { it.toTarget() }.toImmutableList(), areAllRunsThere)
+    fun toHandOver() = HandOver(targets.map { it.toTarget() }.toImmutableList(), areAllRunsThere, cutOffRevision)
 
     companion object {
         fun of(
@@ -130,6 +132,7 @@
             holding.revision,
             handOver.targets.map(TargetMessage::of),
             handOver.areAllRunsThere,
+            handOver.cutOffToken,
         )
     }
 }
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/relay/RelayedJob.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/relay/RelayedJob.kt
@@ -36,6 +36,9 @@
 
     /** Shard that accepted the job or may have; null while there is none. */
     private var acceptedBy: ShardId? = null
+
+    /** Fencing token of the first holder of [acceptedBy] that may have started tasks; 0 while there is none. */
+    private var firstFencingToken = 0L
     private var lastAdmission = Admission.EARLY
     private var ended = false
 
@@ -104,20 +107,25 @@
         lastAdmission = admission
         val number = ++requestNumber
         val previous = pendingRequest
-        val request =
-            shards.submit(holding, JobRequest(job, maxOf(1, deadlineMillis - now), admission, acceptedBy != null)) {
-                if (number == requestNumber) onReply(holding.shardId, it)
-            }
+        val remainingMillis = maxOf(1, deadlineMillis - now)
+        val message = JobRequest(job, remainingMillis, admission, acceptedBy != null, firstFencingToken)
+        val request = shards.submit(holding, message) { if (number == requestNumber) onReply(holding, it) }
         // A holder in this process may reply during the call, after which a later request is pending.
         if (number == requestNumber) pendingRequest = request
         // Cancelled after the new request is sent, because a holder drops a job that no request waits for.
         previous?.cancel()
-        loop.schedule(RESEND_MILLIS) { if (number == requestNumber && !ended) resend(holding.shardId) }
+        loop.schedule(RESEND_MILLIS) { if (number == requestNumber && !ended) resend(holding) }
+    }
+
+    /** Records that [holding] may have started tasks of the job. */
+    private fun onMayRun(holding: ShardHolding) {
+        if (acceptedBy == null) firstFencingToken = holding.revision
+        acceptedBy = holding.shardId
     }
 
     /** Sends the job again, because its connection may be broken; a holder answers every request for the same job. */
-    private fun resend(shardId: ShardId) {
-        acceptedBy = shardId
+    private fun resend(holding: ShardHolding) {
+        onMayRun(holding)
         if (loop.nowMillis() <
             deadlineMillis + ANSWER_SLACK_MILLIS
         ) {
@@ -128,7 +136,7 @@
     }
 
     private fun onReply(
-        shardId: ShardId,
+        holding: ShardHolding,
         reply: HolderReply,
     ) {
         if (ended) return
@@ -136,7 +144,7 @@
         requestNumber++
         when (reply) {
             is HolderReply.Decided -> {
-                onDecided(shardId, reply.outcome)
+                onDecided(holding, reply.outcome)
             }
 
             is HolderReply.NotAccepted -> {
@@ -144,14 +152,14 @@
             }
 
             is HolderReply.Lost -> {
-                acceptedBy = shardId
+                onMayRun(holding)
                 loop.schedule(RETRY_MILLIS, ::sendNext)
             }
         }
     }
 
     private fun onDecided(
-        shardId: ShardId,
+        holding: ShardHolding,
         outcome: JobOutcome,
     ) {
         when (outcome) {
@@ -168,11 +176,11 @@
             }
 
             is JobOutcome.NotRun -> {
-                onRefused(shardId, outcome)
+                onRefused(holding.shardId, outcome)
             }
 
             is JobOutcome.Moved -> {
-                acceptedBy = shardId
+                onMayRun(holding)
                 loop.schedule(MOVED_RETRY_MILLIS, ::sendNext)
             }
         }
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/shard/DecisionLog.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/shard/DecisionLog.kt
@@ -2,6 +2,7 @@
 
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.jackdawring.core.TargetId
+import io.jackdawring.core.shard.HandOver
 import io.jackdawring.core.shard.JobOutcome
 import io.jackdawring.core.shard.ShardDecision
 import io.jackdawring.core.shard.TaskKey
@@ -101,6 +102,17 @@
             "heldMillis" to decision.heldMillis,
         )
 
+    fun holderStopped(
+        fencingToken: Long,
+        handOver: HandOver,
+    ) = log(
+        "earlier holder has stopped",
+        "fencingToken" to fencingToken,
+        "knownTargets" to handOver.targets.size,
+        "allRunsThere" to handOver.areAllRunsThere,
+        "cutOffToken" to (handOver.cutOffToken ?: "none"),
+    )
+
     private fun onStartUnanswered(decision: ShardDecision.StartUnanswered) {
         metrics.startUnanswered()
         logRun("start not answered", decision.task, decision.attempt, decision.targetId, decision.reason)
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/shard/ShardHost.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/shard/ShardHost.kt
@@ -77,8 +77,20 @@
     /** Adds the targets that the previous holder knew. */
     fun inherit(handOver: HandOver) = dispatcher.inherit(handOver, loop.nowMillis())
 
-    /** Records that the shard is taken from a failure domain whose instances the store does not see. */
-    fun onAdopted() = dispatcher.onAdopted()
+    /** Records that earlier holders up to [fencingToken] may be cut off; with [isPredecessor], there was none since. */
+    fun onHoldersCutOff(
+        fencingToken: Long,
+        isPredecessor: Boolean,
+    ) = dispatcher.onHoldersCutOff(fencingToken, isPredecessor)
+
+    /** Records that the earlier holder with [fencingToken] has stopped, and what it knew then. */
+    fun onHolderStopped(
+        fencingToken: Long,
+        handOver: HandOver,
+    ) {
+        log.holderStopped(fencingToken, handOver)
+        dispatcher.onHolderStopped(fencingToken, handOver, loop.nowMillis())
+    }
 
     /** Records that the previous holder, which has failed since, was last known to hold the shard at [seenAtMillis]. */
     fun onPreviousHolderSeen(seenAtMillis: Long) = dispatcher.onPreviousHolderSeen(seenAtMillis)
