Test what is known of cut off holders at claims, relays and later holders

Tables for the single decisions behind the jobs that wait for a cut off holder: which holders have stopped, what a claim records, which holder a relay names, and what the present holder learns.

--- a/fleet/src/test/kotlin/io/jackdawring/fleet/HeldShardsTest.kt
+++ b/fleet/src/test/kotlin/io/jackdawring/fleet/HeldShardsTest.kt
@@ -21,6 +21,7 @@
 import org.junit.jupiter.api.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertNotNull
+import kotlin.test.assertNull
 
 class HeldShardsTest {
     private val loop = FakeControlLoop()
@@ -60,6 +61,37 @@
         assertEquals(listOf<JobOutcome>(JobOutcome.Moved), outcomes)
     }
 
+    /** Guards against a cut off holder that counts as stopped after further holders of its shard. */
+    @Test
+    fun `a shard that an instance takes from an adopter keeps what the store says of a cut off holder`() {
+        val claimed = store.put(FleetKeys.shard(SHARD), OTHER.encodeClaim(cutOffRevision = 3))
+        mirror.start()
+        loop.clock.advance(100)
+        shards.takeOver(HandOverMessage(SHARD, claimed, targets = emptyList(), cutOffRevision = 3)) {}
+        loop.clock.advance(100)
+        val directory = FleetDirectory().apply { update(mirror) }
+        assertEquals(SELF, directory.holdings[SHARD]?.holder)
+        assertEquals(3, directory.holdings[SHARD]?.cutOffRevision)
+        assertEquals(3, assertNotNull(shards.host(SHARD)).handOver().cutOffToken)
+    }
+
+    /** Guards against jobs that wait in vain for a holder that has stopped. */
+    @Test
+    fun `a holder learns that the cut off one has stopped`() {
+        val cutOff = store.put(FleetKeys.shard(SHARD), SELF.encode())
+        val claimed = store.put(FleetKeys.shard(SHARD), OTHER.encode())
+        mirror.start()
+        loop.clock.advance(100)
+        shards.takeOver(HandOverMessage(SHARD, claimed, targets = emptyList(), cutOffRevision = cutOff)) {}
+        loop.clock.advance(100)
+        val host = assertNotNull(shards.host(SHARD))
+        assertEquals(cutOff, host.handOver().cutOffToken)
+        assertEquals(true, shards.onHolderStopped(HandOverMessage(SHARD, cutOff, emptyList(), areAllRunsThere = true)))
+        assertNull(host.handOver().cutOffToken)
+        val later = HandOverMessage(SHARD, host.holding.revision, emptyList())
+        assertEquals(false, shards.onHolderStopped(later), "news of the present holder itself")
+    }
+
     private companion object {
         val SELF = FleetMember(InstanceId("a1"), "a1-1", FailureDomainId("a"), "10.0.0.1:1", 1.0)
         val OTHER = FleetMember(InstanceId("b1"), "b1-1", FailureDomainId("b"), "10.0.0.2:1", 1.0)
--- a/fleet/src/test/kotlin/io/jackdawring/fleet/relay/RelayedJobTest.kt
+++ b/fleet/src/test/kotlin/io/jackdawring/fleet/relay/RelayedJobTest.kt
@@ -27,6 +27,7 @@
     private class SentJob(
         val domain: String,
         val admission: Admission,
+        val firstFencingToken: Long,
         val onReply: (HolderReply) -> Unit,
     ) {
         var cancelled = false
@@ -52,7 +53,8 @@
             request: JobRequest,
             onReply: (HolderReply) -> Unit,
         ): ShardClient.PendingRequest {
-            val sentJob = SentJob(holding.shardId.failureDomain.value, request.admission, onReply)
+            val domain = holding.shardId.failureDomain.value
+            val sentJob = SentJob(domain, request.admission, request.firstFencingToken, onReply)
             sentJobs.add(sentJob)
             if (holding == local) replyInCall?.let(onReply)
             return ShardClient.PendingRequest { sentJob.cancelled = true }
@@ -188,6 +190,20 @@
                 assertEquals(listOf("a", "a"), sentTo)
                 assertIs<CallerAnswer.Ended>(answer)
             },
+            // Guards against a task that starts again while the first holder, which is cut off, runs it.
+            Row("a job whose shard moves twice names the first holder that may have started it") {
+                submit()
+                reply(HolderReply.NotAccepted)
+                shards.local = holding("a", revision = 5)
+                loop.clock.advance(20)
+                reply(HolderReply.Lost("reset"))
+                shards.local = holding("a", revision = 7)
+                loop.clock.advance(20)
+                reply(JobOutcome.Moved)
+                shards.local = holding("a", revision = 9)
+                loop.clock.advance(20)
+                assertEquals(listOf(0L, 0, 5, 5), shards.sentJobs.map { it.firstFencingToken })
+            },
             Row("without a local holder, a job is sent to another failure domain at once") {
                 shards.local = null
                 submit()
@@ -239,11 +255,13 @@
 
         fun lateBy(millis: Long) = JobOutcome.NotRun("full", maxOf(0, millis), lateMillis = millis)
 
-        fun holding(domain: String) =
-            ShardHolding(
-                ShardId(FailureDomainId(domain), 0),
-                FleetMember(InstanceId("h-$domain"), "1", FailureDomainId(domain), "10.0.0.1:1", 1.0),
-                1,
-            )
+        fun holding(
+            domain: String,
+            revision: Long = 1,
+        ) = ShardHolding(
+            ShardId(FailureDomainId(domain), 0),
+            FleetMember(InstanceId("h-$domain"), "1", FailureDomainId(domain), "10.0.0.1:1", 1.0),
+            revision,
+        )
     }
 }
