Keep runs of a cut off holder until its relays can send their jobs

What callers saw: after a long cut, tasks started from the beginning although their runs were at work. A new holder stops runs that no job claims within 0.9 s of the last sign of its predecessor.

The time counts from the moment in which the cut off holder says that it has stopped: its relays and their callers are alive until then. The test failed before with one stop.

--- a/core/src/main/kotlin/io/jackdawring/core/shard/CutOffHolders.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/CutOffHolders.kt
@@ -33,15 +33,21 @@
         applyStops()
     }
 
-    /** Records that the holder with [fencingToken] has stopped, and what it knew then. */
+    /**
+     * Records that the holder with [fencingToken] has stopped, and what it knew then.
+     *
+     * Returns whether that was a holder that may have been cut off.
+     */
     fun onStopped(
         fencingToken: Long,
         handOver: HandOver,
         nowMillis: Long,
-    ) {
+    ): Boolean {
+        val before = upToToken
         stops.addLast(Stop(fencingToken, handOver, nowMillis))
         if (stops.size > MAX_STOPS) stops.removeFirst()
         applyStops()
+        return upToToken != before
     }
 
     private fun applyStops() {
--- a/core/src/main/kotlin/io/jackdawring/core/shard/TargetControl.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/TargetControl.kt
@@ -51,7 +51,8 @@
         handOver: HandOver,
         nowMillis: Long,
     ) {
-        cutOffHolders.onStopped(fencingToken, handOver, nowMillis)
+        // Its relays send their jobs again only now.
+        if (cutOffHolders.onStopped(fencingToken, handOver, nowMillis)) onPreviousHolderSeen(nowMillis)
         registry.add(handOver.targets, nowMillis)
         targets.forEach { poller.poll(it, nowMillis) }
     }
--- a/testing/src/test/kotlin/io/jackdawring/testing/shard/StartAnswerTest.kt
+++ b/testing/src/test/kotlin/io/jackdawring/testing/shard/StartAnswerTest.kt
@@ -3,6 +3,7 @@
 import io.jackdawring.core.PauseGuard
 import io.jackdawring.core.TargetId
 import io.jackdawring.core.shard.Admission
+import io.jackdawring.core.shard.HandOver
 import io.jackdawring.core.shard.JobId
 import io.jackdawring.core.shard.JobOutcome
 import io.jackdawring.core.shard.JobRequest
@@ -24,6 +25,7 @@
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.toImmutableList
 import org.junit.jupiter.api.DynamicTest
+import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.TestFactory
 import kotlin.test.assertEquals
 
@@ -249,6 +251,24 @@
             }
         }
 
+    /** Guards against runs of a cut off holder that are stopped before its relays have sent their jobs again. */
+    @Test
+    fun `runs of a cut off holder that has just stopped wait for their jobs`() {
+        val holder = Holder()
+        holder.dispatcher.onHoldersCutOff(fencingToken = 1, isPredecessor = true)
+        holder.dispatcher.onPreviousHolderSeen(holder.nowMillis - 30_000)
+        holder.dispatcher.recover(persistentListOf(), attemptBase = 0, holder.nowMillis)
+        val handOver = HandOver(TARGETS.toImmutableList(), areAllRunsThere = true)
+        holder.dispatcher.onHolderStopped(1, handOver, holder.nowMillis)
+        holder.list(TARGETS.first().id, RunningRun(TaskKey(JOB.id, 0, 0, 0), attempt = 1))
+        holder.list(TARGETS.last().id)
+        holder.nowMillis += 400
+        holder.dispatcher.tick(holder.nowMillis)
+        holder.submit(mayRun = true)
+        assertEquals(0, holder.stops.size, "stops")
+        assertEquals(0, holder.starts.size, "starts beside the run")
+    }
+
     private companion object {
         val TARGETS = List(2) { FakeShardTarget("t$it").registration }
         val JOB = job("a")
