--- a/core/src/main/kotlin/io/jackdawring/core/shard/CutOffHolders.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/CutOffHolders.kt
@@ -23,9 +23,9 @@
     var areRunsKnown = true
         private set
 
-    /** Time at which the last of them was known to have stopped; null if there was none. */
-    var stoppedAtMillis: Long? = null
-        private set
+    /** Time at which the last holder from [fencingToken] on was known to have stopped; null if there was none. */
+    fun lastStopMillis(fencingToken: Long): Long? =
+        stops.filter { it.fencingToken >= fencingToken }.maxOfOrNull { it.atMillis }
 
     /** Records that holders up to [fencingToken] may be cut off. */
     fun onCutOff(fencingToken: Long) {
@@ -57,7 +57,6 @@
                 stops.firstOrNull { it.fencingToken >= token && (it.handOver.cutOffToken ?: 0) < token } ?: return
             upToToken = stop.handOver.cutOffToken
             areRunsKnown = areRunsKnown && stop.handOver.areAllRunsThere
-            stoppedAtMillis = maxOf(stoppedAtMillis ?: stop.atMillis, stop.atMillis)
         }
     }
 
--- a/core/src/main/kotlin/io/jackdawring/core/shard/HandOver.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/HandOver.kt
@@ -15,6 +15,8 @@
     val areAllRunsThere: Boolean,
     /** Fencing token up to which earlier holders may be cut off and go on with other targets; null if there is none. */
     val cutOffToken: Long? = null,
+    /** Whether the runs of durable jobs of such holders are over; they stop those themselves after a while. */
+    val areDurableRunsOver: Boolean = true,
 ) {
     companion object {
         /** For the first holder of a shard, which has no runs yet. */
--- a/core/src/main/kotlin/io/jackdawring/core/shard/PreviousRunsCheck.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/PreviousRunsCheck.kt
@@ -9,6 +9,9 @@
     /** Time of the first tick; null before. */
     private var heldSinceMillis: Long? = null
 
+    /** Whether a holder that may be cut off possibly runs durable jobs, unless it has stopped. */
+    var mayDurableRunsGoOn = false
+
     private val areAllListed: Boolean
         get() = registry.knowsAllWithRuns && cutOff.areRunsKnown && registry.targets.all { it.hasAnswered }
 
@@ -34,7 +37,7 @@
         return when {
             mayRunAtCutOffHolder || mayHaveMoreEnds() -> PreviousRuns.UNCERTAIN
             areAllListed -> PreviousRuns.LISTED
-            areLeasesOver(nowMillis) -> PreviousRuns.LEASES_ENDED
+            areLeasesOver(firstToken, nowMillis) -> PreviousRuns.LEASES_ENDED
             else -> PreviousRuns.UNCERTAIN
         }
     }
@@ -43,28 +46,39 @@
     private fun durableState(nowMillis: Long): PreviousRuns =
         when {
             mayHaveMoreEnds() -> PreviousRuns.UNCERTAIN
-            cutOff.upToToken == null && areAllListed -> PreviousRuns.LISTED
-            areLeasesOver(nowMillis) -> PreviousRuns.LEASES_ENDED
+            areDurableRunsListed(nowMillis) -> PreviousRuns.LISTED
+            areLeasesOver(Long.MAX_VALUE, nowMillis) -> PreviousRuns.LEASES_ENDED
             registry.firstListedAtMillis == null && areDurableRunsOver(nowMillis) -> PreviousRuns.LEASES_ENDED
             else -> PreviousRuns.UNCERTAIN
         }
 
     private fun mayHaveMoreEnds() = registry.targets.any { it.mayHaveMoreEnds }
 
-    private fun areLeasesOver(nowMillis: Long): Boolean {
+    /** Whether all leases are over, even of holders that had the job since [firstToken] and have stopped late. */
+    private fun areLeasesOver(
+        firstToken: Long,
+        nowMillis: Long,
+    ): Boolean {
         val listedAt = registry.firstListedAtMillis ?: return false
-        return nowMillis - maxOf(listedAt, cutOff.stoppedAtMillis ?: listedAt) >= maxLeaseMillis
+        return nowMillis - maxOf(listedAt, cutOff.lastStopMillis(firstToken) ?: listedAt) >= maxLeaseMillis
     }
 
+    private fun areDurableRunsListed(nowMillis: Long): Boolean {
+        val mayGoOn = mayDurableRunsGoOn && cutOff.upToToken != null && !isOwnershipOver(nowMillis)
+        return !mayGoOn && areAllListed
+    }
+
+    /** Whether the ownership of each earlier holder has expired since, and the leases of its durable runs have ended. */
+    private fun isOwnershipOver(nowMillis: Long): Boolean =
+        heldMillis(nowMillis) >= ShardOwnership.LIFETIME_MILLIS + 2 * maxLeaseMillis
+
     /**
      * Whether no run of a durable job that previous holders started goes on, not even on targets that are out of reach.
      *
      * A previous holder that is cut off stops such runs when its [ShardOwnership] expires.
      */
     fun areDurableRunsOver(nowMillis: Long): Boolean {
-        val since = heldSinceMillis ?: return false
-        if (mayHaveMoreEnds()) return false
-        val areKnown = cutOff.upToToken == null && areAllListed
-        return areKnown || nowMillis - since >= ShardOwnership.LIFETIME_MILLIS + 2 * maxLeaseMillis
+        if (heldSinceMillis == null || mayHaveMoreEnds()) return false
+        return areDurableRunsListed(nowMillis) || isOwnershipOver(nowMillis)
     }
 }
--- a/core/src/main/kotlin/io/jackdawring/core/shard/RealShardDispatcher.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/RealShardDispatcher.kt
@@ -82,12 +82,21 @@
         val outcome = lifecycle.findOutcome(id, nowMillis).takeUnless { it is JobOutcome.GivenUp && !request.mayRun }
         when {
             released -> effects.answer(waiter, JobOutcome.Moved)
-            known != null -> lifecycle.join(known, waiter)
+            known != null -> join(known, request, waiter)
             outcome != null -> effects.answer(waiter, outcome)
             else -> admit(request, waiter, nowMillis)
         }
     }
 
+    private fun join(
+        job: TrackedJob,
+        request: JobRequest,
+        waiter: WaiterId,
+    ) {
+        if (request.mayRun) job.firstFencingToken = minOf(job.firstFencingToken, request.firstFencingToken)
+        lifecycle.join(job, waiter)
+    }
+
     private fun admit(
         request: JobRequest,
         waiter: WaiterId,
--- a/core/src/main/kotlin/io/jackdawring/core/shard/TargetControl.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/TargetControl.kt
@@ -42,7 +42,9 @@
         isPredecessor: Boolean,
     ) {
         cutOffHolders.onCutOff(fencingToken)
-        if (isPredecessor) registry.knowsAllWithRuns = true
+        if (!isPredecessor) return
+        registry.knowsAllWithRuns = true
+        previousRunsCheck.mayDurableRunsGoOn = true
     }
 
     /** Records that the holder with [fencingToken] has stopped, and adds the targets that it knew. */
@@ -87,7 +89,8 @@
         val registrations = targets.filterNot { it.isHeldBack }.map { it.confirmedRegistration }.toImmutableList()
         val areLaterRunsKnown = previousRunsCheck.awaitedState(Long.MAX_VALUE, nowMillis) != PreviousRuns.UNCERTAIN
         val areAllRunsThere = registry.knowsAllWithRuns && cutOffHolders.areRunsKnown || areLaterRunsKnown
-        return HandOver(registrations, areAllRunsThere, cutOffHolders.upToToken)
+        val areDurableRunsOver = previousRunsCheck.areDurableRunsOver(nowMillis)
+        return HandOver(registrations, areAllRunsThere, cutOffHolders.upToToken, areDurableRunsOver)
     }
 
     /** Continues without a successor. */
@@ -103,6 +106,7 @@
     ) {
         onPreviousHolderSeen(nowMillis)
         handOver.cutOffToken?.let(cutOffHolders::onCutOff)
+        if (!handOver.areDurableRunsOver) previousRunsCheck.mayDurableRunsGoOn = true
         if (handOver.areAllRunsThere) registry.knowsAllWithRuns = true
         registry.add(handOver.targets, nowMillis)
         targets.forEach { poller.poll(it, nowMillis) }
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/FleetDirectory.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/FleetDirectory.kt
@@ -49,9 +49,14 @@
         val number = parts.lastOrNull()?.toIntOrNull()
         val holder = decodeMember(item)
         if (parts.size != SHARD_KEY_PARTS || number == null || holder == null) return null
-        val history = decode(item, HoldingHistory.serializer()) ?: return null
         val id = ShardId(FailureDomainId(parts.first()), number)
-        return ShardHolding(id, holder, item.revision, history.cutOffRevision)
+        return ShardHolding(id, holder, item.revision, decodeCutOffRevision(item))
+    }
+
+    /** As [ShardHolding.cutOffRevision]; if it cannot be read, all earlier holders may be cut off. */
+    private fun decodeCutOffRevision(item: StoreItem): Long? {
+        val history = decode(item, HoldingHistory.serializer()) ?: HoldingHistory(item.revision)
+        return history.cutOffRevision?.coerceAtMost(item.revision - 1)
     }
 
     private fun decodeMember(item: StoreItem): FleetMember? = decode(item, FleetMember.serializer())
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/HeldShards.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/HeldShards.kt
@@ -66,6 +66,7 @@
 
     /** Claims shards whose holder is missing or suspected, and hands back those of other failure domains. */
     fun maintain() {
+        stopped.announce()
         if (draining || !mirror.isLoaded) return
         val now = loop.nowMillis()
         for (id in directory.shardsOf(self.failureDomain) + abandoned.find(directory, now)) {
@@ -74,7 +75,6 @@
             if (election.shouldClaim(id, holding, directory.members.values, now)) claimFrom(id, holding)
         }
         hosts.values.toList().forEach(::returnToOwnDomain)
-        stopped.announce()
     }
 
     /** Hands over a shard of another failure domain once that domain has registered entry instances again. */
@@ -209,6 +209,7 @@
         undecided.remove(host)
         stopped.add(host.holding, host.handOver())
         host.release()
+        stopped.announce()
         onHeldChanged()
     }
 
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/RealShardClient.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/RealShardClient.kt
@@ -89,7 +89,7 @@
         }
         val holder = holding.holder
         val sentAtMillis = clocks.clockOf(holder, loop.nowMillis())
-        val message = JobMessage(self.instanceId.value, holding.shardId, request, sentAtMillis)
+        val message = JobMessage(self.instanceId.value, holding.shardId, request, sentAtMillis, holding.revision)
         pendingRequestCounts.merge(holder.instanceId, 1, Int::plus)
         val call =
             peers.submitJob(holder, message, request.remainingMillis + ANSWER_SLACK_MILLIS) {
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/StoppedHoldings.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/StoppedHoldings.kt
@@ -21,26 +21,29 @@
 ) {
     private class Entry(
         val message: HandOverMessage,
-        val expiresAtMillis: Long,
     ) {
         /** Revision of the newest holding that has been told; at first, that of the stopped one. */
         var toldRevision = message.revision
         var isInFlight = false
+
+        /** Time after which no later holder can have a job that was sent to the stopped one; null until one is told. */
+        var expiresAtMillis: Long? = null
     }
 
-    private val entries = ArrayList<Entry>()
+    private val entries = ArrayDeque<Entry>()
 
     /** Records that the holder in [holding] has stopped with [handOver]. */
     fun add(
         holding: ShardHolding,
         handOver: HandOver,
     ) {
-        entries.add(Entry(HandOverMessage.of(holding, handOver), loop.nowMillis() + RETENTION_MILLIS))
+        entries.addLast(Entry(HandOverMessage.of(holding, handOver)))
+        if (entries.size > MAX_ENTRIES) entries.removeFirst()
     }
 
     /** Tells the current holders what they have not been told yet. */
     fun announce() {
-        entries.removeIf { loop.nowMillis() >= it.expiresAtMillis }
+        entries.removeIf { entry -> entry.expiresAtMillis?.let { loop.nowMillis() >= it } == true }
         entries.toList().forEach(::announce)
     }
 
@@ -50,19 +53,30 @@
         val current = host?.holding ?: directory.holdings[id]
         if (current == null || current.revision <= entry.toldRevision || entry.isInFlight) return
         if (host != null) {
-            entry.toldRevision = current.revision
+            onTold(entry, current)
             host.onHolderStopped(entry.message.revision, entry.message.toHandOver())
             return
         }
         entry.isInFlight = true
         peers.announceStop(current.holder, entry.message) { reply ->
             entry.isInFlight = false
-            if (reply is PeerReply.Answered && reply.message.taken) entry.toldRevision = current.revision
+            if (reply is PeerReply.Answered && reply.message.taken) onTold(entry, current)
         }
     }
 
+    private fun onTold(
+        entry: Entry,
+        current: ShardHolding,
+    ) {
+        entry.toldRevision = current.revision
+        entry.expiresAtMillis = entry.expiresAtMillis ?: (loop.nowMillis() + RETENTION_MILLIS)
+    }
+
     private companion object {
-        /** Longer than the deadline of a job that was sent to the stopped holder. */
+        /** Time for which holders that follow the first one that was told are told too. */
         const val RETENTION_MILLIS = 10_000L
+
+        /** Bounds the holdings whose successors cannot be reached. */
+        const val MAX_ENTRIES = 16
     }
 }
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/peer/PeerApi.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/peer/PeerApi.kt
@@ -61,7 +61,7 @@
         message: JobMessage,
     ) {
         val host = hostOrReject(exchange, message.shardId) ?: return
-        if (isOutdated(message)) {
+        if (host.holding.revision < message.revision || isOutdated(message)) {
             exchange.respond(HttpResponseMessage(STATUS_NOT_HOLDER))
             return
         }
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/peer/PeerMessages.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/peer/PeerMessages.kt
@@ -17,6 +17,7 @@
  * Submits a job to the holder of [shardId]; [relay] is the entry instance that the caller is connected to.
  *
  * [sentAtMillis] is the time of sending on the holder's clock, or slightly earlier; null if the relay does not know it.
+ * [revision] is that of the holding to which it is sent; a holder with an earlier one does not accept the job.
  */
 @Serializable
 internal data class JobMessage(
@@ -24,6 +25,7 @@
     val shardId: ShardId,
     val request: JobRequest,
     val sentAtMillis: Long? = null,
+    val revision: Long = 0,
 )
 
 /** Outcome of a job; [kind] names a variant of [JobOutcome]. */
@@ -120,8 +122,12 @@
     val targets: List<TargetMessage>,
     val areAllRunsThere: Boolean = false,
     val cutOffRevision: Long? = null,
+    val areDurableRunsOver: Boolean = true,
 ) {
-    fun toHandOver() = HandOver(targets.map { it.toTarget() }.toImmutableList(), areAllRunsThere, cutOffRevision)
+    fun toHandOver(): HandOver {
+        val known = targets.map { it.toTarget() }.toImmutableList()
+        return HandOver(known, areAllRunsThere, cutOffRevision, areDurableRunsOver)
+    }
 
     companion object {
         fun of(
@@ -133,6 +139,7 @@
             handOver.targets.map(TargetMessage::of),
             handOver.areAllRunsThere,
             handOver.cutOffToken,
+            handOver.areDurableRunsOver,
         )
     }
 }
