Wait for any silent holder to stop, also within a failure domain

A successor of the same failure domain counted the longest lease from its first listed target. A previous holder that is only cut off, alone or with some targets, goes on with targets that the successor does not know, and it learns from common targets only at its next poll that it is fenced.

A holder whose claim follows one that is merely silent now records it as possibly cut off, as adopters do. A holder is known to have ended if its host refuses connections or if it denies to hold the shard; a connection that times out shows nothing, so refusals are told apart. Jobs of a holder that has ended wait for the longest lease as before.

--- a/core/src/main/kotlin/io/jackdawring/core/fleet/ShardElection.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/fleet/ShardElection.kt
@@ -17,6 +17,8 @@
         var lastHeardMillis: Long,
         var heardFrom: Boolean = false,
         var consecutiveRefusals: Int = 0,
+        /** Whether no process listens at the address of the member. */
+        var hasEnded: Boolean = false,
         var consecutiveDenials: Int = 0,
         /** Time of the last ping to which the member replied that it holds its shards; own pauses do not shift it. */
         var lastHoldingMillis: Long? = null,
@@ -25,6 +27,7 @@
         fun onClaimed(nowMillis: Long) {
             lastHeardMillis = nowMillis
             consecutiveRefusals = 0
+            hasEnded = false
             consecutiveDenials = 0
         }
 
@@ -107,15 +110,22 @@
         memberState.lastHeardMillis = nowMillis
         memberState.heardFrom = true
         memberState.consecutiveRefusals = 0
+        memberState.hasEnded = false
         return memberState
     }
 
-    /** Records that [instanceId] refused a connection; returns whether one more refusal decides on a suspicion. */
+    /**
+     * Records that no connection to [instanceId] was possible; returns whether one more such case decides on a suspicion.
+     *
+     * With [hasEnded], no process listens at its address; otherwise it may be cut off.
+     */
     fun onRefused(
         instanceId: InstanceId,
         nowMillis: Long,
+        hasEnded: Boolean = false,
     ): Boolean {
         val memberState = memberStates.getOrPut(instanceId) { MemberState(nowMillis) }
+        if (hasEnded) memberState.hasEnded = true
         memberState.consecutiveRefusals++
         return memberState.consecutiveRefusals == REFUSALS_FOR_SUSPICION - 1
     }
@@ -139,6 +149,14 @@
             nowMillis - memberState.lastHeardMillis >= SUSPECT_AFTER_MILLIS
     }
 
+    /** Whether the holder in [holding] is known not to act any more: its process has ended, or has released the shard. */
+    fun hasEnded(holding: ShardHolding): Boolean {
+        val holder = holding.holder
+        if (holder.instanceId == self.instanceId) return holder.incarnation != self.incarnation
+        val memberState = memberStates[holder.instanceId] ?: return false
+        return memberState.hasEnded || memberState.consecutiveDenials >= DENIALS_FOR_SUSPICION
+    }
+
     /** Whether the holder in [holding] has answered this instance and is not suspected. */
     fun isConfirmed(
         holding: ShardHolding,
--- a/core/src/main/kotlin/io/jackdawring/core/fleet/ShardHolding.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/fleet/ShardHolding.kt
@@ -8,12 +8,17 @@
     /** Revision up to which earlier holders were possibly cut off when this one claimed the shard; null if none was. */
     val cutOffRevision: Long? = null,
 ) {
-    /** As [cutOffRevision], for [claimant] that claims the shard because this holder is missing or suspected. */
-    fun cutOffRevisionFor(claimant: FleetMember): Long? {
+    /**
+     * As [cutOffRevision], for [claimant] that claims the shard because this holder is missing or suspected.
+     *
+     * A holder that is only silent may be cut off; one that [hasEnded] is not.
+     */
+    fun cutOffRevisionFor(
+        claimant: FleetMember,
+        hasEnded: Boolean,
+    ): Long? {
         // The claim succeeded without an answer, so this process has never held the shard with it.
         val isUnansweredClaim = holder.instanceId == claimant.instanceId && holder.incarnation == claimant.incarnation
-        val domain = shardId.failureDomain
-        val isAdopted = claimant.failureDomain != domain || holder.failureDomain != domain
-        return if (isAdopted && !isUnansweredClaim) revision else cutOffRevision
+        return if (hasEnded || isUnansweredClaim) cutOffRevision else revision
     }
 }
--- a/core/src/test/kotlin/io/jackdawring/core/fleet/ShardHoldingTest.kt
+++ b/core/src/test/kotlin/io/jackdawring/core/fleet/ShardHoldingTest.kt
@@ -12,19 +12,27 @@
         val name: String,
         val holder: FleetMember,
         val claimant: FleetMember,
+        val hasEnded: Boolean,
         val cutOffRevision: Long?,
         val expected: Long?,
     )
 
     private val rows =
         listOf(
-            Row("another instance of the domain", member("a1"), member("a2"), null, null),
-            Row("another instance of the domain, after a cut off holder", member("a1"), member("a2"), 3, 3),
-            Row("an instance of another domain", member("a1"), member("b1"), null, 7),
-            Row("an instance of another domain, from an adopter", member("b1"), member("c1"), 3, 7),
-            Row("an instance of the domain, from an adopter", member("b1"), member("a1"), 3, 7),
-            Row("the adopter, whose claim was not answered", member("b1"), member("b1"), 3, 3),
-            Row("the adopter, after a restart", member("b1"), member("b1").copy(incarnation = "b1-2"), 3, 7),
+            Row("a silent holder", member("a1"), member("a2"), false, null, 7),
+            Row("a silent holder, after a cut off one", member("a1"), member("a2"), false, 3, 7),
+            Row("a holder that has ended", member("a1"), member("a2"), true, null, null),
+            Row("a holder that has ended, after a cut off one", member("a1"), member("a2"), true, 3, 3),
+            Row("a silent adopter", member("b1"), member("a1"), false, 3, 7),
+            Row("the claimant itself, whose claim was not answered", member("b1"), member("b1"), false, 3, 3),
+            Row(
+                "the claimant itself, before a restart",
+                member("b1"),
+                member("b1").copy(incarnation = "2"),
+                true,
+                3,
+                3,
+            ),
         )
 
     @TestFactory
@@ -32,7 +40,7 @@
         rows.map { row ->
             DynamicTest.dynamicTest(row.name) {
                 val holding = ShardHolding(ShardId(FailureDomainId("a"), 0), row.holder, 7, row.cutOffRevision)
-                assertEquals(row.expected, holding.cutOffRevisionFor(row.claimant))
+                assertEquals(row.expected, holding.cutOffRevisionFor(row.claimant, row.hasEnded))
             }
         }
 
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/HeldShards.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/HeldShards.kt
@@ -113,7 +113,8 @@
         previous: ShardHolding?,
     ) {
         val seenAt = election.lastSeenMillis(id, loop.nowMillis())
-        claim(id, previous?.revision ?: 0, previous?.cutOffRevisionFor(self)) { taken ->
+        val cutOffRevision = previous?.let { it.cutOffRevisionFor(self, election.hasEnded(it)) }
+        claim(id, previous?.revision ?: 0, cutOffRevision) { taken ->
             if (taken && previous == null) hosts[id]?.inherit(HandOver.NONE)
             if (taken && seenAt != null) hosts[id]?.onPreviousHolderSeen(seenAt)
         }
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/PeerHealthMonitor.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/PeerHealthMonitor.kt
@@ -108,7 +108,7 @@
                 }
 
                 is PeerReply.NotSent -> {
-                    onRefused(holder, now)
+                    onRefused(holder, reply, now)
                 }
 
                 is PeerReply.Rejected, is PeerReply.Cancelled, is PeerReply.NoResponse -> {
@@ -121,9 +121,10 @@
     /** Tries to connect again soon, so that a shard whose holder has ended is not vacant until the next round. */
     private fun onRefused(
         member: FleetMember,
+        reply: PeerReply.NotSent,
         now: Long,
     ) {
-        if (shards.election.onRefused(member.instanceId, now)) {
+        if (shards.election.onRefused(member.instanceId, now, reply.refused)) {
             loop.schedule(REFUSAL_RETRY_MILLIS) { ping(member) }
         } else {
             shards.maintain()
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/RealShardClient.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/RealShardClient.kt
@@ -115,7 +115,7 @@
             }
 
             is PeerReply.NotSent -> {
-                shards.election.onRefused(holding.holder.instanceId, loop.nowMillis())
+                shards.election.onRefused(holding.holder.instanceId, loop.nowMillis(), reply.refused)
                 unreachableUntil[holding.holder.instanceId] = loop.nowMillis() + UNREACHABLE_MILLIS
                 HolderReply.NotAccepted
             }
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/peer/PeerClient.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/peer/PeerClient.kt
@@ -170,7 +170,7 @@
         when (result) {
             is HttpResult.Answered -> decodeBody(result.response, type)
             is HttpResult.NotSent ->
-                if (result.cancelled) PeerReply.Cancelled else PeerReply.NotSent(result.detail)
+                if (result.cancelled) PeerReply.Cancelled else PeerReply.NotSent(result.detail, result.refused)
             is HttpResult.NoResponse ->
                 if (result.cancelled) PeerReply.Cancelled else PeerReply.NoResponse(result.detail)
         }
@@ -213,9 +213,10 @@
         val status: Int,
     ) : PeerReply<Nothing>
 
-    /** No byte of the request was sent. */
+    /** No byte of the request was sent; with [refused], no process listens at the address of the peer. */
     class NotSent(
         val detail: String,
+        val refused: Boolean,
     ) : PeerReply<Nothing>
 
     /** The request was cancelled by its sender, which says nothing about the health of the peer. */
--- a/fleet/src/test/kotlin/io/jackdawring/fleet/HeldShardsTest.kt
+++ b/fleet/src/test/kotlin/io/jackdawring/fleet/HeldShardsTest.kt
@@ -64,6 +64,7 @@
     /** Guards against a cut off holder that counts as stopped after further holders of its shard. */
     @Test
     fun `a shard that an instance takes from an adopter keeps what the store says of a cut off holder`() {
+        repeat(3) { store.put(FleetKeys.shard(SHARD), OTHER.encode()) }
         val claimed = store.put(FleetKeys.shard(SHARD), OTHER.encodeClaim(cutOffRevision = 3))
         mirror.start()
         loop.clock.advance(100)
--- a/fleet/src/test/kotlin/io/jackdawring/fleet/model/FakePeerNetwork.kt
+++ b/fleet/src/test/kotlin/io/jackdawring/fleet/model/FakePeerNetwork.kt
@@ -84,7 +84,7 @@
             if (completed) return
             val listening = servers[to]
             if (listening == null || !listening.process.alive) {
-                links.transmit(to, from) { client.receive { complete(HttpResult.NotSent("refused")) } }
+                links.transmit(to, from) { client.receive { complete(HttpResult.NotSent("refused", refused = true)) } }
                 return
             }
             server = listening
--- a/server/src/main/kotlin/io/jackdawring/server/http/HttpClient.kt
+++ b/server/src/main/kotlin/io/jackdawring/server/http/HttpClient.kt
@@ -29,10 +29,15 @@
         val response: HttpResponseMessage,
     ) : HttpResult
 
-    /** No byte of the request was written; [cancelled] if that is due to [HttpCall.cancel] and not to the server. */
+    /**
+     * No byte of the request was written; [cancelled] if that is due to [HttpCall.cancel] and not to the server.
+     *
+     * With [refused], the host has answered that no process listens at the address.
+     */
     data class NotSent(
         val detail: String,
         val cancelled: Boolean = false,
+        val refused: Boolean = false,
     ) : HttpResult
 
     /**
--- a/server/src/main/kotlin/io/jackdawring/server/http/HttpConnectionPool.kt
+++ b/server/src/main/kotlin/io/jackdawring/server/http/HttpConnectionPool.kt
@@ -4,9 +4,11 @@
 import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
+import io.netty.channel.ConnectTimeoutException
 import io.netty.channel.EventLoop
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioSocketChannel
+import java.net.ConnectException
 import java.net.InetSocketAddress
 import java.util.concurrent.TimeUnit
 
@@ -81,6 +83,10 @@
             .addListener(ChannelFutureListener { future -> execute { onConnect(future.cause(), call) { connection } } })
     }
 
+    /** A timeout has the same type, but a host that is cut off does not refuse connections. */
+    private fun isRefusal(cause: Throwable) =
+        cause is ConnectException && cause !is ConnectTimeoutException && "refused" in cause.message.orEmpty()
+
     private fun onConnect(
         cause: Throwable?,
         call: PendingHttpCall,
@@ -89,7 +95,8 @@
         connecting--
         when {
             cause != null -> {
-                call.complete(HttpResult.NotSent("cannot connect to $address: ${cause.message}"))
+                val detail = "cannot connect to $address: ${cause.message}"
+                call.complete(HttpResult.NotSent(detail, refused = isRefusal(cause)))
                 serveWaiting()
             }
 
