Name the token of an earlier holder without the platform's word

The parameters that the wait for cut off holders added in core and fleet were named as the platform's field is. A rename only; the log field of the line 'earlier holder has stopped' follows. No behaviour, bound or assertion changes.

--- a/core/src/main/kotlin/io/jackdawring/core/shard/CutOffHolders.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/CutOffHolders.kt
@@ -8,7 +8,7 @@
  */
 internal class CutOffHolders {
     private class Stop(
-        val fencingToken: Long,
+        val holderToken: Long,
         val handOver: HandOver,
         val atMillis: Long,
     )
@@ -23,28 +23,28 @@
     var areRunsKnown = true
         private set
 
-    /** Time at which the last holder from [fencingToken] on was known to have stopped; null if there was none. */
-    fun lastStopMillis(fencingToken: Long): Long? =
-        stops.filter { it.fencingToken >= fencingToken }.maxOfOrNull { it.atMillis }
+    /** Time at which the last holder from [holderToken] on was known to have stopped; null if there was none. */
+    fun lastStopMillis(holderToken: Long): Long? =
+        stops.filter { it.holderToken >= holderToken }.maxOfOrNull { it.atMillis }
 
-    /** Records that holders up to [fencingToken] may be cut off. */
-    fun onCutOff(fencingToken: Long) {
-        upToToken = maxOf(upToToken ?: 0, fencingToken)
+    /** Records that holders up to [holderToken] may be cut off. */
+    fun onCutOff(holderToken: Long) {
+        upToToken = maxOf(upToToken ?: 0, holderToken)
         applyStops()
     }
 
     /**
-     * Records that the holder with [fencingToken] stopped at [stoppedAtMillis], and what it knew then.
+     * Records that the holder with [holderToken] stopped at [stoppedAtMillis], and what it knew then.
      *
      * Returns whether that was a holder that may have been cut off.
      */
     fun onStopped(
-        fencingToken: Long,
+        holderToken: Long,
         handOver: HandOver,
         stoppedAtMillis: Long,
     ): Boolean {
         val before = upToToken
-        stops.addLast(Stop(fencingToken, handOver, stoppedAtMillis))
+        stops.addLast(Stop(holderToken, handOver, stoppedAtMillis))
         if (stops.size > MAX_STOPS) stops.removeFirst()
         applyStops()
         return upToToken != before
@@ -54,7 +54,7 @@
         while (true) {
             val token = upToToken ?: return
             val stop =
-                stops.firstOrNull { it.fencingToken >= token && (it.handOver.cutOffToken ?: 0) < token } ?: return
+                stops.firstOrNull { it.holderToken >= token && (it.handOver.cutOffToken ?: 0) < token } ?: return
             upToToken = stop.handOver.cutOffToken
             areRunsKnown = areRunsKnown && stop.handOver.areAllRunsThere
         }
--- a/core/src/main/kotlin/io/jackdawring/core/shard/RealShardDispatcher.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/RealShardDispatcher.kt
@@ -58,18 +58,18 @@
     override fun onPreviousHolderSeen(seenAtMillis: Long) = control.onPreviousHolderSeen(seenAtMillis)
 
     override fun onHoldersCutOff(
-        fencingToken: Long,
+        holderToken: Long,
         isPredecessor: Boolean,
-    ) = control.onHoldersCutOff(fencingToken, isPredecessor)
+    ) = control.onHoldersCutOff(holderToken, isPredecessor)
 
     override fun onHolderStopped(
-        fencingToken: Long,
+        holderToken: Long,
         handOver: HandOver,
         stoppedAtMillis: Long,
         nowMillis: Long,
     ) {
         if (released) return
-        control.onHolderStopped(fencingToken, handOver, stoppedAtMillis, nowMillis)
+        control.onHolderStopped(holderToken, handOver, stoppedAtMillis, nowMillis)
         place(nowMillis)
     }
 
--- a/core/src/main/kotlin/io/jackdawring/core/shard/ShardDispatcher.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/ShardDispatcher.kt
@@ -44,19 +44,19 @@
     fun onPreviousHolderSeen(seenAtMillis: Long)
 
     /**
-     * Records that earlier holders up to [fencingToken] may be alive and cut off, with targets that this one may not know.
+     * Records that earlier holders up to [holderToken] may be alive and cut off, with targets that this one may not know.
      *
      * Jobs that callers wait for, and that were sent to one of them, are resumed only after [onHolderStopped]. With
      * [isPredecessor], there was no other holder since.
      */
     fun onHoldersCutOff(
-        fencingToken: Long,
+        holderToken: Long,
         isPredecessor: Boolean,
     )
 
-    /** Records that the earlier holder with [fencingToken] stopped at [stoppedAtMillis], and what it knew then. */
+    /** Records that the earlier holder with [holderToken] stopped at [stoppedAtMillis], and what it knew then. */
     fun onHolderStopped(
-        fencingToken: Long,
+        holderToken: Long,
         handOver: HandOver,
         stoppedAtMillis: Long,
         nowMillis: Long,
--- a/core/src/main/kotlin/io/jackdawring/core/shard/TargetControl.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/TargetControl.kt
@@ -36,26 +36,26 @@
         nowMillis: Long,
     ): PreviousRuns = previousRunsCheck.state(job, nowMillis)
 
-    /** Records that earlier holders up to [fencingToken] may be cut off; with [isPredecessor], there was none since. */
+    /** Records that earlier holders up to [holderToken] may be cut off; with [isPredecessor], there was none since. */
     fun onHoldersCutOff(
-        fencingToken: Long,
+        holderToken: Long,
         isPredecessor: Boolean,
     ) {
-        cutOffHolders.onCutOff(fencingToken)
+        cutOffHolders.onCutOff(holderToken)
         if (!isPredecessor) return
         registry.knowsAllWithRuns = true
         previousRunsCheck.mayDurableRunsGoOn = true
     }
 
-    /** Records that the holder with [fencingToken] stopped at [stoppedAtMillis], and adds the targets that it knew. */
+    /** Records that the holder with [holderToken] stopped at [stoppedAtMillis], and adds the targets that it knew. */
     fun onHolderStopped(
-        fencingToken: Long,
+        holderToken: Long,
         handOver: HandOver,
         stoppedAtMillis: Long,
         nowMillis: Long,
     ) {
         // Its relays do not send their jobs again before that.
-        if (cutOffHolders.onStopped(fencingToken, handOver, stoppedAtMillis)) onPreviousHolderSeen(stoppedAtMillis)
+        if (cutOffHolders.onStopped(holderToken, handOver, stoppedAtMillis)) onPreviousHolderSeen(stoppedAtMillis)
         registry.add(handOver.targets, nowMillis)
         targets.forEach { poller.poll(it, nowMillis) }
     }
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/shard/DecisionLog.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/shard/DecisionLog.kt
@@ -103,12 +103,12 @@
         )
 
     fun holderStopped(
-        fencingToken: Long,
+        holderToken: Long,
         handOver: HandOver,
         agoMillis: Long,
     ) = log(
         "earlier holder has stopped",
-        "fencingToken" to fencingToken,
+        "holderToken" to holderToken,
         "agoMillis" to agoMillis,
         "knownTargets" to handOver.targets.size,
         "allRunsThere" to handOver.areAllRunsThere,
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/shard/ShardHost.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/shard/ShardHost.kt
@@ -77,20 +77,20 @@
     /** Adds the targets that the previous holder knew. */
     fun inherit(handOver: HandOver) = dispatcher.inherit(handOver, loop.nowMillis())
 
-    /** Records that earlier holders up to [fencingToken] may be cut off; with [isPredecessor], there was none since. */
+    /** Records that earlier holders up to [holderToken] may be cut off; with [isPredecessor], there was none since. */
     fun onHoldersCutOff(
-        fencingToken: Long,
+        holderToken: Long,
         isPredecessor: Boolean,
-    ) = dispatcher.onHoldersCutOff(fencingToken, isPredecessor)
+    ) = dispatcher.onHoldersCutOff(holderToken, isPredecessor)
 
-    /** Records that the earlier holder with [fencingToken] stopped [agoMillis] ago, and what it knew then. */
+    /** Records that the earlier holder with [holderToken] stopped [agoMillis] ago, and what it knew then. */
     fun onHolderStopped(
-        fencingToken: Long,
+        holderToken: Long,
         handOver: HandOver,
         agoMillis: Long,
     ) {
-        log.holderStopped(fencingToken, handOver, agoMillis)
-        dispatcher.onHolderStopped(fencingToken, handOver, loop.nowMillis() - agoMillis, loop.nowMillis())
+        log.holderStopped(holderToken, handOver, agoMillis)
+        dispatcher.onHolderStopped(holderToken, handOver, loop.nowMillis() - agoMillis, loop.nowMillis())
     }
 
     /** Records that the previous holder, which has failed since, was last known to hold the shard at [seenAtMillis]. */
