Let a shard start nothing while its failure domain is evacuated

Cause: operators could take a failure domain out of use only by draining each target. Change: ShardDispatcher.updateEvacuated; jobs of which nothing has started are refused with a flag for the relay, started ones get a grace, copies and preemption stop, and after the return speeds are learned anew, apart from the runs of the cold phase.

--- a/core/src/main/kotlin/io/jackdawring/core/shard/CompletionForecast.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/CompletionForecast.kt
@@ -87,7 +87,7 @@
                 if (run.owner?.spec?.longRunning == true) continue
                 slots.add(slot(target, freeAtMillis(run, sample, nowMillis), sample))
             }
-            repeat(freeSlots(target.free, sample.spec.demand)) {
+            repeat(freeSlots(target, sample.spec.demand, nowMillis)) {
                 slots.add(slot(target, nowMillis.toDouble(), sample))
             }
         }
@@ -106,6 +106,17 @@
         return (if (isPreempted) minOf(endMillis, nowMillis + options.stopMillis) else endMillis).toDouble()
     }
 
+    private fun freeSlots(
+        target: TrackedTarget,
+        demand: Resources,
+        nowMillis: Long,
+    ): Int {
+        val fitting = freeSlots(target.free, demand)
+        // A target that may be cold gets one task until that has shown its speed.
+        val isSpeedUnknown = target.warmUp.includes(nowMillis) && !target.health.hasSpeed
+        return if (isSpeedUnknown) minOf(fitting, if (target.runs.isEmpty()) 1 else 0) else fitting
+    }
+
     private fun freeSlots(
         free: Resources,
         demand: Resources,
--- a/core/src/main/kotlin/io/jackdawring/core/shard/DurationEstimator.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/DurationEstimator.kt
@@ -37,6 +37,20 @@
         target.health.onDone(expected, observedMillis)
     }
 
+    /** As [onDone] for a run that started during the warm-up of [target]; it counts for the speed in that time only. */
+    fun onDoneWhileCold(
+        task: TrackedTask,
+        target: TrackedTarget,
+        observedMillis: Long,
+        nowMillis: Long,
+    ) {
+        if (target.warmUp.includes(nowMillis)) {
+            target.health.onDone(unitSpeedMillis(task.job.spec.queue, task.spec.estimateMillis), observedMillis)
+        } else {
+            target.health.clearFaults()
+        }
+    }
+
     companion object {
         /** Margin for runs that take longer than expected. */
         const val SAFETY_FACTOR = 1.15
--- a/core/src/main/kotlin/io/jackdawring/core/shard/JobAdmissionCheck.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/JobAdmissionCheck.kt
@@ -12,6 +12,8 @@
         admission: Admission,
         nowMillis: Long,
     ): AdmissionDecision {
+        val evacuation = control.evacuation
+        if (evacuation.isEvacuated && !job.started) return AdmissionDecision.Refused(evacuation.refuse(job))
         val completion = forecast.completionMillis(job, Timeliness.ON_TIME, control.targets, waiting, nowMillis)
         val undecidable = job.started || isWarmingUp(nowMillis)
         if (undecidable || completion != null && completion <= limitMillis(job, admission)) {
@@ -50,10 +52,14 @@
         return completion != null && completion <= job.latestUsefulMillis
     }
 
-    /** Whether the first answers of the targets may still be outstanding, so that no free capacity is known. */
+    /**
+     * Whether the first answers of the targets may still be outstanding, so that no free capacity is known, or the
+     * requests to evacuate their failure domain are.
+     */
     private fun isWarmingUp(nowMillis: Long): Boolean {
         val since = control.firstListedAtMillis ?: return true
-        return nowMillis - since < WARM_UP_MILLIS && control.targets.none { it.contact == TrackedTarget.Contact.HELD }
+        if (nowMillis - since >= WARM_UP_MILLIS) return false
+        return control.evacuation.isUnknown || control.targets.none { it.contact == TrackedTarget.Contact.HELD }
     }
 
     private fun refusal(
--- a/core/src/main/kotlin/io/jackdawring/core/shard/JobLifecycle.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/JobLifecycle.kt
@@ -166,7 +166,7 @@
             onLost(run, "a run of a long-running task ended", nowMillis)
             return
         }
-        if (!run.isAdopted) durations.onDone(task, run.target, nowMillis - run.sentAtMillis)
+        if (!run.isAdopted) recordDuration(run, task, nowMillis)
         task.runs.remove(run)
         if (!task.job.markDone(task) || !isOpen(task.job)) return
         stopRuns(task, "another copy completed", nowMillis)
@@ -174,6 +174,19 @@
         advance(task.job, nowMillis)
     }
 
+    private fun recordDuration(
+        run: TrackedRun,
+        task: TrackedTask,
+        nowMillis: Long,
+    ) {
+        val observedMillis = nowMillis - run.sentAtMillis
+        if (run.target.warmUp.includes(run.sentAtMillis)) {
+            durations.onDoneWhileCold(task, run.target, observedMillis, nowMillis)
+        } else {
+            durations.onDone(task, run.target, observedMillis)
+        }
+    }
+
     override fun onFailed(
         run: TrackedRun,
         nowMillis: Long,
--- a/core/src/main/kotlin/io/jackdawring/core/shard/JobOutcome.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/JobOutcome.kt
@@ -14,12 +14,14 @@
      * No task of the job has started or will start; the caller may retry after [retryAfterMillis].
      *
      * [lateMillis] is the time by which the forecast of this shard exceeds the job's objective, negative if it does not;
-     * null if no target can run the job.
+     * null if no target can run the job. With [isEvacuated], the failure domain starts nothing, so that only others can
+     * run the job.
      */
     data class NotRun(
         val reason: String,
         val retryAfterMillis: Long,
         val lateMillis: Long? = null,
+        val isEvacuated: Boolean = false,
     ) : JobOutcome
 
     /** The holder gave the job up; a task of it may have started. */
--- a/core/src/main/kotlin/io/jackdawring/core/shard/Placement.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/Placement.kt
@@ -16,6 +16,8 @@
         val requiredLabel: String?,
         /** Step of the task if the number of its tasks on a target is limited. */
         val limitedStep: Pair<JobId, Int>?,
+        /** Objective of the task's job if targets may be cold. */
+        val objectiveAtMillis: Long?,
     )
 
     /** Requirements for which earlier calls found no target since the queue was last searched to its end. */
@@ -26,6 +28,7 @@
         nowMillis: Long,
         mayStartDurable: Boolean,
     ) {
+        if (!control.evacuation.mayStartAny(nowMillis)) return
         var candidates = candidates(nowMillis)
         val unmet = HashSet<Requirements>()
         for (task in waiting.inOrder()) {
@@ -35,7 +38,7 @@
             if (!task.job.isAwaited(nowMillis) || task.job.isDurable && !mayStartDurable) continue
             // A run from an earlier submission of the job may still be stopping.
             if (control.isPresent(task.key) || !task.mayStart(nowMillis)) continue
-            val requirements = requirementsOf(task)
+            val requirements = requirementsOf(task, nowMillis)
             if (requirements in unmet || requirements in unmetBefore) continue
             if (unmet.size == MAX_UNMET) {
                 unmetBefore.addAll(unmet)
@@ -56,10 +59,15 @@
         unmetBefore.clear()
     }
 
-    private fun requirementsOf(task: TrackedTask): Requirements {
+    private fun requirementsOf(
+        task: TrackedTask,
+        nowMillis: Long,
+    ): Requirements {
+        val spec = task.spec
         val step = task.key.jobId to task.key.step
-        val limitedStep = step.takeIf { task.spec.maxPerTarget != null }
-        return Requirements(task.job.spec.service, task.spec.demand, task.spec.requiredLabel, limitedStep)
+        val limitedStep = step.takeIf { spec.maxPerTarget != null }
+        val objectiveAtMillis = task.job.objectiveAtMillis.takeIf { control.mayBeCold(nowMillis) }
+        return Requirements(task.job.spec.service, spec.demand, spec.requiredLabel, limitedStep, objectiveAtMillis)
     }
 
     /** The best of [candidates] for [task]; if none of them can take it, the best of all targets. */
--- a/core/src/main/kotlin/io/jackdawring/core/shard/RealShardDispatcher.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/RealShardDispatcher.kt
@@ -27,6 +27,8 @@
     private val hangDetector = HangDetector(control)
     private val stalled = StalledJobs(control, waiting, durable, lifecycle.previousRuns)
     private val ownership = ShardOwnership()
+    private val evacuation = control.evacuation
+    private val evacuatedJobs = EvacuatedJobs(lifecycle, effects)
     private var nextJobSequence = 0L
     private var released = false
 
@@ -46,6 +48,18 @@
     override fun targetViews(nowMillis: Long): ImmutableList<TargetView> =
         control.targets.map { it.toView(nowMillis) }.toImmutableList()
 
+    override fun updateEvacuated(
+        isEvacuated: Boolean?,
+        nowMillis: Long,
+        graceMillis: Long,
+    ) {
+        val wasEvacuated = evacuation.isEvacuated
+        if (released || !evacuation.update(isEvacuated)) return
+        if (evacuation.isEvacuated) evacuatedJobs.onEvacuated(nowMillis, graceMillis)
+        if (wasEvacuated) evacuatedJobs.onReturned(nowMillis)
+        place(nowMillis)
+    }
+
     override fun handOver(nowMillis: Long): HandOver = control.handOver(nowMillis)
 
     override fun cancelHandOver() = control.cancelHandOver()
@@ -106,6 +120,7 @@
         val spec = request.job
         val job = TrackedJob(spec, nextJobSequence++, nowMillis, nowMillis + request.remainingMillis)
         job.firstFencingToken = request.firstFencingToken
+        job.mayHaveRunBefore = request.mayRun
         if (request.mayRun && control.previousRuns(job, nowMillis) == PreviousRuns.UNCERTAIN) {
             job.started = true
             lifecycle.add(job, waiter)
@@ -332,7 +347,8 @@
         lifecycle.removeExpired(nowMillis)
         place(nowMillis)
         preempt(nowMillis)
-        if (waiting.isEmpty && !isOwnershipExpired && !pauses.isCatchingUp(nowMillis)) copies.start(nowMillis)
+        val mayCopy = waiting.isEmpty && !isOwnershipExpired && evacuation.isInService
+        if (mayCopy && !pauses.isCatchingUp(nowMillis)) copies.start(nowMillis)
     }
 
     private fun checkJob(
@@ -344,6 +360,8 @@
             orphanSince != null && nowMillis - orphanSince >= options.orphanTimeoutMillis -> abandon(job, nowMillis)
             nowMillis >= job.deadlineMillis -> giveUp(job, nowMillis)
             isHopeless(job, nowMillis) -> refuseLate(job, nowMillis)
+            evacuatedJobs.isStranded(job, nowMillis) ->
+                lifecycle.finish(job, JobOutcome.GivenUp("the failure domain is evacuated"), nowMillis)
         }
     }
 
@@ -389,8 +407,13 @@
     }
 
     private fun preempt(nowMillis: Long) {
-        // Only runs of durable jobs can be preempted.
-        if (durable.openJobs.isNotEmpty() && !waiting.isEmpty) preemption.freeCapacity(waiting, nowMillis)
+        // Only runs of durable jobs can be preempted; an evacuation stops no run.
+        if (durable.openJobs.isNotEmpty() &&
+            !waiting.isEmpty &&
+            evacuation.isInService
+        ) {
+            preemption.freeCapacity(waiting, nowMillis)
+        }
     }
 
     override fun release(nowMillis: Long) {
--- a/core/src/main/kotlin/io/jackdawring/core/shard/ShardDecision.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/ShardDecision.kt
@@ -96,6 +96,17 @@
         val crashes: Int,
     ) : ShardDecision
 
+    /**
+     * The failure domain of the shard's targets is evacuated, or has returned to service.
+     *
+     * [refusedJobs] were refused because of the evacuation so far; [waitingJobs] wait for a target.
+     */
+    data class EvacuationChanged(
+        val isEvacuated: Boolean,
+        val refusedJobs: Int,
+        val waitingJobs: Int,
+    ) : ShardDecision
+
     /** The holder's view of a target changed. */
     data class TargetChanged(
         val targetId: TargetId,
--- a/core/src/main/kotlin/io/jackdawring/core/shard/ShardDispatcher.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/ShardDispatcher.kt
@@ -19,6 +19,18 @@
         nowMillis: Long,
     )
 
+    /**
+     * Records whether the failure domain of the targets is evacuated; null if that is not known yet.
+     *
+     * Unless it is false, which it is at first, no task starts, except that jobs which this holder has started may start
+     * their remaining tasks for [graceMillis] after the evacuation became known.
+     */
+    fun updateEvacuated(
+        isEvacuated: Boolean?,
+        nowMillis: Long,
+        graceMillis: Long = 0,
+    )
+
     /** What a successor has to know; starts on further targets are held back until [cancelHandOver] or the release. */
     fun handOver(nowMillis: Long): HandOver
 
--- a/core/src/main/kotlin/io/jackdawring/core/shard/TargetControl.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/TargetControl.kt
@@ -12,7 +12,8 @@
 ) {
     /** Cost of the decisions about these targets. */
     val cost = DecisionCost()
-    private val registry = TargetRegistry(cost, ::report)
+    val evacuation = Evacuation()
+    private val registry = TargetRegistry(cost, evacuation, ::report)
     private val poller = TargetPoller(options, effects, ::mayRenewLease)
     private val stopper = RunStopper(effects)
     private val index = RunIndex()
@@ -100,6 +101,20 @@
         targets.forEach { it.isHeldBack = false }
     }
 
+    private var returnedAtMillis: Long? = null
+
+    /** Whether targets may be cold, so that they take some tasks and not others. */
+    fun mayBeCold(nowMillis: Long): Boolean = returnedAtMillis?.let { nowMillis - it < WarmUp.MAX_MILLIS } == true
+
+    /** Records that the targets may be used again and may be cold, so that their learned speeds no longer apply. */
+    fun onReturnedToService(nowMillis: Long) {
+        returnedAtMillis = nowMillis
+        for (target in targets) {
+            target.health.forgetSpeed()
+            target.warmUp.start(target.registration.warmUpMillis, nowMillis)
+        }
+    }
+
     /** Adds the targets that the previous holder knew. */
     fun inherit(
         handOver: HandOver,
@@ -481,6 +496,7 @@
             target.unansweredStarts.removeExpired(nowMillis)
             stopUnansweredStarts(target, nowMillis)
             checkSilence(target, nowMillis)
+            if (target.warmUp.takeEnd(nowMillis)) target.health.forgetSpeed()
             target.runs.values
                 .toList()
                 .forEach { checkRun(it, nowMillis) }
--- a/core/src/main/kotlin/io/jackdawring/core/shard/TargetHealth.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/TargetHealth.kt
@@ -20,6 +20,9 @@
     /** Speed relative to the declared durations; 1.0 before the first run. */
     val speed: Double get() = exp(logSpeed)
 
+    /** Whether a run has shown the speed. */
+    val hasSpeed: Boolean get() = samples > 0
+
     fun isSuspended(nowMillis: Long): Boolean = nowMillis < suspendedUntilMillis
 
     /** Whether only one run at a time is allowed, because no run has succeeded since the last suspension. */
@@ -29,13 +32,24 @@
         expectedAtUnitSpeedMillis: Double,
         observedMillis: Long,
     ) {
-        consecutiveFaults = 0
-        suspensions = 0
+        clearFaults()
         val ratio = ln((expectedAtUnitSpeedMillis / observedMillis.coerceAtLeast(1)).coerceIn(MIN_SPEED, MAX_SPEED))
         samples++
         logSpeed += maxOf(1.0 / samples, SPEED_WEIGHT) * (ratio - logSpeed)
     }
 
+    /** Records a run that has succeeded, and whose duration says nothing about the speed. */
+    fun clearFaults() {
+        consecutiveFaults = 0
+        suspensions = 0
+    }
+
+    /** Forgets the speed, which no longer applies. */
+    fun forgetSpeed() {
+        logSpeed = 0.0
+        samples = 0
+    }
+
     /** Records a fault; returns whether it suspends the target. */
     fun onFault(
         nowMillis: Long,
@@ -53,10 +67,8 @@
 
     /** Clears the record for a new incarnation of the target. */
     fun reset() {
-        logSpeed = 0.0
-        samples = 0
-        consecutiveFaults = 0
-        suspensions = 0
+        forgetSpeed()
+        clearFaults()
         suspendedUntilMillis = Long.MIN_VALUE
     }
 
--- a/core/src/main/kotlin/io/jackdawring/core/shard/TargetRegistry.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/TargetRegistry.kt
@@ -6,6 +6,7 @@
 /** Registry of a shard's targets: those in the platform's list, and those that left it but may still have runs. */
 internal class TargetRegistry(
     cost: DecisionCost,
+    private val evacuation: Evacuation,
     private val onChanged: (target: TrackedTarget, state: String, reason: String) -> Unit,
 ) {
     private val byId = LinkedHashMap<TargetId, TrackedTarget>()
@@ -71,7 +72,7 @@
     }
 
     private fun newTarget(registration: ShardTarget) =
-        TrackedTarget(registration, nextSequence++, byFreeCpu).apply { isHeldBack = isHandingOver }
+        TrackedTarget(registration, nextSequence++, byFreeCpu, evacuation).apply { isHeldBack = isHandingOver }
 
     /** Forgets targets that left the list, have no runs and may not start any. */
     fun forgetGone(nowMillis: Long) {
--- a/core/src/main/kotlin/io/jackdawring/core/shard/TargetSelector.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/TargetSelector.kt
@@ -14,7 +14,7 @@
         val demand = task.spec.demand
         val able =
             targets.candidates(demand.cpuMillis, nowMillis) {
-                demand.fitsInto(it.free) && canRun(it, task, nowMillis)
+                demand.fitsInto(it.free) && canRun(it, task, nowMillis) && !isTooCold(it, task, nowMillis)
             }
         return select(task, able.targets, nowMillis)
     }
@@ -29,6 +29,7 @@
         var bestCost = Double.MAX_VALUE
         for (target in targets) {
             if (!task.spec.demand.fitsInto(target.free) || !canRun(target, task, nowMillis)) continue
+            if (isTooCold(target, task, nowMillis)) continue
             val cost = cost(task, target, nowMillis)
             if (cost < bestCost) {
                 best = target
@@ -64,13 +65,34 @@
         return base + if (target === task.avoidedTarget) AVOIDED_COST else 0.0
     }
 
+    /**
+     * Whether [target] may be cold and should not get [task] beside its runs: until a run has shown how fast it is, or if
+     * the task would miss its objective.
+     */
+    private fun isTooCold(
+        target: TrackedTarget,
+        task: TrackedTask,
+        nowMillis: Long,
+    ): Boolean {
+        if (!target.warmUp.includes(nowMillis) || target.runs.isEmpty()) return false
+        val duration = durations.onTargetMillis(task, target, offRackFactor) * DurationEstimator.SAFETY_FACTOR
+        return !target.health.hasSpeed || nowMillis + duration > task.job.objectiveAtMillis
+    }
+
     companion object {
         private const val LATE_COST = 1e6
         private const val AVOIDED_COST = 1e9
 
+        /** Whether [target] may run tasks of new jobs. */
         fun isUsable(
             target: TrackedTarget,
             nowMillis: Long,
+        ): Boolean = target.evacuation.isInService && acceptsTasks(target, nowMillis)
+
+        /** Whether [target] may run tasks, apart from an evacuation of its failure domain. */
+        fun acceptsTasks(
+            target: TrackedTarget,
+            nowMillis: Long,
         ): Boolean =
             target.contact == TrackedTarget.Contact.HELD &&
                 target.isListed(nowMillis) &&
@@ -84,7 +106,8 @@
             task: TrackedTask,
             nowMillis: Long,
         ): Boolean =
-            isUsable(target, nowMillis) &&
+            acceptsTasks(target, nowMillis) &&
+                target.evacuation.mayStart(task.job, nowMillis) &&
                 matches(target, task) &&
                 !target.isReserved(nowMillis) &&
                 (target.runs.isEmpty() || !task.crashes.runsAlone(nowMillis)) &&
--- a/core/src/main/kotlin/io/jackdawring/core/shard/TargetsByFreeCpu.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/TargetsByFreeCpu.kt
@@ -18,7 +18,7 @@
         ordered.add(target)
     }
 
-    /** At most [MAX_CANDIDATES] usable, [wanted] targets with at least [cpuMillis] free, in descending order. */
+    /** At most [MAX_CANDIDATES] [wanted] targets that accept tasks, with at least [cpuMillis] free, in descending order. */
     fun candidates(
         cpuMillis: Int,
         nowMillis: Long,
@@ -28,7 +28,7 @@
         for (target in ordered) {
             cost.add()
             if (target.free.cpuMillis < cpuMillis) break
-            if (!wanted(target) || !TargetSelector.isUsable(target, nowMillis)) continue
+            if (!wanted(target) || !TargetSelector.acceptsTasks(target, nowMillis)) continue
             if (found.size == MAX_CANDIDATES) return Candidates(found, isComplete = false)
             found.add(target)
         }
--- a/core/src/main/kotlin/io/jackdawring/core/shard/TrackedJob.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/TrackedJob.kt
@@ -22,6 +22,9 @@
     /** Whether a start request for one of the tasks was, or may have been, sent by any holder. */
     var started = false
 
+    /** Whether the relay said that the job may have run when this holder got it first. */
+    var mayHaveRunBefore = false
+
     /** Fencing token of the first holder to which the job was sent; 0 if that is not known. */
     var firstFencingToken = 0L
     var withoutWaitersSinceMillis: Long? = null
--- a/core/src/main/kotlin/io/jackdawring/core/shard/TrackedTarget.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/TrackedTarget.kt
@@ -6,6 +6,7 @@
     /** Position of the target in the order of discovery. */
     val sequence: Int,
     private val byFreeCpu: TargetsByFreeCpu,
+    val evacuation: Evacuation,
 ) {
     var registration = registration
         set(value) {
@@ -55,6 +56,7 @@
     val runs = LinkedHashMap<TaskKey, TrackedRun>()
     val unansweredStarts = UnansweredStarts()
     val health = TargetHealth()
+    val warmUp = WarmUp()
     var contact = Contact.NEW
 
     /** Whether this holder has ever received the target's list of runs. */
--- a/testing/src/main/kotlin/io/jackdawring/testing/shard/FakeShard.kt
+++ b/testing/src/main/kotlin/io/jackdawring/testing/shard/FakeShard.kt
@@ -340,6 +340,12 @@
         }
     }
 
+    /** Tells the holder whether the failure domain is evacuated, null for not known yet. */
+    fun updateEvacuated(
+        isEvacuated: Boolean?,
+        graceMillis: Long = 0,
+    ) = holder.dispatcher.updateEvacuated(isEvacuated, nowMillis, graceMillis)
+
     /** Lets the holder offer the shard to a successor. */
     fun handOver(): HandOver = holder.dispatcher.handOver(nowMillis)
 
@@ -396,6 +402,11 @@
 
     val runningTasks: Int get() = targets.sumOf { it.runs.size }
 
+    fun runningTasksOn(target: FakeShardTarget): Int = target.runs.size
+
+    /** Speeds that the holder has learned of the targets. */
+    fun speeds(): List<Double> = holder.dispatcher.targetViews(nowMillis).map { it.speed }
+
     fun runningTasksOf(job: JobSpec): Int = targets.sumOf { target -> target.runs.keys.count { it.jobId == job.id } }
 
     val wasReplaced: Boolean get() = holders > 0
