Read requests to evacuate failure domains, and serve their callers elsewhere

Cause: holders and relays did not know of the key op/evacuate/ZONE. Change: with bounds.evacuateMs, the mirror of the configuration covers op/; StoredEvacuations tells holders and relays which domains are evacuated and how long the grace is. Relays skip evacuated domains and go on after a refusal because of an evacuation; status, log lines and metrics show it.

--- a/fleet/src/main/kotlin/io/jackdawring/fleet/FleetOptions.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/FleetOptions.kt
@@ -24,6 +24,8 @@
     val stopGraceMillis: Long,
     /** Time after its end for which the state of a durable job can be queried. */
     val durableRetentionMillis: Long,
+    /** Time after which nothing may start in a failure domain that is evacuated; null if evacuations are not used. */
+    val evacuateMillis: Long?,
 ) {
     /** Builds [FleetOptions]. */
     class Builder {
@@ -37,6 +39,7 @@
         var shard: ShardOptions = shardOptions()
         var stopGraceMillis: Long = 6_000
         var durableRetentionMillis: Long = 150_000
+        var evacuateMillis: Long? = null
 
         fun build() =
             FleetOptions(
@@ -50,6 +53,7 @@
                 shard,
                 stopGraceMillis,
                 durableRetentionMillis,
+                evacuateMillis,
             )
     }
 }
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/FleetStatus.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/FleetStatus.kt
@@ -17,6 +17,8 @@
     val members: List<Member>,
     val shards: List<Shard>,
     val held: List<HeldShard>,
+    /** The failure domains that are evacuated. */
+    val evacuated: List<String>,
 ) {
     /** The configuration that has been in effect for [ageMillis]. */
     @Serializable
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/HeldShards.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/HeldShards.kt
@@ -47,6 +47,7 @@
     private val unixMillis: () -> Long,
     private val pauses: PauseGuard,
     private val targetsOf: (ShardId) -> ImmutableCollection<ShardTarget>,
+    private val evacuations: DomainEvacuations = DomainEvacuations.Off,
     private val onHeldChanged: () -> Unit,
 ) {
     private val hosts = HashMap<ShardId, ShardHost>()
@@ -105,6 +106,12 @@
 
     fun onTargetsChanged() = hosts.values.forEach { it.updateTargets(targetsOf(it.holding.shardId)) }
 
+    fun onEvacuationsChanged() =
+        hosts.values.toList().forEach {
+            val domain = it.holding.shardId.failureDomain
+            it.updateEvacuated(evacuations.isEvacuated(domain), evacuations.graceMillis(domain))
+        }
+
     fun onRelayFailed(relay: InstanceId) = hosts.values.forEach { it.expireAll(relay.value) }
 
     /** Claims the shard [id], whose holder according to [previous] is missing or suspected. */
@@ -166,6 +173,8 @@
         logger.info { "acquired shard $name with fencing token ${holding.revision}" }
         val host = createHost(holding)
         holding.cutOffRevision?.let { host.onHoldersCutOff(it, isPredecessor = it == previousRevision) }
+        // Without a grace: this holder has started nothing yet.
+        host.updateEvacuated(evacuations.isEvacuated(holding.shardId.failureDomain), graceMillis = 0)
         hosts[holding.shardId] = host
         onHeldChanged()
         mirror.applyIfNewer(item)
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/RealFleetInstance.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/RealFleetInstance.kt
@@ -55,8 +55,20 @@
             TARGET_BATCH_DELAY_MILLIS,
             onChange = ::onTargetsChanged,
         )
+
+    /** Has the configuration, and the requests to evacuate failure domains if those are used. */
     private val configurationMirror =
-        StoreMirror(components.storeCodec.configurationKey, components.store, loop, onChange = ::onConfigurationChanged)
+        StoreMirror(
+            with(components.storeCodec) { if (options.evacuateMillis != null) operatorPrefix else configurationKey },
+            components.store,
+            loop,
+            onChange = ::onOperatorItemsChanged,
+        )
+    private val storedEvacuations =
+        options.evacuateMillis?.let {
+            StoredEvacuations(configurationMirror, components.storeCodec.evacuationPrefix, it, loop, metrics)
+        }
+    private val evacuations = storedEvacuations ?: DomainEvacuations.Off
     private var targetsByDomain = emptyMap<String, List<ShardTarget>>()
     private val shards =
         HeldShards(
@@ -73,12 +85,13 @@
             System::currentTimeMillis,
             pauses,
             ::targetsOf,
+            evacuations,
             ::onHeldChanged,
         )
     private val gossip = StoreGossip(fleetMirror, configurationMirror)
     private val peerHealth =
         PeerHealthMonitor(self, peers, shards, directory, gossip, loads, clocks, loop, ::openCallerListener)
-    private val shardClient = RealShardClient(self, shards, directory, peers, loads, clocks, loop)
+    private val shardClient = RealShardClient(self, shards, directory, peers, loads, clocks, loop, evacuations)
     private val relay = JobRelay(loop, shardClient, metrics, pauses)
     private val durableJobClient =
         RealDurableJobClient(directory.shardsOf(self.failureDomain), shards, directory, shardClient, peers)
@@ -179,6 +192,12 @@
             .orEmpty()
             .toImmutableList()
 
+    private fun onOperatorItemsChanged() {
+        // First, so that jobs which are refused now are not offered to a failure domain that is evacuated too.
+        if (storedEvacuations?.update() == true) shards.onEvacuationsChanged()
+        onConfigurationChanged()
+    }
+
     private fun onConfigurationChanged() {
         val item = configurationMirror[components.storeCodec.configurationKey] ?: return
         val decoded = components.storeCodec.decodeConfiguration(item) ?: return
@@ -232,6 +251,7 @@
                     FleetStatus.Shard(FleetKeys.shard(it.shardId), it.holder.instanceId, it.revision, suspected)
                 },
                 shards.held.mapNotNull { shards.host(it)?.describe() },
+                storedEvacuations?.domains.orEmpty().map { it.value },
             )
         return peerJson.encodeToString(FleetStatus.serializer(), status)
     }
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/RealShardClient.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/RealShardClient.kt
@@ -23,6 +23,7 @@
     private val loads: ShardLoads,
     private val clocks: PeerClocks,
     private val loop: ControlLoop,
+    private val evacuations: DomainEvacuations = DomainEvacuations.Off,
 ) : ShardClient {
     private val pendingRequestCounts = HashMap<InstanceId, Int>()
 
@@ -46,12 +47,26 @@
     override fun findLessLoadedHolders(job: JobSpec): List<ShardHolding> {
         val localPercent = loads.percent(localShard(job), job.service) ?: Int.MAX_VALUE
         val limitPercent = maxOf(localPercent - MIN_DIFFERENCE_PERCENT, LIKELY_ROOM_PERCENT)
-        val lessLoaded = findRemoteHolders(job).filter { (loadPercent(it, job) ?: 0) < limitPercent }
-        // Best of two choices: if all relays took the least loaded shard, they would overload it.
-        val firstTwo = lessLoaded.take(2).sortedBy { loadPercent(it, job) ?: LIKELY_ROOM_PERCENT }
-        return firstTwo + lessLoaded.drop(2)
+        return bestOfTwoFirst(findServableHolders(job).filter { (loadPercent(it, job) ?: 0) < limitPercent }, job)
     }
 
+    override fun findOtherHolders(job: JobSpec): List<ShardHolding> = bestOfTwoFirst(findServableHolders(job), job)
+
+    /** If all relays took the least loaded shard first, they would overload it. */
+    private fun bestOfTwoFirst(
+        holdings: List<ShardHolding>,
+        job: JobSpec,
+    ): List<ShardHolding> = holdings.take(2).sortedBy { loadPercent(it, job) ?: LIKELY_ROOM_PERCENT } + holdings.drop(2)
+
+    private fun findServableHolders(job: JobSpec) = findRemoteHolders(job).filterNot { isEvacuated(it.shardId) }
+
+    override fun isEvacuated(shardId: ShardId): Boolean = evacuations.isEvacuated(shardId.failureDomain) == true
+
+    override val isLocalEvacuated: Boolean get() = evacuations.isEvacuated(self.failureDomain) == true
+
+    override fun areAllEvacuated(refusedBy: Set<ShardId>): Boolean =
+        (directory.holdings.keys + directory.shardsOf(self.failureDomain)).all { it in refusedBy || isEvacuated(it) }
+
     private fun loadPercent(
         holding: ShardHolding,
         job: JobSpec,
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/StoreCodec.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/StoreCodec.kt
@@ -12,6 +12,12 @@
     /** Key of the current configuration. */
     val configurationKey: String
 
+    /** Prefix of all keys that operators write, [configurationKey] among them. */
+    val operatorPrefix: String
+
+    /** Prefix of the keys that request evacuations; the name of the failure domain follows. */
+    val evacuationPrefix: String
+
     /** The target in [item], or null if the item is malformed or the target is in an unknown state. */
     fun decodeTarget(item: StoreItem): ShardTarget?
 
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/durable/RealDurableJobClient.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/durable/RealDurableJobClient.kt
@@ -23,8 +23,11 @@
 
     override fun holding(shardId: ShardId): ShardHolding? = shards.host(shardId)?.holding ?: directory.holdings[shardId]
 
-    override fun candidates(job: JobSpec): List<ShardHolding> =
-        listOfNotNull(shardClient.findLocalHolder(job)) + shardClient.findRemoteHolders(job)
+    /** Evacuated failure domains store a job only if no other one can. */
+    override fun candidates(job: JobSpec): List<ShardHolding> {
+        val all = listOfNotNull(shardClient.findLocalHolder(job)) + shardClient.findRemoteHolders(job)
+        return all.filterNot { shardClient.isEvacuated(it.shardId) }.ifEmpty { all }
+    }
 
     override fun persist(
         holding: ShardHolding,
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/metrics/FleetMetrics.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/metrics/FleetMetrics.kt
@@ -9,6 +9,7 @@
 import io.jackdawring.server.metrics.counter
 import io.jackdawring.server.metrics.expose
 import io.prometheus.metrics.core.metrics.CounterWithCallback
+import io.prometheus.metrics.core.metrics.Gauge
 import io.prometheus.metrics.core.metrics.Histogram
 import io.prometheus.metrics.model.registry.PrometheusRegistry
 
@@ -47,6 +48,18 @@
             "jackdawring_decision_examinations",
             "Waiting tasks, targets and runs that the decisions of held shards have looked at.",
         )
+    private val evacuationRefusals =
+        registry.counter(
+            "jackdawring_evacuation_refusals",
+            "Jobs refused because a failure domain is evacuated, by the holder or the relay.",
+            "by",
+        )
+    private val evacuatedDomains =
+        Gauge
+            .builder()
+            .name("jackdawring_evacuated_domains")
+            .help("Failure domains that are evacuated.")
+            .register(registry)
     private val targetChanges =
         registry.counter("jackdawring_target_changes", "Changes of belief about targets, by new state.", "state")
     private val shardChanges =
@@ -96,6 +109,11 @@
 
     fun targetChanged(state: String) = targetChanges.labelValues(state).inc()
 
+    /** Counts a job that was refused because of an evacuation, [by] the holder or the relay. */
+    fun evacuationRefused(by: String) = evacuationRefusals.labelValues(by).inc()
+
+    fun evacuatedDomains(count: Int) = evacuatedDomains.set(count.toDouble())
+
     fun shardAcquired() = shardChanges.labelValues("taken").inc()
 
     fun shardReleased() = shardChanges.labelValues("let-go").inc()
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/peer/PeerMessages.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/peer/PeerMessages.kt
@@ -35,12 +35,13 @@
     val reason: String = "",
     val retryAfterMillis: Long = 0,
     val lateMillis: Long? = null,
+    val isEvacuated: Boolean = false,
 ) {
     fun toOutcome(): JobOutcome =
         when (kind) {
             Kind.COMPLETED -> JobOutcome.Completed
             Kind.FAILED -> JobOutcome.Failed(reason)
-            Kind.NOT_RUN -> JobOutcome.NotRun(reason, retryAfterMillis, lateMillis)
+            Kind.NOT_RUN -> JobOutcome.NotRun(reason, retryAfterMillis, lateMillis, isEvacuated)
             Kind.GIVEN_UP -> JobOutcome.GivenUp(reason)
             Kind.MOVED -> JobOutcome.Moved
         }
@@ -58,6 +59,7 @@
                         outcome.reason,
                         outcome.retryAfterMillis,
                         outcome.lateMillis,
+                        outcome.isEvacuated,
                     )
                 is JobOutcome.GivenUp -> OutcomeMessage(Kind.GIVEN_UP, outcome.reason)
                 is JobOutcome.Moved -> OutcomeMessage(Kind.MOVED)
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/relay/JobRelay.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/relay/JobRelay.kt
@@ -23,7 +23,7 @@
         waitMillis: Long,
         onAnswer: (CallerAnswer) -> Unit,
     ): RelayedJob =
-        RelayedJob(job, waitMillis, loop, shards) { answer, ageMillis ->
+        RelayedJob(job, waitMillis, loop, shards, { metrics.evacuationRefused(by = "relay") }) { answer, ageMillis ->
             metrics.jobAnswered(job.queue, answer, ageMillis)
             onAnswer(answer)
         }.also { relayed ->
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/relay/RelayedJob.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/relay/RelayedJob.kt
@@ -24,6 +24,7 @@
     waitMillis: Long,
     private val loop: ControlLoop,
     private val shards: ShardClient,
+    private val onRefusedAsEvacuated: () -> Unit,
     private val onAnswer: (answer: CallerAnswer, ageMillis: Long) -> Unit,
 ) {
     private val arrivedAtMillis = loop.nowMillis()
@@ -34,6 +35,9 @@
     /** Shards that have refused the job. */
     private val refusals = LinkedHashMap<ShardId, JobOutcome.NotRun>()
 
+    /** Shards that have refused the job because their failure domain is evacuated. */
+    private val evacuated = LinkedHashSet<ShardId>()
+
     /** Shard that accepted the job or may have; null while there is none. */
     private var acceptedBy: ShardId? = null
 
@@ -56,6 +60,7 @@
         val holding = nextHolder()
         when {
             holding != null -> sendTo(holding, nextAdmission(), now)
+            acceptedBy == null && refusals.isEmpty() && shards.areAllEvacuated(evacuated) -> refuseAsEvacuated()
             now >= deadlineMillis -> answer(unservedAnswer("no holder until the caller's deadline"))
             acceptedBy == null && refusals.isNotEmpty() -> sendLastOffer(now)
             acceptedBy == null && now - arrivedAtMillis > job.objectiveMillis / HOLDER_WAIT_DIVISOR ->
@@ -68,14 +73,16 @@
 
     private fun nextHolder(): ShardHolding? {
         acceptedBy?.let { return shards.findHolding(it) }
-        val local = shards.findLocalHolder(job)
-        if (local != null && local.shardId !in refusals) return local
+        val local = if (shards.isLocalEvacuated) null else shards.findLocalHolder(job)
+        if (local != null && local.shardId !in refusals && local.shardId !in evacuated) return local
         return nextOther()
     }
 
     private fun nextOther(): ShardHolding? {
         if (refusals.size > MAX_OTHER_SHARDS) return null
-        return shards.findLessLoadedHolders(job).firstOrNull { it.shardId !in refusals }
+        val isLocalOut = shards.isLocalEvacuated || shards.findLocalHolder(job)?.let { it.shardId in evacuated } == true
+        val others = if (isLocalOut) shards.findOtherHolders(job) else shards.findLessLoadedHolders(job)
+        return others.firstOrNull { it.shardId !in refusals && it.shardId !in evacuated }
     }
 
     /** A shard is asked to serve the job early as long as there is another one that may do so instead. */
@@ -88,7 +95,7 @@
     private fun sendLastOffer(now: Long) {
         val holding =
             refusals.entries
-                .filter { it.value.lateMillis != null }
+                .filter { it.value.lateMillis != null && !shards.isEvacuated(it.key) }
                 .sortedBy { it.value.lateMillis }
                 .firstNotNullOfOrNull { shards.findHolding(it.key) }
         if (lastAdmission == Admission.EARLY && holding != null) {
@@ -176,7 +183,7 @@
             }
 
             is JobOutcome.NotRun -> {
-                onRefused(holding.shardId, outcome)
+                onRefused(holding, outcome)
             }
 
             is JobOutcome.Moved -> {
@@ -187,10 +194,17 @@
     }
 
     private fun onRefused(
-        shardId: ShardId,
+        holding: ShardHolding,
         refusal: JobOutcome.NotRun,
     ) {
+        val shardId = holding.shardId
+        // The first holder that may have run the job knows that it has not.
+        val hasNotRun = acceptedBy == null || refusal.isEvacuated && holding.revision == firstFencingToken
         when {
+            refusal.isEvacuated && hasNotRun -> {
+                onEvacuated(shardId)
+            }
+
             acceptedBy != null -> {
                 answer(unservedAnswer(refusal.reason))
             }
@@ -206,6 +220,21 @@
         }
     }
 
+    /** Continues with other failure domains; the refusal does not count as the answer to one of the offers. */
+    private fun onEvacuated(shardId: ShardId) {
+        acceptedBy = null
+        firstFencingToken = 0
+        lastAdmission = Admission.EARLY
+        refusals.remove(shardId)
+        evacuated.add(shardId)
+        sendNext()
+    }
+
+    private fun refuseAsEvacuated() {
+        onRefusedAsEvacuated()
+        answer(CallerAnswer.NotRun("all failure domains are evacuated", EVACUATED_RETRY_MILLIS))
+    }
+
     private fun unservedAnswer(reason: String): CallerAnswer =
         if (acceptedBy != null) CallerAnswer.GivenUp(reason) else CallerAnswer.NotRun(reason, NO_HOLDER_RETRY_MILLIS)
 
@@ -238,7 +267,7 @@
                     "reason" to reason,
                     "ageMillis" to ageMillis,
                     "objectiveMillis" to job.objectiveMillis,
-                    "refusedBy" to refusals.keys.joinToString { it.failureDomain.value },
+                    "refusedBy" to (refusals.keys + evacuated).joinToString { it.failureDomain.value },
                     "takenBy" to acceptedBy?.failureDomain?.value.orEmpty(),
                 )
         }
@@ -260,6 +289,9 @@
         /** About the duration of a take-over. */
         const val NO_HOLDER_RETRY_MILLIS = 1_000L
 
+        /** Nothing is known of the time at which a failure domain returns to service. */
+        const val EVACUATED_RETRY_MILLIS = 5_000L
+
         /** Bounds the delay by a broken connection; most jobs end earlier. */
         const val RESEND_MILLIS = 700L
 
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/relay/ShardClient.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/relay/ShardClient.kt
@@ -21,6 +21,18 @@
      */
     fun findLessLoadedHolders(job: JobSpec): List<ShardHolding>
 
+    /** Holders of shards in other failure domains that are not evacuated, however loaded, in the order to try them. */
+    fun findOtherHolders(job: JobSpec): List<ShardHolding>
+
+    /** Whether the local failure domain is evacuated, so that its holder is not asked. */
+    val isLocalEvacuated: Boolean
+
+    /** Whether the failure domain of the targets of [shardId] is known to be evacuated. */
+    fun isEvacuated(shardId: ShardId): Boolean
+
+    /** Whether all failure domains with a holder are evacuated; those of the shards in [refusedBy] count as such. */
+    fun areAllEvacuated(refusedBy: Set<ShardId>): Boolean
+
     /** Sends [request] to the holder in [holding]; [onReply] is called at most once. */
     fun submit(
         holding: ShardHolding,
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/shard/DecisionLog.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/shard/DecisionLog.kt
@@ -31,6 +31,7 @@
             is ShardDecision.StartUnanswered -> onStartUnanswered(decision)
             is ShardDecision.RunStopRequested -> onStopRequested(decision)
             is ShardDecision.TargetCrashed -> onTargetCrashed(decision)
+            is ShardDecision.EvacuationChanged -> onEvacuationChanged(decision)
             is ShardDecision.TargetChanged -> onTargetChanged(decision)
         }
     }
@@ -48,6 +49,7 @@
     private fun onAnswered(decision: ShardDecision.JobAnswered) {
         val outcome = decision.outcome
         metrics.shardAnswered(outcome)
+        if (outcome is JobOutcome.NotRun && outcome.isEvacuated) metrics.evacuationRefused(by = "holder")
         log(
             "job answered",
             "job" to decision.jobId.value,
@@ -152,6 +154,13 @@
         )
     }
 
+    private fun onEvacuationChanged(decision: ShardDecision.EvacuationChanged) =
+        log(
+            if (decision.isEvacuated) "evacuation has begun" else "evacuation has ended",
+            "refusedJobs" to decision.refusedJobs,
+            "waitingJobs" to decision.waitingJobs,
+        )
+
     private fun onTargetChanged(decision: ShardDecision.TargetChanged) {
         metrics.targetChanged(decision.state)
         log("target ${decision.state}", "target" to decision.targetId.value, "reason" to decision.reason)
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/shard/ShardHost.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/shard/ShardHost.kt
@@ -74,6 +74,12 @@
 
     fun updateTargets(listed: ImmutableCollection<ShardTarget>) = dispatcher.updateTargets(listed, loop.nowMillis())
 
+    /** As [ShardDispatcher.updateEvacuated]. */
+    fun updateEvacuated(
+        isEvacuated: Boolean?,
+        graceMillis: Long,
+    ) = dispatcher.updateEvacuated(isEvacuated, loop.nowMillis(), graceMillis)
+
     /** Adds the targets that the previous holder knew. */
     fun inherit(handOver: HandOver) = dispatcher.inherit(handOver, loop.nowMillis())
 
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/store/StoreMirror.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/store/StoreMirror.kt
@@ -26,6 +26,10 @@
     var confirmedAtMillis: Long? = null
         private set
 
+    /** Former value of [confirmedAtMillis]: time of the question whose answer lacked what the last answer has. */
+    var confirmedBeforeMillis: Long? = null
+        private set
+
     /** Whether the first list is complete. */
     var isLoaded = false
         private set
@@ -82,7 +86,7 @@
             when (result) {
                 is ListResult.Listed -> {
                     replace(result)
-                    confirmedAtMillis = askedAtMillis
+                    onConfirmed(askedAtMillis)
                     watch()
                     onChange()
                 }
@@ -113,7 +117,7 @@
                 is WatchResult.Changed -> {
                     onReachable()
                     apply(result)
-                    confirmedAtMillis = askedAtMillis
+                    onConfirmed(askedAtMillis)
                     watchAgain(startedIn)
                     if (result.events.isNotEmpty()) onChange()
                 }
@@ -149,6 +153,11 @@
         revision = maxOf(revision, changed.revision)
     }
 
+    private fun onConfirmed(askedAtMillis: Long) {
+        confirmedBeforeMillis = confirmedAtMillis
+        confirmedAtMillis = askedAtMillis
+    }
+
     private fun onReachable() {
         if (failureCount > 0) logger.info { "store is reachable again for $prefix after $failureCount failures" }
         failureCount = 0
--- a/fleet/src/test/kotlin/io/jackdawring/fleet/model/FakeEntryInstance.kt
+++ b/fleet/src/test/kotlin/io/jackdawring/fleet/model/FakeEntryInstance.kt
@@ -6,6 +6,7 @@
 import io.jackdawring.core.fleet.FleetMember
 import io.jackdawring.core.fleet.ShardId
 import io.jackdawring.core.shard.ShardTarget
+import io.jackdawring.fleet.DomainEvacuations
 import io.jackdawring.fleet.FleetDirectory
 import io.jackdawring.fleet.FleetKeys
 import io.jackdawring.fleet.HeldShards
@@ -14,6 +15,7 @@
 import io.jackdawring.fleet.RealShardClient
 import io.jackdawring.fleet.ShardLoads
 import io.jackdawring.fleet.StoreGossip
+import io.jackdawring.fleet.StoredEvacuations
 import io.jackdawring.fleet.durable.DurableJobRequests
 import io.jackdawring.fleet.durable.RealDurableJobClient
 import io.jackdawring.fleet.fleetOptions
@@ -47,7 +49,11 @@
     private val fleetMirror = StoreMirror(FleetKeys.ROOT, store, process, onChange = ::onFleetChanged)
     private val targetMirror =
         StoreMirror(FakeFleet.TARGETS, store, process, TARGET_BATCH_DELAY_MILLIS, onChange = ::onTargetsChanged)
-    private val configurationMirror = StoreMirror("configuration", store, process) {}
+    private val operatorMirror =
+        StoreMirror(FakeFleet.OPERATOR_ITEMS, store, process, onChange = ::onOperatorItemsChanged)
+    private val storedEvacuations =
+        fleet.evacuateMillis?.let { StoredEvacuations(operatorMirror, FakeFleet.EVACUATIONS, it, process, metrics) }
+    private val evacuations = storedEvacuations ?: DomainEvacuations.Off
     private val shards =
         HeldShards(
             self,
@@ -63,11 +69,12 @@
             { UNIX_MILLIS + fleet.clock.nowMillis },
             pauses,
             ::targetsOf,
+            evacuations,
             ::updateTargetWatch,
         )
-    private val gossip = StoreGossip(fleetMirror, configurationMirror)
+    private val gossip = StoreGossip(fleetMirror, operatorMirror)
     private val peerHealth = PeerHealthMonitor(self, peers, shards, directory, gossip, loads, clocks, process) {}
-    private val shardClient = RealShardClient(self, shards, directory, peers, loads, clocks, process)
+    private val shardClient = RealShardClient(self, shards, directory, peers, loads, clocks, process, evacuations)
     private val registration = MemberRegistration(self, store, process, fleetMirror::applyIfNewer)
     private val peerApi =
         PeerApi(self.incarnation, shards, process, loads, gossip::itemsNewerThan, peerHealth::onPeerRequest)
@@ -86,6 +93,7 @@
     init {
         fleet.network.listen(id, process, peerApi::handle)
         fleetMirror.start()
+        if (fleet.evacuateMillis != null) operatorMirror.start()
         process.repeatEvery(PeerHealthMonitor.PING_INTERVAL_MILLIS, ::runRound)
         process.repeatEvery(PAUSE_TICK_MILLIS) {
             pauses.onTick(process.nowMillis())
@@ -111,6 +119,10 @@
         shards.maintain()
     }
 
+    private fun onOperatorItemsChanged() {
+        if (storedEvacuations?.update() == true) shards.onEvacuationsChanged()
+    }
+
     private fun onTargetsChanged() = shards.onTargetsChanged()
 
     private fun targetsOf(shardId: ShardId): ImmutableCollection<ShardTarget> =
--- a/fleet/src/test/kotlin/io/jackdawring/fleet/model/FakeFleet.kt
+++ b/fleet/src/test/kotlin/io/jackdawring/fleet/model/FakeFleet.kt
@@ -25,6 +25,8 @@
     targetsPerDomain: Int,
     val random: SplittableRandom = SplittableRandom(1),
     label: (domain: String) -> String? = { null },
+    /** As in the settings; null if evacuations are not used. */
+    val evacuateMillis: Long? = null,
     targetClockRate: () -> Double = { 1.0 },
 ) {
     val clock = VirtualClock()
@@ -232,6 +234,18 @@
         store.commit(StoreChange(removals = persistentListOf("$TARGETS$target")))
     }
 
+    /** Requests that nothing starts on the targets of [domain]. */
+    fun evacuate(domain: String) {
+        trace.add("$domain is evacuated")
+        val request = StoreChange.Write("$EVACUATIONS$domain", ByteArray(0))
+        store.commit(StoreChange(writes = persistentListOf(request)))
+    }
+
+    fun withdrawEvacuation(domain: String) {
+        trace.add("$domain returns to service")
+        store.commit(StoreChange(removals = persistentListOf("$EVACUATIONS$domain")))
+    }
+
     fun targetsOf(domain: String): List<String> = targets.keys.filter { it.startsWith("$domain-") }
 
     fun demandOf(task: TaskKey): Resources = jobs.getValue(task.jobId).steps[task.step].demand
@@ -250,6 +264,8 @@
     companion object {
         const val SERVICE = "orders"
         const val TARGETS = "targets/"
+        const val OPERATOR_ITEMS = "operators/"
+        const val EVACUATIONS = "operators/evacuate/"
         const val MAX_LEASE_MILLIS = 1_000L
         private const val RECORDS = "jackdawring-jobs/records/"
         private const val FOREVER_MILLIS = 1_000_000L
--- a/fleet/src/test/kotlin/io/jackdawring/fleet/model/FakeRuns.kt
+++ b/fleet/src/test/kotlin/io/jackdawring/fleet/model/FakeRuns.kt
@@ -23,6 +23,9 @@
     private val startsUntilDone = HashMap<Pair<TaskKey, Int>, Int>()
     private val noted = HashSet<TaskKey>()
 
+    /** Called with the target of each run that begins. */
+    var onStarted: (target: String) -> Unit = {}
+
     /** Lets the rules for durable jobs hold for [jobId]. */
     fun addDurable(jobId: JobId) = durableJobs.add(jobId)
 
@@ -48,6 +51,7 @@
         val jobId = run.task.jobId
         begun.merge(jobId, 1, Int::plus)
         trace.add("run ${name(run)} begins on $target", jobId)
+        onStarted(target)
         starts.merge(run.task, 1, Int::plus)
         if (run.task in noted) failRepeated(run.task)
         val targets = targetsByTask.getOrPut(run.task) { ArrayList(1) }
--- a/fleet/src/test/kotlin/io/jackdawring/fleet/relay/RelayedJobTest.kt
+++ b/fleet/src/test/kotlin/io/jackdawring/fleet/relay/RelayedJobTest.kt
@@ -48,6 +48,17 @@
 
         override fun findLessLoadedHolders(job: JobSpec) = others.filterNot { it in loaded }
 
+        var evacuatedDomains = emptySet<String>()
+
+        override fun findOtherHolders(job: JobSpec) = others.filterNot { isEvacuated(it.shardId) }
+
+        override val isLocalEvacuated get() = "a" in evacuatedDomains
+
+        override fun isEvacuated(shardId: ShardId) = shardId.failureDomain.value in evacuatedDomains
+
+        override fun areAllEvacuated(refusedBy: Set<ShardId>) =
+            (listOfNotNull(local) + others).all { it.shardId in refusedBy || isEvacuated(it.shardId) }
+
         override fun submit(
             holding: ShardHolding,
             request: JobRequest,
@@ -232,6 +243,55 @@
                 assertEquals(listOf("a", "a"), sentTo)
                 assertEquals(listOf(true, false), shards.sentJobs.map { it.cancelled })
             },
+            // Guards against jobs that are refused because of an evacuation although another failure domain has room.
+            Row("the local failure domain is evacuated: the job is offered to the others, however loaded they are") {
+                shards.evacuatedDomains = setOf("a", "b")
+                shards.loaded = shards.others
+                submit()
+                assertEquals(listOf("c"), sentTo)
+            },
+            Row(
+                "a holder refuses the job because of an evacuation: it is not asked again, not even with the last offer",
+            ) {
+                shards.loaded = shards.others
+                submit()
+                reply(evacuated)
+                repeat(3) { reply(lateBy(100)) }
+                assertEquals(listOf("a", "b", "c", "b"), sentTo)
+                assertIs<CallerAnswer.NotRun>(answer)
+            },
+            Row("the last offer is refused because of an evacuation: the next best failure domain gets it") {
+                submit()
+                reply(lateBy(10))
+                reply(lateBy(20))
+                reply(lateBy(30))
+                reply(evacuated)
+                reply(JobOutcome.Completed)
+                assertEquals(listOf("a", "b", "c", "a", "b"), sentTo)
+                assertIs<CallerAnswer.Ended>(answer)
+            },
+            Row("the holder that has had a job alone says that it has not run: the job goes on to others") {
+                submit()
+                loop.clock.advance(750)
+                reply(evacuated)
+                assertEquals(listOf("a", "a", "b"), sentTo)
+            },
+            Row("a later holder refuses a job that may have run: it is not offered to others") {
+                submit()
+                reply(HolderReply.Lost("reset"))
+                shards.local = holding("a", revision = 5)
+                loop.clock.advance(20)
+                reply(evacuated)
+                assertEquals(listOf("a", "a"), sentTo)
+                assertIs<CallerAnswer.GivenUp>(answer)
+            },
+            Row("all failure domains are evacuated: the job is refused at once") {
+                shards.evacuatedDomains = setOf("a", "b")
+                submit()
+                reply(evacuated)
+                assertEquals(listOf("c"), sentTo)
+                assertEquals(5_000, assertIs<CallerAnswer.NotRun>(answer).retryAfterMillis)
+            },
             Row("the request is cancelled when the caller disconnects") {
                 submit().cancel()
                 assertEquals(true, shards.sentJobs.single().cancelled)
@@ -253,6 +313,8 @@
         val JOB =
             JobSpec(JobId("j"), "q", "s", 0, 1, 1.6, 60, "", listOf(StepSpec(1, Resources(1_000), 100)))
 
+        val evacuated = JobOutcome.NotRun("the failure domain is evacuated", 5_000, isEvacuated = true)
+
         fun lateBy(millis: Long) = JobOutcome.NotRun("full", maxOf(0, millis), lateMillis = millis)
 
         fun holding(
--- a/standins/src/main/kotlin/io/jackdawring/standins/platform/StandInPlatformStore.kt
+++ b/standins/src/main/kotlin/io/jackdawring/standins/platform/StandInPlatformStore.kt
@@ -51,8 +51,14 @@
     fun put(
         key: String,
         value: String,
+    ) = putEncoded(key, Base64.getEncoder().encodeToString(value.encodeToByteArray()))
+
+    /** As [put] with a value that should be, but is not checked to be, in base64. */
+    fun putEncoded(
+        key: String,
+        base64: String,
     ) = executor.execute {
-        state.put(key, Base64.getEncoder().encodeToString(value.encodeToByteArray()), 0)
+        state.put(key, base64, 0)
         answerWatches()
     }
 
--- a/standins/src/main/kotlin/io/jackdawring/standins/platform/StandInSite.kt
+++ b/standins/src/main/kotlin/io/jackdawring/standins/platform/StandInSite.kt
@@ -11,6 +11,8 @@
 /** A store, targets of one failure domain and a client on loopback, for demos and tests of entry instances. */
 class StandInSite(
     targetCount: Int = 3,
+    /** Bound in the settings within which an evacuation takes effect; null if evacuations are not used. */
+    private val evacuateMillis: Long? = null,
 ) : AutoCloseable {
     /** Addresses of an entry instance as `ip:port`. */
     class Addresses(
@@ -41,6 +43,14 @@
             """"timeoutMs":1500,"sloLatencyMs":500,"priority":0,"maxAttempts":4,"stretch":1.6}]}""",
     )
 
+    /** Requests as an operator that nothing starts in [failureDomain]; [base64] is the value of the request. */
+    fun evacuate(
+        failureDomain: String = FAILURE_DOMAIN,
+        base64: String = "",
+    ) = store.putEncoded("op/evacuate/$failureDomain", base64)
+
+    fun withdrawEvacuation(failureDomain: String = FAILURE_DOMAIN) = store.remove("op/evacuate/$failureDomain")
+
     fun newAddresses() = Addresses(freeAddress(), freeAddress(), freeAddress(), freeAddress())
 
     private fun freeAddress() = ServerSocket(0).use { "127.0.0.1:${it.localPort}" }
@@ -62,6 +72,7 @@
         control = "${addresses.peers}"
         [platform]
         address = "$storeAddress"
+        ${evacuateMillis?.let { "[bounds]\nevacuateMs = $it" }.orEmpty()}
         """.trimIndent()
 
     /** Waits until the entry instance is ready. */
