Estimate delays of durable jobs from capacity that becomes free

Cause: the delay until a durable job can start was the waiting work divided by the CPU of all usable targets, whatever runs there. A failure domain full of long-running tasks answered 1 ms, so it accepted jobs that never ran there, and did not move them.

Change: CapacityForecast counts only what is free or becomes free beside long-running tasks, and the time until the first target has room. Without such a target there is no delay, so jobs are stored elsewhere, or move. The work of waiting long-running tasks no longer counts as a backlog.

--- a/core/src/main/kotlin/io/jackdawring/core/shard/RealShardDispatcher.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/RealShardDispatcher.kt
@@ -256,19 +256,7 @@
     override fun delayMillis(
         needs: JobNeeds,
         nowMillis: Long,
-    ): Long? {
-        val usable =
-            control.targets.filter {
-                it.registration.service == needs.service && TargetSelector.isUsable(it, nowMillis)
-            }
-        val capable = needs.steps.map { step -> usable.filter { TargetSelector.isCapable(it, step) } }
-        val leastCpuMillis = capable.minOfOrNull { targets -> targets.sumOf { it.cpuMillis } } ?: 0
-        if (leastCpuMillis == 0L) return null
-        val hasRoom = needs.steps.zip(capable).all { (step, targets) -> targets.any { step.demand.fitsInto(it.free) } }
-        return if (hasRoom) 0 else maxOf(1, waiting.work(needs.service) / leastCpuMillis)
-    }
-
-    private val TrackedTarget.cpuMillis: Long get() = registration.capacity.cpuMillis.toLong()
+    ): Long? = CapacityForecast.delayMillis(needs, control.targets, waiting.work(needs.service), nowMillis)
 
     override fun loadPercents(nowMillis: Long): ImmutableMap<String, Int> =
         control.targets
--- a/core/src/main/kotlin/io/jackdawring/core/shard/ServiceBacklog.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/ServiceBacklog.kt
@@ -4,7 +4,7 @@
 
 /** Totals of the tasks that wait for targets of one service. */
 internal class ServiceBacklog {
-    /** Declared work: CPU demand in thousandths of a core times milliseconds. */
+    /** Declared work of the tasks that end by themselves: CPU demand in thousandths of a core times milliseconds. */
     var work = 0L
         private set
 
@@ -30,7 +30,7 @@
         change: Int,
     ) {
         val demandMillis = task.spec.demand.cpuMillis
-        work += change * task.spec.estimateMillis * demandMillis
+        if (!task.spec.longRunning) work += change * task.spec.estimateMillis * demandMillis
         cpuMillis += change * demandMillis
         tasksByCpuMillis.count(demandMillis, change)
     }
--- a/core/src/main/kotlin/io/jackdawring/core/shard/ShardDispatcher.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/ShardDispatcher.kt
@@ -126,6 +126,8 @@
 
     /**
      * Estimated time until a job with [needs] can start: 0 if there is room now, null if no usable target can run it.
+     *
+     * Capacity that long-running tasks use does not count, because it does not become free.
      */
     fun delayMillis(
         needs: JobNeeds,
--- a/core/src/main/kotlin/io/jackdawring/core/shard/TrackedRun.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/TrackedRun.kt
@@ -80,6 +80,9 @@
     fun expectedEndMillis(nowMillis: Long): Long =
         maxOf(sentAtMillis + expectedMillis, nowMillis + expectedMillis / MIN_REMAINING_DIVISOR)
 
+    /** Whether the run ends only with the cancellation of its job. */
+    val isLongRunning: Boolean get() = owner?.spec?.longRunning == true
+
     val demand: Resources get() = owner?.spec?.demand ?: Resources()
 
     private companion object {
--- a/core/src/main/kotlin/io/jackdawring/core/shard/TrackedTarget.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/TrackedTarget.kt
@@ -134,6 +134,10 @@
     var free = registration.capacity
         private set
 
+    /** Capacity that is free or becomes free when the runs end that are not long-running. */
+    var releasable = registration.capacity
+        private set
+
     init {
         byFreeCpu.add(this)
     }
@@ -160,6 +164,8 @@
     fun updateFree() {
         byFreeCpu.remove(this)
         free = runs.values.fold(registration.capacity) { left, run -> left - run.demand }
+        releasable =
+            runs.values.fold(registration.capacity) { left, run -> if (run.isLongRunning) left - run.demand else left }
         byFreeCpu.add(this)
     }
 
