Run long-running tasks in another shard while others of their job run in the first one

Cause: a job is held by one shard, and moves only while none of its tasks runs.

DelegatedParts plans the writes of the shard that has the job, HeldParts keeps the parts that a shard runs, HostedParts asks other holders and moves tasks, RealJobParts starts and holds them back. A cancellation is confirmed once all parts have ended.

--- a/core/src/main/kotlin/io/jackdawring/core/shard/CapacityForecast.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/CapacityForecast.kt
@@ -30,6 +30,35 @@
         return maxOf(waitMillis, waitingWork / leastCpuMillis.coerceAtLeast(1))
     }
 
+    /** Whether each of [needs], which have one task each, has room now, beside those before it. */
+    fun hasRoom(
+        needs: List<JobNeeds>,
+        targets: Collection<TrackedTarget>,
+        nowMillis: Long,
+    ): List<Boolean> {
+        val free =
+            targets
+                .filter {
+                    TargetSelector.isUsable(
+                        it,
+                        nowMillis,
+                    )
+                }.associateWithTo(LinkedHashMap()) { it.free }
+        return needs.map { need ->
+            val step = need.steps.single()
+            val found =
+                free.keys.firstOrNull {
+                    it.registration.service == need.service &&
+                        TargetSelector.isCapable(it, step) &&
+                        !it.isReserved(nowMillis) &&
+                        (!it.health.isOnProbation || it.runs.isEmpty()) &&
+                        step.demand.fitsInto(free.getValue(it))
+                }
+            if (found != null) free[found] = free.getValue(found) - step.demand
+            found != null
+        }
+    }
+
     /** Time until the first of [targets] has room for [demand]; 0 if one has it now. */
     private fun waitMillis(
         demand: Resources,
--- a/core/src/main/kotlin/io/jackdawring/core/shard/DurableJobs.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/DurableJobs.kt
@@ -9,6 +9,8 @@
     private class Ended(
         val job: TrackedJob?,
         val state: JobState,
+        /** The job if it is another shard's. */
+        val part: TrackedJob? = job?.takeIf { it.isPart },
     )
 
     private val open = LinkedHashMap<JobId, TrackedJob>()
@@ -22,6 +24,9 @@
 
     fun find(id: JobId): TrackedJob? = open[id]
 
+    /** The part with the id of its job, open or ended. */
+    fun findPart(id: JobId): TrackedJob? = (open[id] ?: ended[id]?.part)?.takeIf { it.isPart }
+
     /** The job if it is open, or has ended and its end is not stored yet. */
     fun findUnsaved(id: JobId): TrackedJob? = open[id] ?: ended[id]?.job
 
@@ -37,14 +42,15 @@
         ended[id] = Ended(null, state)
     }
 
-    /** State as shown to callers: an end is shown only once it is stored. */
+    /** State as shown to callers: an end is shown only once it is stored, and parts only at the shard of their job. */
     fun stateOf(id: JobId): JobState? {
+        if (findPart(id) != null) return null
         val end = ended[id]
         if (end != null) return if (end.job == null) end.state else JobState.RUNNING
         return open[id]?.let { if (it.started) JobState.RUNNING else JobState.QUEUED }
     }
 
-    fun isEndUnsaved(id: JobId): Boolean = ended[id]?.job != null
+    fun isEndUnsaved(id: JobId): Boolean = ended[id]?.job?.isPart == false
 
     /** Stores the progress of [job] after a change. */
     fun saveProgress(job: TrackedJob) {
@@ -75,8 +81,8 @@
         val job = open[id] ?: end?.job ?: return
         job.savedVersion = maxOf(job.savedVersion, version)
         if (end == null || job.isSaving) return
-        ended[id] = Ended(null, end.state)
-        effects.ended(id, end.state)
+        ended[id] = Ended(null, end.state, end.part)
+        if (end.part == null) effects.ended(id, end.state)
     }
 
     /** Forgets a job that ended long ago. */
@@ -99,5 +105,8 @@
         job: TrackedJob,
         state: JobState,
         reason: String,
-    ) = effects.report(ShardDecision.DurableJobChanged(job.spec.id, job.spec.queue, state, reason))
+    ) {
+        if (job.isPart) return
+        effects.report(ShardDecision.DurableJobChanged(job.spec.id, job.spec.queue, state, reason))
+    }
 }
--- a/core/src/main/kotlin/io/jackdawring/core/shard/JobLifecycle.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/JobLifecycle.kt
@@ -72,6 +72,7 @@
         job: TrackedJob,
         nowMillis: Long,
     ) = when {
+        job.isPart -> job.tasks().filter { !it.isElsewhere && it.runs.isEmpty() }.forEach(waiting::add)
         !job.isComplete -> job.releaseReadySteps().forEach(waiting::add)
         job.isDurable -> endDurable(job, JobState.COMPLETED, "all tasks completed", nowMillis)
         else -> finish(job, JobOutcome.Completed, nowMillis)
@@ -120,6 +121,8 @@
      */
     fun addRecovered(job: TrackedJob) {
         durable.add(job)
+        // Its runs are stopped like those of an ended job.
+        if (job.ending != null) return
         previousRuns.add(job)
         if (job.tasks().count(previousRuns::applyEnds) > 0) durable.saveProgress(job)
     }
@@ -131,11 +134,24 @@
         nowMillis: Long,
     ) {
         for (task in job.tasks()) {
+            if (task.isElsewhere) continue
             val known = progress.crashes[job.progressKey(task)] ?: continue
             crashes.restore(task, known, nowMillis, control::incarnationOf)
         }
     }
 
+    /** Adds the crashes [known] to another shard to those of [task]. */
+    fun addCrashes(
+        task: TrackedTask,
+        known: List<TargetCrash>,
+        nowMillis: Long,
+    ) {
+        if (known.isEmpty()) return
+        val all = (task.crashes.toList() + known).groupBy { it.attempt }.values
+        val merged = all.map { same -> same.firstOrNull { it.isProven } ?: same.first() }.sortedBy { it.attempt }
+        crashes.restore(task, merged, nowMillis, control::incarnationOf)
+    }
+
     /** Stores a start of a task that may crash its target, so that a later holder knows of the run if it does. */
     fun onStarted(task: TrackedTask) {
         if (!task.crashes.isEmpty) saveProgress(task.job)
@@ -146,7 +162,8 @@
         if (job.isDurable && !job.isComplete) durable.saveProgress(job)
     }
 
-    private fun isOpen(job: TrackedJob): Boolean = if (job.isDurable) durable.isOpen(job) else jobs[job.spec.id] === job
+    private fun isOpen(job: TrackedJob): Boolean =
+        if (job.isDurable) durable.isOpen(job) && job.ending == null else jobs[job.spec.id] === job
 
     override fun awaitsRuns(jobId: JobId): Boolean =
         previousRuns.isAwaitingRecovery(jobId) && (jobs[jobId] ?: durable.find(jobId)) != null
@@ -329,17 +346,38 @@
         finish(job, JobOutcome.Failed(reason), nowMillis)
     }
 
-    /** Ends a durable job, removes its waiting tasks and stops its runs. */
+    /**
+     * Ends a durable job, removes its waiting tasks and stops its runs.
+     *
+     * A job with tasks in other shards ends in [completeEnding], when these have stopped.
+     */
     fun endDurable(
         job: TrackedJob,
         state: JobState,
         reason: String,
         nowMillis: Long,
     ) {
-        durable.end(job, state, reason)
+        if (!job.isPart && job.hasTasksElsewhere) {
+            if (job.ending == null) {
+                job.ending = state
+                job.endingReason = reason
+            }
+            durable.saveProgress(job)
+        } else {
+            durable.end(job, job.ending ?: state, reason)
+        }
         endTasks(job, nowMillis)
     }
 
+    /** Ends [job], which is to end, if no task of it is elsewhere any more. */
+    fun completeEnding(
+        job: TrackedJob,
+        nowMillis: Long,
+    ) {
+        val state = job.ending ?: return
+        if (!job.hasTasksElsewhere) endDurable(job, state, job.endingReason, nowMillis)
+    }
+
     /** Answers all waiters of the job, removes its waiting tasks and stops its runs. */
     fun finish(
         job: TrackedJob,
@@ -364,7 +402,7 @@
         nowMillis: Long,
     ) = durable.openJobs.flatMap { it.tasks() }.forEach { stopRuns(it, reason, nowMillis) }
 
-    private fun endTasks(
+    fun endTasks(
         job: TrackedJob,
         nowMillis: Long,
     ) {
@@ -374,7 +412,7 @@
         }
     }
 
-    private fun stopRuns(
+    fun stopRuns(
         task: TrackedTask,
         reason: String,
         nowMillis: Long,
--- a/core/src/main/kotlin/io/jackdawring/core/shard/PreviousHolderRuns.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/PreviousHolderRuns.kt
@@ -50,7 +50,7 @@
     fun claim(job: TrackedJob): Boolean {
         var progressChanged = false
         for (task in job.tasks()) {
-            if (task.done) continue
+            if (task.done || task.isElsewhere) continue
             if (applyEnds(task)) progressChanged = true
             if (!task.done && control.claim(task)) job.started = true
         }
--- a/core/src/main/kotlin/io/jackdawring/core/shard/RealShardDispatcher.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/RealShardDispatcher.kt
@@ -26,6 +26,7 @@
     private val copies = SpeculativeCopies(options, control, lifecycle.durations, selector)
     private val hangDetector = HangDetector(control)
     private val stalled = StalledJobs(control, waiting, durable, lifecycle.previousRuns)
+    override val parts = RealJobParts(lifecycle, stalled, { nextJobSequence++ }) { if (!released) place(it) }
     private val ownership = ShardOwnership()
     private var nextJobSequence = 0L
     private var released = false
@@ -196,6 +197,7 @@
             val tracked = toTrackedJob(job, nowMillis)
             tracked.restore(job.progress, maxOf(attemptBase, job.attemptBase))
             tracked.mayHaveForeignRuns = !control.recovered
+            tracked.tasks().forEach { it.isElsewhere = tracked.progressKey(it) in job.delegated }
             lifecycle.restoreCrashes(tracked, job.progress, nowMillis)
             lifecycle.addRecovered(tracked)
         }
@@ -220,7 +222,7 @@
         jobId: JobId,
         nowMillis: Long,
     ) {
-        val job = durable.find(jobId)?.takeUnless { it.isMoving } ?: return
+        val job = durable.find(jobId)?.takeUnless { it.isMoving || it.isPart } ?: return
         lifecycle.endDurable(job, JobState.CANCELLED, "cancelled by the caller", nowMillis)
     }
 
@@ -276,7 +278,7 @@
     }
 
     override fun pendingJobs(queue: String): Int =
-        (lifecycle.awaitedJobs + durable.openJobs).count { it.spec.queue == queue && !it.started }
+        (lifecycle.awaitedJobs + durable.openJobs).count { it.spec.queue == queue && !it.started && !it.isPart }
 
     override fun onStart(
         targetId: TargetId,
--- a/core/src/main/kotlin/io/jackdawring/core/shard/ShardDecision.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/ShardDecision.kt
@@ -30,6 +30,29 @@
         val reason: String,
     ) : ShardDecision
 
+    /** [tasks] of a durable job, with keys like "step.index", have got from one shard to another. */
+    data class TasksChangedShard(
+        val jobId: JobId,
+        val change: Change,
+        val tasks: List<String>,
+        val otherShard: String?,
+    ) : ShardDecision {
+        /** What happened, from the view of the shard that reports it. */
+        enum class Change {
+            /** Another shard has tasks of a job of this one. */
+            DELEGATED,
+
+            /** This shard has tasks of its job again. */
+            RETURNED,
+
+            /** This shard has tasks of a job of another one. */
+            TAKEN,
+
+            /** This shard has to stop its part of a job of another one. */
+            CANCELLED,
+        }
+    }
+
     /** A run ended without a result; its task is queued again if its result is still needed. */
     data class RunLost(
         val task: TaskKey,
--- a/core/src/main/kotlin/io/jackdawring/core/shard/ShardDispatcher.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/ShardDispatcher.kt
@@ -152,6 +152,9 @@
         nowMillis: Long,
     )
 
+    /** Tasks of durable jobs that run in another shard than their job. */
+    val parts: JobParts
+
     /** Records that the store still named this holder at [confirmedAtMillis]. */
     fun onOwnershipConfirmed(confirmedAtMillis: Long)
 
--- a/core/src/main/kotlin/io/jackdawring/core/shard/StalledJobs.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/StalledJobs.kt
@@ -25,7 +25,8 @@
             .toImmutableList()
     }
 
-    private fun isStalled(
+    /** Whether [job] may move as a whole, because none of its tasks has a run although some wait. */
+    fun isStalled(
         job: TrackedJob,
         nowMillis: Long,
     ): Boolean =
@@ -38,7 +39,16 @@
         nowMillis: Long,
     ): Boolean =
         !job.isMoving &&
-            !previousRuns.isAwaitingRecovery(job.spec.id) &&
+            !job.isPart &&
+            !job.hasTasksElsewhere &&
+            areForeignRunsOver(job, nowMillis)
+
+    /** Whether no earlier holder has, or may have, a run of [job]. */
+    fun areForeignRunsOver(
+        job: TrackedJob,
+        nowMillis: Long,
+    ): Boolean =
+        !previousRuns.isAwaitingRecovery(job.spec.id) &&
             (!job.mayHaveForeignRuns || control.areDurableRunsOver(nowMillis))
 
     private fun needsOf(job: TrackedJob): JobNeeds {
@@ -58,7 +68,7 @@
         return true
     }
 
-    private companion object {
+    companion object {
         /** Longer than a queue with short tasks takes to move on, below the 3 s after which a job counts as lost. */
         const val STALL_MILLIS = 2_000L
     }
--- a/core/src/main/kotlin/io/jackdawring/core/shard/TrackedJob.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/TrackedJob.kt
@@ -10,6 +10,8 @@
     val deadlineMillis: Long,
     /** Whether the job is stored and runs without a waiting request. */
     val isDurable: Boolean = false,
+    /** Whether the job is another shard's, and only some of its tasks are here. */
+    val isPart: Boolean = false,
 ) {
     val waiters = LinkedHashSet<WaiterId>()
     val steps: List<List<TrackedTask>> =
@@ -34,6 +36,15 @@
     /** Final state of a durable job; null while the job is open. */
     var endState: JobState? = null
 
+    /** State in which a durable job ends once no task of it is elsewhere; null while it goes on. */
+    var ending: JobState? = null
+    var endingReason = "it was to end when its holder was replaced"
+
+    val hasLongRunningTasks: Boolean = spec.steps.any { it.longRunning }
+
+    /** Whether tasks of the job are in other shards. */
+    val hasTasksElsewhere: Boolean get() = hasLongRunningTasks && tasks().any { it.isElsewhere }
+
     /** Time since which none of its tasks has a run although some wait; null if that is not so. */
     var stalledSinceMillis: Long? = null
 
@@ -76,7 +87,7 @@
             .filter { !released[it] && spec.steps[it].after.all { before -> openTasks[before] == 0 } }
             .onEach { released[it] = true }
             .flatMap { steps[it] }
-            .filter { !it.done && it.runs.isEmpty() }
+            .filter { !it.done && it.runs.isEmpty() && !it.isElsewhere }
 
     fun progress(): JobProgress =
         JobProgress(
@@ -93,6 +104,8 @@
                 .map { progressKey(it) to crashes(it) }
                 .filter { (_, crashes) -> crashes.isNotEmpty() }
                 .toMap(),
+            ending,
+            tasks().filter { it.attemptFloor > 0 }.associate { progressKey(it) to it.attemptFloor },
         )
 
     /** Applies the progress that previous holders stored; new attempts are numbered above [attemptBase]. */
@@ -107,8 +120,10 @@
         for (task in tasks()) {
             task.failedAttempts += progress.failures[progressKey(task)].orEmpty()
             task.recordCheckpoint(progress.checkpoints[progressKey(task)])
-            task.lastAttempt = attemptBase
+            task.attemptFloor = progress.attempts[progressKey(task)] ?: 0
+            task.lastAttempt = maxOf(attemptBase, task.attemptFloor)
         }
+        ending = progress.ending
         started = progress.state == JobState.RUNNING || tasks().any { it.done || it.failures > 0 }
     }
 
@@ -120,5 +135,7 @@
 
     private fun doneBits(tasks: List<TrackedTask>) = BitSet().apply { tasks.forEach { if (it.done) set(it.key.index) } }
 
+    fun findByProgressKey(key: String): TrackedTask? = tasks().firstOrNull { progressKey(it) == key }
+
     fun progressKey(task: TrackedTask) = "${task.key.step}.${task.key.index}"
 }
--- a/core/src/main/kotlin/io/jackdawring/core/shard/TrackedTask.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/TrackedTask.kt
@@ -11,9 +11,18 @@
     var done = false
     var waiting = false
 
+    /** Whether another shard has the task, or is to get it; nothing of it starts here then. */
+    var isElsewhere = false
+
+    /** Time since which the task waits without a run; null if that is not so. */
+    var stalledSinceMillis: Long? = null
+
     /** Number of the last attempt that was sent to a target. */
     var lastAttempt = 0
 
+    /** Number of the last attempt that was known when another shard last returned the task; 0 if none has. */
+    var attemptFloor = 0
+
     /** Attempts that failed; a set, because a target may list an ended run again to another holder. */
     val failedAttempts = LinkedHashSet<Int>()
     val failures: Int get() = failedAttempts.size
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/HeldShards.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/HeldShards.kt
@@ -11,6 +11,7 @@
 import io.jackdawring.core.shard.ShardDispatcher
 import io.jackdawring.core.shard.ShardTarget
 import io.jackdawring.fleet.durable.DurableJobStore
+import io.jackdawring.fleet.durable.PeerPartClient
 import io.jackdawring.fleet.durable.PeerShardCapacities
 import io.jackdawring.fleet.metrics.FleetMetrics
 import io.jackdawring.fleet.peer.HandOverMessage
@@ -186,6 +187,7 @@
             onLoad = { percents -> loads.applyIfNewer(holding.shardId, percents, ageMillis = 0) },
             onFenced = { releaseFenced(holding) },
             PeerShardCapacities(directory, peers, ::host),
+            PeerPartClient(directory, peers, ::host),
             confirmedAtMillis = { mirror.confirmedAtMillis },
         ) { listener -> DurableJobStore(holding, store, loop, unixMillis, options.durableRetentionMillis, listener) }
 
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/durable/DurableJobBatch.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/durable/DurableJobBatch.kt
@@ -19,6 +19,16 @@
         val record: DurableJobRecord,
         val version: Long,
         val snapshot: () -> JobSnapshot,
+        val plan: DelegatedParts.Plan,
+    )
+
+    /** The record of a part, last known at [revision], to be written with [version] of its progress. */
+    class PartSave(
+        val id: JobId,
+        val record: PartRecord,
+        val revision: Long,
+        val version: Long,
+        val snapshot: () -> JobSnapshot,
     )
 
     /** A job to be moved to the shard [target]. */
@@ -29,6 +39,7 @@
     )
 
     val saves = ArrayList<Save>()
+    val partSaves = ArrayList<PartSave>()
     val accepts = ArrayList<PendingAccept>()
     val removals = ArrayList<JobId>()
     val moves = ArrayList<Move>()
@@ -37,23 +48,39 @@
     private val writes = ArrayList<StoreChange.Write>()
     private val removedKeys = ArrayList<String>()
 
-    val size: Int get() = saves.size + accepts.size + removals.size + moves.size
+    val size: Int get() = saves.size + partSaves.size + accepts.size + removals.size + moves.size
     val isEmpty: Boolean get() = size == 0
-    val hasRoom: Boolean get() = conditions.size + writes.size + removedKeys.size + MAX_ENTRIES_PER_JOB <= MAX_ENTRIES
+    val hasRoom: Boolean get() = hasRoomFor(MAX_ENTRIES_PER_JOB)
     val change: StoreChange
         get() = StoreChange(conditions.toImmutableList(), writes.toImmutableList(), removedKeys.toImmutableList())
 
+    fun hasRoomFor(entries: Int): Boolean = conditions.size + writes.size + removedKeys.size + entries <= MAX_ENTRIES
+
+    /** Stores the record in [plan] in place of [entry], and changes the parts of the job. */
     fun save(
         id: JobId,
         entry: DurableJobEntry,
-        record: DurableJobRecord,
+        plan: DelegatedParts.Plan,
         version: Long,
         snapshot: () -> JobSnapshot,
     ) {
         val key = JobKeys.record(holding.shardId, id)
         conditions.add(StoreChange.Condition(key, entry.revision))
-        writes.add(StoreChange.Write(key, record.encode()))
-        saves.add(Save(id, entry, record, version, snapshot))
+        writes.add(StoreChange.Write(key, plan.record.encode()))
+        for (change in plan.changes) {
+            val partKey = JobKeys.part(change.shardId, id)
+            conditions.add(StoreChange.Condition(partKey, change.revision))
+            val part = change.record
+            if (part != null) writes.add(StoreChange.Write(partKey, part.encode())) else removedKeys.add(partKey)
+        }
+        saves.add(Save(id, entry, plan.record, version, snapshot, plan))
+    }
+
+    fun savePart(save: PartSave) {
+        val key = JobKeys.part(holding.shardId, save.id)
+        conditions.add(StoreChange.Condition(key, save.revision))
+        writes.add(StoreChange.Write(key, save.record.encode()))
+        partSaves.add(save)
     }
 
     fun accept(pending: PendingAccept) {
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/durable/DurableJobRecord.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/durable/DurableJobRecord.kt
@@ -20,21 +20,44 @@
     val acceptedAtUnixMillis: Long,
     val progress: JobProgress = JobProgress(),
     val endedAtUnixMillis: Long? = null,
+    val parts: List<DelegatedTasks> = emptyList(),
 ) {
+    /** Tasks that other shards have, by their keys "step.index". */
+    val delegatedTasks: Set<String> get() = parts.flatMapTo(HashSet()) { it.tasks }
+
     /** The job of this record; all its attempts so far are numbered up to [attemptBase]. */
     fun toDurableJob(
         nowUnixMillis: Long,
         attemptBase: Int = 0,
-    ) = DurableJob(spec, progress, maxOf(0, nowUnixMillis - acceptedAtUnixMillis), attemptBase)
+    ) = DurableJob(spec, progress, maxOf(0, nowUnixMillis - acceptedAtUnixMillis), attemptBase, delegatedTasks)
 
-    fun encode(): ByteArray = peerJson.encodeToString(serializer(), this).encodeToByteArray()
+    fun encode(): ByteArray {
+        val text =
+            if (parts.isEmpty()) {
+                peerJson.encodeToString(serializer(), this)
+            } else {
+                peerJson.encodeToString(SplitJobRecord.serializer(), SplitJobRecord(this))
+            }
+        return text.encodeToByteArray()
+    }
 
     companion object {
         /** The record in [item], or null if it is malformed. */
-        fun decode(item: StoreItem): DurableJobRecord? = decode(item, serializer())
+        fun decode(item: StoreItem): DurableJobRecord? {
+            val isSplit = item.value.decodeToString().startsWith(SPLIT_START)
+            return if (isSplit) decode(item, SplitJobRecord.serializer())?.split else decode(item, serializer())
+        }
+
+        private const val SPLIT_START = "{\"split\""
     }
 }
 
+/** A job with parts, in a form that earlier versions reject: they would start the tasks of the parts as well. */
+@Serializable
+private class SplitJobRecord(
+    val split: DurableJobRecord,
+)
+
 /** Store record of a job's shard; its key depends on the job's id alone, so that each job is stored only once. */
 @Serializable
 internal data class JobLocation(
@@ -48,7 +71,7 @@
     }
 }
 
-private fun <T> decode(
+internal fun <T> decode(
     item: StoreItem,
     type: KSerializer<T>,
 ): T? =
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/durable/DurableJobStore.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/durable/DurableJobStore.kt
@@ -7,10 +7,12 @@
 import io.jackdawring.core.shard.JobId
 import io.jackdawring.core.shard.JobSnapshot
 import io.jackdawring.core.shard.JobSpec
+import io.jackdawring.core.shard.TaskProgress
 import io.jackdawring.fleet.ControlLoop
 import io.jackdawring.fleet.FleetKeys
 import io.jackdawring.fleet.store.CommitResult
 import io.jackdawring.fleet.store.KeyValueStore
+import io.jackdawring.fleet.store.ListResult
 import io.jackdawring.fleet.store.StoreItem
 import io.jackdawring.fleet.store.StoreMirror
 
@@ -51,6 +53,8 @@
         /** The record of a job whose retention is over was removed. */
         fun onRemoved(id: JobId)
 
+        val parts: PartListener
+
         /** The store names another holder in [item]. */
         fun onFenced(item: StoreItem)
     }
@@ -70,6 +74,8 @@
     private val dirty = LinkedHashMap<JobId, () -> JobSnapshot>()
     private val removals = LinkedHashSet<JobId>()
     private val moves = LinkedHashMap<JobId, PendingMove>()
+    private val delegated = DelegatedParts(holding.shardId, listener.parts)
+    private val held = HeldParts(holding.shardId, listener.parts, unixMillis)
 
     /** Jobs that were removed or moved but may still be in the mirror, and the revisions at which that was done. */
     private val removed = HashMap<JobId, Long>()
@@ -139,6 +145,55 @@
         write()
     }
 
+    /** Lets the shard [target] have [task]; the next save of the job stores that. */
+    fun delegate(
+        id: JobId,
+        target: ShardId,
+        task: String,
+        progress: TaskProgress,
+    ) = delegated.delegate(id, target, task, progress)
+
+    /** Returns [task] of a part to the shard of its job; the next save of the part stores that. */
+    fun giveBack(
+        id: JobId,
+        task: String,
+        progress: TaskProgress,
+    ) = held.giveBack(id, task, progress)
+
+    /** Revisions of the parts in each shard, 0 if not known; with [endingOnly], only of jobs that are to end. */
+    fun openParts(endingOnly: Boolean): Map<ShardId, Map<JobId, Long>> = delegated.open(endingOnly)
+
+    /** Number of parts that this shard runs. */
+    val heldParts: Int get() = held.size
+
+    /** Reads the part of the job [id] in [target] from the store. */
+    fun readPart(
+        id: JobId,
+        target: ShardId,
+    ) = readPart(JobKeys.part(target, id)) { item -> item?.let { delegated.onRead(id, target, it) } }
+
+    /**
+     * Whether the shard of the job [id], which knows [revision] of its part here, has something to take back.
+     *
+     * A part that is not known here at that revision is read from the store.
+     */
+    fun hasResults(
+        id: JobId,
+        revision: Long,
+    ): Boolean {
+        if (held.revision(id) < revision) {
+            readPart(JobKeys.part(holding.shardId, id)) { item -> if (mirror.isLoaded) item?.let(held::onItem) }
+        }
+        return held.hasResults(id)
+    }
+
+    private fun readPart(
+        key: String,
+        onItem: (StoreItem?) -> Unit,
+    ) = store.list(key) { result ->
+        if (!released && result is ListResult.Listed) onItem(result.items.firstOrNull { it.key == key })
+    }
+
     fun isMoving(id: JobId): Boolean = id in moves
 
     private class PendingMove(
@@ -148,6 +203,8 @@
 
     private fun onMirrorChanged() {
         if (released || !mirror.isLoaded) return
+        held.onMirrorChanged(mirror)
+        dirty.keys.retainAll { it in entries || it in held }
         removed.keys.retainAll { mirror[JobKeys.record(holding.shardId, it)] != null }
         val found = mirror.items.mapNotNull(::findUnknown)
         if (found.isEmpty() && loaded) return
@@ -162,9 +219,11 @@
      * It is one of an earlier holder or of another shard, or one whose write was delayed.
      */
     private fun findUnknown(item: StoreItem): DurableJobEntry? {
+        if (JobKeys.isPart(holding.shardId, item.key)) return null
         val id = JobId(item.key.removePrefix(JobKeys.records(holding.shardId)))
         if (id in entries || id in accepts || item.revision <= (removed[id] ?: 0)) return null
         val record = DurableJobRecord.decode(item) ?: return null
+        delegated.onFound(id, record)
         return DurableJobEntry(record, item.revision).also { entries[id] = it }
     }
 
@@ -183,6 +242,7 @@
         busy = true
         batch.accepts.forEach { it.isInFlight = true }
         batch.saves.forEach { dirty.remove(it.id) }
+        batch.partSaves.forEach { dirty.remove(it.id) }
         nextWriteMillis = now + WRITE_INTERVAL_MILLIS
         store.commit(batch.change) { result ->
             busy = false
@@ -195,11 +255,13 @@
         val batch = DurableJobBatch(holding)
         for ((id, snapshot) in dirty) {
             if (!batch.hasRoom) break
+            if (id in held) held.save(batch, id, snapshot)
             val entry = entries[id]?.takeUnless { id in moves } ?: continue
             val current = snapshot()
             val endedAt = if (current.progress.state.isEnded) entry.record.endedAtUnixMillis ?: unixMillis() else null
             val record = entry.record.copy(progress = current.progress, endedAtUnixMillis = endedAt)
-            batch.save(id, entry, record, current.version, snapshot)
+            val plan = delegated.plan(id, record, unixMillis())
+            if (batch.hasRoomFor(plan.entries)) batch.save(id, entry, plan, current.version, snapshot)
         }
         for (pending in accepts.values) {
             // While the store does not answer, each write leaves the outcome of at most one job unknown.
@@ -227,7 +289,10 @@
         result: CommitResult,
     ) {
         if (result !is CommitResult.Unavailable) consecutiveFailures = 0
-        if (result !is CommitResult.Committed) batch.saves.forEach { dirty.putIfAbsent(it.id, it.snapshot) }
+        if (result !is CommitResult.Committed) {
+            batch.saves.forEach { dirty.putIfAbsent(it.id, it.snapshot) }
+            batch.partSaves.forEach { dirty.putIfAbsent(it.id, it.snapshot) }
+        }
         when (result) {
             is CommitResult.Committed -> onCommitted(batch, result.revision)
             is CommitResult.Conflict -> onConflict(batch, result.items.associateBy { it.key })
@@ -248,6 +313,7 @@
             save.entry.record = save.record
             save.entry.revision = revision
         }
+        batch.partSaves.forEach { held.onCommitted(it, revision) }
         for (pending in batch.accepts) {
             entries[pending.id] = DurableJobEntry(pending.record, revision)
         }
@@ -259,6 +325,8 @@
         batch.moves.forEach { forgetMoved(it, revision) }
         // The listener may add writes, so all state is updated before it is called.
         batch.saves.forEach { listener.onSaved(it.id, it.version) }
+        batch.partSaves.forEach { listener.onSaved(it.id, it.version) }
+        batch.saves.forEach { delegated.onCommitted(it.id, it.plan, revision) }
         batch.accepts.forEach {
             // The job is stored and has to run, even if no caller waits for it any more.
             listener.onAccepted(it.record.toDurableJob(unixMillis()))
@@ -283,14 +351,8 @@
             return
         }
         // An earlier write whose answer was lost has been applied.
-        batch.saves.forEach {
-            it.entry.revision = present[
-                JobKeys.record(
-                    holding.shardId,
-                    it.id,
-                ),
-            ]?.revision ?: 0
-        }
+        batch.saves.forEach { onSaveConflict(it, present) }
+        batch.partSaves.forEach { held.onConflict(it.id, present[JobKeys.part(holding.shardId, it.id)]) }
         batch.removals.forEach { id ->
             entries[id]?.revision = present[JobKeys.record(holding.shardId, id)]?.revision ?: 0
         }
@@ -300,6 +362,18 @@
         }
     }
 
+    private fun onSaveConflict(
+        save: DurableJobBatch.Save,
+        present: Map<String, StoreItem>,
+    ) {
+        val item = present[JobKeys.record(holding.shardId, save.id)]
+        save.entry.revision = item?.revision ?: 0
+        if (save.id !in delegated || item == null) return
+        val record = DurableJobRecord.decode(item) ?: return
+        save.entry.record = record
+        delegated.onConflict(save.id, save.plan, record) { present[JobKeys.part(it, save.id)] }
+    }
+
     /** Only a write of this holder can have removed the record, so without it the job has been moved. */
     private fun onMoveConflict(
         move: DurableJobBatch.Move,
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/durable/HostedDurableJobs.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/durable/HostedDurableJobs.kt
@@ -8,6 +8,7 @@
 import io.jackdawring.core.shard.JobNeeds
 import io.jackdawring.core.shard.JobSnapshot
 import io.jackdawring.core.shard.JobState
+import io.jackdawring.core.shard.ShardDecision
 import io.jackdawring.core.shard.ShardDispatcher
 import io.jackdawring.fleet.ControlLoop
 import io.jackdawring.fleet.FleetKeys
@@ -23,9 +24,13 @@
     private val loop: ControlLoop,
     private val onFenced: () -> Unit,
     capacities: ShardCapacities,
+    partClient: PartClient,
+    report: (ShardDecision) -> Unit,
     createStore: (DurableJobStore.Listener) -> DurableJobStore,
 ) : DurableJobStore.Listener {
-    private val store = createStore(this)
+    override val parts: HostedParts =
+        HostedParts(holding.shardId, dispatcher, loop, partClient, report) { store }
+    private val store: DurableJobStore = createStore(this)
 
     /** Requests to answer once the end of their job is stored. */
     private val awaitingEnd = HashMap<JobId, MutableList<(JobState?) -> Unit>>()
@@ -45,10 +50,12 @@
     fun start() {
         store.start()
         mover.start()
+        parts.start()
     }
 
     fun release() {
         mover.stop()
+        parts.stop()
         store.release()
         awaitingEnd.values.flatten().forEach { it(null) }
         awaitingEnd.clear()
@@ -84,6 +91,19 @@
         return dispatcher.delayMillis(needs, loop.nowMillis())
     }
 
+    /** For which of [needs], one task each, this shard has room now; room counts once. */
+    fun hasRoom(needs: List<JobNeeds>): List<Boolean> {
+        if (!isLoaded || dispatcher.waitingTasks > MAX_WAITING_TASKS) return needs.map { false }
+        return dispatcher.parts.hasRoom(needs, loop.nowMillis())
+    }
+
+    /** Jobs of [revisions], which their shard knows of the parts here, for which it has something to take back. */
+    fun partsWithResults(revisions: Map<JobId, Long>): List<JobId> =
+        revisions.filter { (id, revision) -> store.hasResults(id, revision) }.keys.toList()
+
+    /** Number of parts of jobs of other shards. */
+    val openParts: Int get() = store.heldParts
+
     /**
      * Queries the state of a job; [onState] receives null if the job is not known here.
      *
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/metrics/FleetMetrics.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/metrics/FleetMetrics.kt
@@ -9,6 +9,7 @@
 import io.jackdawring.server.metrics.counter
 import io.jackdawring.server.metrics.expose
 import io.prometheus.metrics.core.metrics.CounterWithCallback
+import io.prometheus.metrics.core.metrics.Gauge
 import io.prometheus.metrics.core.metrics.Histogram
 import io.prometheus.metrics.model.registry.PrometheusRegistry
 
@@ -35,6 +36,19 @@
         registry.counter("jackdawring_shard_answers", "Jobs answered by held shards, by outcome.", "outcome")
     private val durableJobs =
         registry.counter("jackdawring_kept_jobs", "Changes of kept jobs at held shards, by new state.", "state")
+    private val delegatedTasks =
+        registry.counter(
+            "jackdawring_delegated_tasks",
+            "Tasks of durable jobs that held shards have delegated, got back or run for others, by change.",
+            "change",
+        )
+    private val openParts =
+        Gauge
+            .builder()
+            .name("jackdawring_open_parts")
+            .help("Parts of jobs of other shards that held shards run.")
+            .labelNames("shard")
+            .register(registry)
     private val repeatedRuns = registry.counter("jackdawring_repeated_runs", "Runs that were over without a result.")
     private val foundRuns = registry.counter("jackdawring_found_runs", "Runs found on targets without a job.")
     private val foundEnds = registry.counter("jackdawring_found_ends", "Ends of runs on targets without a job.")
@@ -80,6 +94,16 @@
 
     fun durableJobChanged(state: JobState) = durableJobs.labelValues(state.name.lowercase()).inc()
 
+    fun tasksChangedShard(
+        change: String,
+        tasks: Int,
+    ) = delegatedTasks.labelValues(change).inc(tasks.toLong())
+
+    fun openParts(
+        shard: String,
+        count: Int,
+    ) = openParts.labelValues(shard).set(count.toDouble())
+
     fun runRepeated() = repeatedRuns.inc()
 
     fun runFound() = foundRuns.inc()
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/peer/PeerApi.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/peer/PeerApi.kt
@@ -3,6 +3,7 @@
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.jackdawring.core.InstanceId
 import io.jackdawring.core.fleet.ShardId
+import io.jackdawring.core.shard.JobId
 import io.jackdawring.core.shard.JobState
 import io.jackdawring.fleet.ControlLoop
 import io.jackdawring.fleet.HeldShards
@@ -11,10 +12,14 @@
 import io.jackdawring.fleet.durable.DelaysReply
 import io.jackdawring.fleet.durable.JobStateMessage
 import io.jackdawring.fleet.durable.JobStateReply
+import io.jackdawring.fleet.durable.PartsMessage
+import io.jackdawring.fleet.durable.PartsReply
 import io.jackdawring.fleet.durable.PendingMessage
 import io.jackdawring.fleet.durable.PendingReply
 import io.jackdawring.fleet.durable.PersistMessage
 import io.jackdawring.fleet.durable.PersistReply
+import io.jackdawring.fleet.durable.RoomMessage
+import io.jackdawring.fleet.durable.RoomReply
 import io.jackdawring.fleet.shard.ShardHost
 import io.jackdawring.server.http.HttpExchange
 import io.jackdawring.server.http.HttpResponseMessage
@@ -44,6 +49,8 @@
                 PeerPaths.KEPT_STATE -> onJobState(exchange, decode(exchange, JobStateMessage.serializer()))
                 PeerPaths.PENDING -> onPending(exchange, decode(exchange, PendingMessage.serializer()))
                 PeerPaths.DELAYS -> onDelays(exchange, decode(exchange, DelaysMessage.serializer()))
+                PeerPaths.ROOM -> onRoom(exchange, decode(exchange, RoomMessage.serializer()))
+                PeerPaths.PARTS -> onParts(exchange, decode(exchange, PartsMessage.serializer()))
                 else -> exchange.respond(HttpResponseMessage(STATUS_NOT_FOUND))
             }
         } catch (e: SerializationException) {
@@ -126,6 +133,23 @@
         exchange.respond(json(DelaysReply.serializer(), DelaysReply(message.needs.map(host::delayMillis))))
     }
 
+    private fun onRoom(
+        exchange: HttpExchange,
+        message: RoomMessage,
+    ) {
+        val host = hostOrReject(exchange, message.shardId) ?: return
+        exchange.respond(json(RoomReply.serializer(), RoomReply(host.hasRoom(message.needs))))
+    }
+
+    private fun onParts(
+        exchange: HttpExchange,
+        message: PartsMessage,
+    ) {
+        val host = hostOrReject(exchange, message.shardId) ?: return
+        val withResults = host.partsWithResults(message.parts.mapKeys { JobId(it.key) }).map { it.value }
+        exchange.respond(json(PartsReply.serializer(), PartsReply(withResults)))
+    }
+
     private fun onPing(
         exchange: HttpExchange,
         message: PingMessage,
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/peer/PeerClient.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/peer/PeerClient.kt
@@ -5,10 +5,14 @@
 import io.jackdawring.fleet.durable.DelaysReply
 import io.jackdawring.fleet.durable.JobStateMessage
 import io.jackdawring.fleet.durable.JobStateReply
+import io.jackdawring.fleet.durable.PartsMessage
+import io.jackdawring.fleet.durable.PartsReply
 import io.jackdawring.fleet.durable.PendingMessage
 import io.jackdawring.fleet.durable.PendingReply
 import io.jackdawring.fleet.durable.PersistMessage
 import io.jackdawring.fleet.durable.PersistReply
+import io.jackdawring.fleet.durable.RoomMessage
+import io.jackdawring.fleet.durable.RoomReply
 import io.jackdawring.server.http.HttpCall
 import io.jackdawring.server.http.HttpClient
 import io.jackdawring.server.http.HttpRequestMessage
@@ -149,6 +153,38 @@
             onReply,
         )
 
+    /** Asks [member] for which tasks of another shard one of its shards has room. */
+    fun queryRoom(
+        member: FleetMember,
+        message: RoomMessage,
+        onReply: (PeerReply<RoomReply>) -> Unit,
+    ): HttpCall =
+        send(
+            member,
+            PeerPaths.ROOM,
+            RoomMessage.serializer(),
+            message,
+            RoomReply.serializer(),
+            PING_TIMEOUT_MILLIS,
+            onReply,
+        )
+
+    /** Asks [member] which of the parts that one of its shards runs have results. */
+    fun queryParts(
+        member: FleetMember,
+        message: PartsMessage,
+        onReply: (PeerReply<PartsReply>) -> Unit,
+    ): HttpCall =
+        send(
+            member,
+            PeerPaths.PARTS,
+            PartsMessage.serializer(),
+            message,
+            PartsReply.serializer(),
+            PING_TIMEOUT_MILLIS,
+            onReply,
+        )
+
     private fun <Request, Reply> send(
         member: FleetMember,
         path: String,
@@ -240,4 +276,6 @@
     const val KEPT_STATE = "/peer/kept-state"
     const val PENDING = "/peer/pending"
     const val DELAYS = "/peer/delays"
+    const val ROOM = "/peer/room"
+    const val PARTS = "/peer/parts"
 }
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/shard/DecisionLog.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/shard/DecisionLog.kt
@@ -5,11 +5,15 @@
 import io.jackdawring.core.shard.HandOver
 import io.jackdawring.core.shard.JobOutcome
 import io.jackdawring.core.shard.ShardDecision
+import io.jackdawring.core.shard.ShardDecision.TasksChangedShard.Change
 import io.jackdawring.core.shard.TaskKey
 import io.jackdawring.fleet.metrics.FleetMetrics
 
 private val logger = KotlinLogging.logger("io.jackdawring.decision")
 
+/** Bounds the length of a log line. */
+private const val MAX_LOGGED_TASKS = 20
+
 /** Counts and logs the decisions of a shard, one line each. */
 internal class DecisionLog(
     private val shardName: String,
@@ -23,6 +27,7 @@
             is ShardDecision.JobAdmitted -> onAdmitted(decision)
             is ShardDecision.JobAnswered -> onAnswered(decision)
             is ShardDecision.DurableJobChanged -> onDurableJobChanged(decision)
+            is ShardDecision.TasksChangedShard -> onTasksChangedShard(decision)
             is ShardDecision.RunLost -> onLost(decision)
             is ShardDecision.RunFound -> onFound(decision)
             is ShardDecision.EndFound -> onEndFound(decision)
@@ -69,6 +74,22 @@
         )
     }
 
+    private fun onTasksChangedShard(decision: ShardDecision.TasksChangedShard) {
+        val change = decision.change.name.lowercase()
+        metrics.tasksChangedShard(change, decision.tasks.size)
+        val tasks = decision.tasks.take(MAX_LOGGED_TASKS).joinToString(" ")
+        log(
+            if (decision.change == Change.CANCELLED) "part of a job cancelled" else "tasks of a job $change",
+            "job" to decision.jobId.value,
+            "count" to decision.tasks.size,
+            "tasks" to tasks,
+            "otherShard" to decision.otherShard.orEmpty(),
+        )
+    }
+
+    /** Records that the shard runs [count] parts of jobs of other shards. */
+    fun openParts(count: Int) = metrics.openParts(shardName, count)
+
     private fun onLost(decision: ShardDecision.RunLost) {
         metrics.runRepeated()
         logRun("run ended without a result", decision.task, decision.attempt, decision.targetId, decision.reason)
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/shard/ShardHost.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/shard/ShardHost.kt
@@ -24,6 +24,7 @@
 import io.jackdawring.fleet.TargetClient
 import io.jackdawring.fleet.durable.DurableJobStore
 import io.jackdawring.fleet.durable.HostedDurableJobs
+import io.jackdawring.fleet.durable.PartClient
 import io.jackdawring.fleet.durable.PersistMessage
 import io.jackdawring.fleet.durable.PersistOutcome
 import io.jackdawring.fleet.durable.ShardCapacities
@@ -42,6 +43,7 @@
     private val onLoad: (Map<String, Int>) -> Unit,
     private val onFenced: () -> Unit,
     capacities: ShardCapacities,
+    partClient: PartClient,
     private val confirmedAtMillis: () -> Long?,
     createDurableStore: (DurableJobStore.Listener) -> DurableJobStore,
 ) : ShardEffects {
@@ -51,7 +53,8 @@
     )
 
     private val dispatcher = factory.create(options, this, pauses)
-    private val durableJobs = HostedDurableJobs(holding, dispatcher, loop, onFenced, capacities, createDurableStore)
+    private val durableJobs =
+        HostedDurableJobs(holding, dispatcher, loop, onFenced, capacities, partClient, ::report, createDurableStore)
     private val waiters = HashMap<WaiterId, Waiter>()
     private var nextWaiter = 0L
     private var released = false
@@ -68,6 +71,7 @@
         dispatcher.tick(loop.nowMillis())
         log.examined(dispatcher.examined - examinedBefore)
         examinedBefore = dispatcher.examined
+        log.openParts(durableJobs.openParts)
         onLoad(dispatcher.loadPercents(loop.nowMillis()))
         return true
     }
@@ -139,6 +143,12 @@
     /** Estimated time until a durable job with [needs] from another shard can start here; null if it cannot. */
     fun delayMillis(needs: JobNeeds): Long? = durableJobs.delayMillis(needs)
 
+    /** For which of [needs], one task each, there is room now; room counts once. */
+    fun hasRoom(needs: List<JobNeeds>): List<Boolean> = durableJobs.hasRoom(needs)
+
+    /** Jobs of [revisions], which their shard knows of the parts here, for which it has something to take back. */
+    fun partsWithResults(revisions: Map<JobId, Long>): List<JobId> = durableJobs.partsWithResults(revisions)
+
     /** Stores a durable job and runs it until it ends; [onOutcome] is called once. */
     fun persist(
         message: PersistMessage,
@@ -159,6 +169,7 @@
 
     fun release() {
         released = true
+        log.openParts(0)
         durableJobs.release()
         dispatcher.release(loop.nowMillis())
     }
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/store/StoreMirror.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/store/StoreMirror.kt
@@ -19,7 +19,10 @@
     private val onChange: () -> Unit,
 ) {
     private val cache = HashMap<String, StoreItem>()
-    private var revision = 0L
+
+    /** Revision of the store up to which the mirror has all changes. */
+    var revision = 0L
+        private set
     private var failureCount = 0
 
     /** Time at which the store was last asked for what the mirror has by now; null before its first answer. */
--- a/fleet/src/test/kotlin/io/jackdawring/fleet/durable/DurableJobStoreTest.kt
+++ b/fleet/src/test/kotlin/io/jackdawring/fleet/durable/DurableJobStoreTest.kt
@@ -31,6 +31,7 @@
         fixture: Fixture,
         domain: String,
     ) : DurableJobStore.Listener {
+        override val parts = FakePartListener()
         val found = ArrayList<DurableJob>()
         val accepted = ArrayList<DurableJob>()
         val saved = ArrayList<Pair<String, Long>>()
--- a/fleet/src/test/kotlin/io/jackdawring/fleet/durable/HostedDurableJobsTest.kt
+++ b/fleet/src/test/kotlin/io/jackdawring/fleet/durable/HostedDurableJobsTest.kt
@@ -94,6 +94,8 @@
                 loop,
                 {},
                 { _, _, onAnswers -> onAnswers(persistentMapOf()) },
+                NoPartClient,
+                {},
             ) { listener ->
                 DurableJobStore(holding, store, loop, { loop.nowMillis() }, 10_000, listener)
             }
--- a/fleet/src/test/kotlin/io/jackdawring/fleet/model/FakeFleet.kt
+++ b/fleet/src/test/kotlin/io/jackdawring/fleet/model/FakeFleet.kt
@@ -198,7 +198,7 @@
     /** Stored states of the durable jobs with the failure domains whose shards have them. */
     fun storedJobs(): Map<JobId, Pair<String, JobState>> =
         store.items.values
-            .filter { it.key.startsWith(RECORDS) }
+            .filter { it.key.startsWith(RECORDS) && "/part/" !in it.key }
             .associate { item ->
                 val domain = item.key.removePrefix(RECORDS).substringBefore('/')
                 val record = checkNotNull(DurableJobRecord.decode(item))
@@ -264,6 +264,8 @@
             estimateMillis: Long = 400,
             requiredLabel: String? = null,
             steps: Int = 1,
+            cpuMillis: Int = 4_000,
+            isLongRunning: Boolean = false,
         ) = JobSpec(
             JobId(id),
             "q",
@@ -276,7 +278,8 @@
             steps =
                 List(steps) { step ->
                     val after = listOf(step - 1).filter { it >= 0 }
-                    StepSpec(tasks, Resources(4_000, 64), estimateMillis, after, requiredLabel)
+                    val demand = Resources(cpuMillis, 64)
+                    StepSpec(tasks, demand, estimateMillis, after, requiredLabel, longRunning = isLongRunning)
                 },
         )
     }
--- a/fleet/src/test/kotlin/io/jackdawring/fleet/model/FakeRuns.kt
+++ b/fleet/src/test/kotlin/io/jackdawring/fleet/model/FakeRuns.kt
@@ -47,6 +47,7 @@
     ) {
         val jobId = run.task.jobId
         begun.merge(jobId, 1, Int::plus)
+        if (run.attempt <= (lastAttempts.put(run.task, run.attempt) ?: 0)) repeatedAttempts += "${name(run)} on $target"
         trace.add("run ${name(run)} begins on $target", jobId)
         starts.merge(run.task, 1, Int::plus)
         if (run.task in noted) failRepeated(run.task)
@@ -67,6 +68,17 @@
         if (ending == "DONE") startsUntilDone[run.task to run.attempt] = starts.getValue(run.task)
     }
 
+    /** The targets that run tasks of [jobId] now. */
+    fun targetsOf(jobId: JobId): List<String> = targetsByTask.filterKeys { it.jobId == jobId }.values.flatten()
+
+    /** Tasks of [jobId] that run now. */
+    fun runningTasksOf(jobId: JobId): Set<TaskKey> =
+        targetsByTask.filter { (task, targets) -> task.jobId == jobId && targets.isNotEmpty() }.keys
+
+    /** Runs whose attempt does not exceed that of an earlier run of the same task. */
+    val repeatedAttempts = ArrayList<String>()
+    private val lastAttempts = HashMap<TaskKey, Int>()
+
     fun countOf(jobId: JobId): Int = begun[jobId] ?: 0
 
     fun hasBegun(jobId: JobId): Boolean = jobId in begun
