Confirm a cancellation only when no cut off holder can start the tasks of a part

Cause: the holder that had just taken a shard over stored the end of a cancelled part at once, while its predecessor, cut off together with a target, went on with the run and could start it again for up to 15 s.

Change: the end is stored when the runs of earlier holders are over, on the same grounds as for a move.

--- a/core/src/main/kotlin/io/jackdawring/core/shard/JobParts.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/JobParts.kt
@@ -42,12 +42,19 @@
         nowMillis: Long,
     ): Set<String>
 
-    /** Stops the tasks of a part; its end is stored as its progress. */
+    /**
+     * Stops the tasks of a part; its end is stored as its progress, in [endCancelled] if not now.
+     *
+     * It ends only when no earlier holder of this shard, which may be cut off, can start its tasks.
+     */
     fun cancel(
         jobId: JobId,
         nowMillis: Long,
     )
 
+    /** Ends cancelled parts whose tasks no earlier holder can start any more. */
+    fun endCancelled(nowMillis: Long)
+
     /** Forgets a part that the shard with its job has taken back. */
     fun drop(
         jobId: JobId,
--- a/core/src/main/kotlin/io/jackdawring/core/shard/RealJobParts.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/RealJobParts.kt
@@ -177,6 +177,21 @@
         nowMillis: Long,
     ) {
         val job = durable.find(jobId)?.takeIf { it.isPart } ?: return
+        if (job.ending == null) {
+            job.ending = JobState.CANCELLED
+            lifecycle.endTasks(job, nowMillis)
+        }
+        endIfOver(job, nowMillis)
+    }
+
+    override fun endCancelled(nowMillis: Long) =
+        durable.openJobs.filter { it.isPart && it.ending != null }.forEach { endIfOver(it, nowMillis) }
+
+    private fun endIfOver(
+        job: TrackedJob,
+        nowMillis: Long,
+    ) {
+        if (!stalled.areForeignRunsOver(job, nowMillis)) return
         lifecycle.endDurable(job, JobState.CANCELLED, "its job has ended", nowMillis)
     }
 
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/durable/HostedParts.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/durable/HostedParts.kt
@@ -49,6 +49,7 @@
 
     private fun moveStalledTasks() {
         val now = loop.nowMillis()
+        parts.endCancelled(now)
         val stalled = parts.stalledTasks(now).filter { needsOtherShard(it, now) }
         stalled.filter { it.isPart }.forEach(::giveBack)
         val own = nextOf(stalled.filterNot { it.isPart })
--- a/fleet/src/test/kotlin/io/jackdawring/fleet/model/DelegatedTaskTest.kt
+++ b/fleet/src/test/kotlin/io/jackdawring/fleet/model/DelegatedTaskTest.kt
@@ -164,6 +164,16 @@
                 assertTrue(cancel(20_000))
                 assertCancelled()
             },
+            Row("a cancellation is not confirmed while a holder that is cut off starts the task again") {
+                val other = loseTarget()
+                val former = checkNotNull(holder(other)).id
+                val target = runs.targetsOf(ID).first { it.startsWith(other) }
+                val rest = instances.map { it.id } + targets.keys - former - target + FakeLinks.STORE
+                listOf(former, target).forEach { cut(it, rest, 60_000) }
+                clock.schedule(7_000) { silence(target, 1_300) }
+                assertTrue(cancel(40_000))
+                assertCancelled()
+            },
             Row("the holder of the job is killed while a cancellation is on its way") {
                 val other = loseTarget()
                 cutDomain(other, outside(other) + FakeLinks.STORE, 8_000)
