--- a/core/src/main/kotlin/io/jackdawring/core/shard/RealShardDispatcher.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/RealShardDispatcher.kt
@@ -26,6 +26,7 @@
     private val copies = SpeculativeCopies(options, control, lifecycle.durations, selector)
     private val hangDetector = HangDetector(control)
     private val stalled = StalledJobs(control, waiting, durable, lifecycle.previousRuns)
+    override val parts = RealJobParts(lifecycle, stalled, { nextJobSequence++ }) { if (!released) place(it) }
     private val ownership = ShardOwnership()
     private val evacuation = control.evacuation
     private val evacuatedJobs = EvacuatedJobs(lifecycle, effects)
@@ -211,6 +212,7 @@
             val tracked = toTrackedJob(job, nowMillis)
             tracked.restore(job.progress, maxOf(attemptBase, job.attemptBase))
             tracked.mayHaveForeignRuns = !control.recovered
+            tracked.tasks().forEach { it.isElsewhere = tracked.progressKey(it) in job.delegated }
             lifecycle.restoreCrashes(tracked, job.progress, nowMillis)
             lifecycle.addRecovered(tracked)
         }
@@ -235,7 +237,7 @@
         jobId: JobId,
         nowMillis: Long,
     ) {
-        val job = durable.find(jobId)?.takeUnless { it.isMoving } ?: return
+        val job = durable.find(jobId)?.takeUnless { it.isMoving || it.isPart } ?: return
         lifecycle.endDurable(job, JobState.CANCELLED, "cancelled by the caller", nowMillis)
     }
 
@@ -271,19 +273,7 @@
     override fun delayMillis(
         needs: JobNeeds,
         nowMillis: Long,
-    ): Long? {
-        val usable =
-            control.targets.filter {
-                it.registration.service == needs.service && TargetSelector.isUsable(it, nowMillis)
-            }
-        val capable = needs.steps.map { step -> usable.filter { TargetSelector.isCapable(it, step) } }
-        val leastCpuMillis = capable.minOfOrNull { targets -> targets.sumOf { it.cpuMillis } } ?: 0
-        if (leastCpuMillis == 0L) return null
-        val hasRoom = needs.steps.zip(capable).all { (step, targets) -> targets.any { step.demand.fitsInto(it.free) } }
-        return if (hasRoom) 0 else maxOf(1, waiting.work(needs.service) / leastCpuMillis)
-    }
-
-    private val TrackedTarget.cpuMillis: Long get() = registration.capacity.cpuMillis.toLong()
+    ): Long? = CapacityForecast.delayMillis(needs, control.targets, waiting.work(needs.service), nowMillis)
 
     override fun loadPercents(nowMillis: Long): ImmutableMap<String, Int> =
         control.targets
@@ -303,7 +293,7 @@
     }
 
     override fun pendingJobs(queue: String): Int =
-        (lifecycle.awaitedJobs + durable.openJobs).count { it.spec.queue == queue && !it.started }
+        (lifecycle.awaitedJobs + durable.openJobs).count { it.spec.queue == queue && !it.started && !it.isPart }
 
     override fun onStart(
         targetId: TargetId,
--- a/core/src/main/kotlin/io/jackdawring/core/shard/ShardDispatcher.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/ShardDispatcher.kt
@@ -138,6 +138,8 @@
 
     /**
      * Estimated time until a job with [needs] can start: 0 if there is room now, null if no usable target can run it.
+     *
+     * Capacity that long-running tasks use does not count, because it does not become free.
      */
     fun delayMillis(
         needs: JobNeeds,
@@ -162,6 +164,9 @@
         nowMillis: Long,
     )
 
+    /** Tasks of durable jobs that run in another shard than their job. */
+    val parts: JobParts
+
     /** Records that the store still named this holder at [confirmedAtMillis]. */
     fun onOwnershipConfirmed(confirmedAtMillis: Long)
 
