Answer 410 for a job only if it is proven not to exist

Cause: location, holder and record of a durable job were read one after the other. A job that moved in between was in none of them and was answered 410; a cancellation was answered 410 while the job continued.

A holder that is moving a job answers a cancellation after the move; the new holder reads the job's record if its watch has not delivered it yet, and carries the cancellation out.

--- a/fleet/src/main/kotlin/io/jackdawring/fleet/durable/DurableJobClient.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/durable/DurableJobClient.kt
@@ -25,11 +25,17 @@
         onOutcome: (PersistOutcome?) -> Unit,
     )
 
-    /** Queries the state of a job, which is cancelled first if [cancel] is set. */
+    /**
+     * Queries the state of a job, which is cancelled first if [cancel] is set.
+     *
+     * With [isStored], the requester has read the job's record in the shard, and a holder that is to cancel the job and
+     * does not know it yet reads the record too.
+     */
     fun queryState(
         holding: ShardHolding,
         jobId: JobId,
         cancel: Boolean,
+        isStored: Boolean,
         onAnswer: (StateAnswer) -> Unit,
     )
 
@@ -52,7 +58,12 @@
 
     /** Answer of a holder to [queryState]. */
     sealed interface StateAnswer {
-        /** State of the job, or null if the holder does not know it. */
+        /**
+         * State of the job, or null if the holder does not know it.
+         *
+         * A holder that is moving the job answers a cancellation only when the outcome is known, with null if the job
+         * has moved; until then it answers queries with the state.
+         */
         data class Known(
             val state: JobState?,
         ) : StateAnswer
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/durable/DurableJobMessages.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/durable/DurableJobMessages.kt
@@ -25,12 +25,17 @@
     val outcome: PersistOutcome,
 )
 
-/** Queries the state of a durable job at the holder of [shardId], which cancels the job first if [cancel] is set. */
+/**
+ * Queries the state of a durable job at the holder of [shardId], which cancels the job first if [cancel] is set.
+ *
+ * [isStored] is as in [DurableJobClient.queryState].
+ */
 @Serializable
 internal data class JobStateMessage(
     val shardId: ShardId,
     val jobId: JobId,
     val cancel: Boolean,
+    val isStored: Boolean = false,
 )
 
 /** State of a durable job; null if the holder does not know the job. */
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/durable/DurableJobRequests.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/durable/DurableJobRequests.kt
@@ -6,7 +6,6 @@
 import io.jackdawring.fleet.CallerAnswer
 import io.jackdawring.fleet.ControlLoop
 import io.jackdawring.fleet.store.KeyValueStore
-import io.jackdawring.fleet.store.ListResult
 
 /** Handles requests of callers about durable jobs; confined to the control thread. */
 internal class DurableJobRequests(
@@ -34,89 +33,7 @@
         id: JobId,
         cancel: Boolean,
         onAnswer: (CallerAnswer) -> Unit,
-    ) {
-        var answered = false
-        val answerOnce = { answer: CallerAnswer ->
-            if (!answered) onAnswer(answer)
-            answered = true
-        }
-        loop.schedule(ANSWER_LIMIT_MILLIS) { answerOnce(retryLaterAnswer("the job's holder or the store is slow")) }
-        queryShards(client.localShards, id, cancel, answerOnce) { queryStore(id, cancel, answerOnce) }
-    }
-
-    /** Queries the holders of [shardIds] in turn; calls [onUnknown] if none of them knows the job. */
-    private fun queryShards(
-        shardIds: List<ShardId>,
-        id: JobId,
-        cancel: Boolean,
-        onAnswer: (CallerAnswer) -> Unit,
-        onUnknown: () -> Unit,
-    ) {
-        val first = shardIds.firstOrNull()
-        if (first == null) {
-            onUnknown()
-            return
-        }
-        val queryNext = { queryShards(shardIds.drop(1), id, cancel, onAnswer, onUnknown) }
-        val holding = client.holding(first) ?: return queryNext()
-        client.queryState(holding, id, cancel) { answer ->
-            val state = (answer as? DurableJobClient.StateAnswer.Known)?.state
-            if (state == null) queryNext() else onAnswer(CallerAnswer.State(state))
-        }
-    }
-
-    /** Looks up the job's shard in the store, which records that of every durable job. */
-    private fun queryStore(
-        id: JobId,
-        cancel: Boolean,
-        onAnswer: (CallerAnswer) -> Unit,
-    ) = store.list(JobKeys.location(id)) { result ->
-        when (result) {
-            is ListResult.Unavailable -> onAnswer(retryLaterAnswer("the store is not available: ${result.detail}"))
-            is ListResult.Listed -> {
-                val location = result.items.firstOrNull { it.key == JobKeys.location(id) }?.let(JobLocation::decode)
-                if (location == null) {
-                    onAnswer(CallerAnswer.UnknownJob)
-                } else {
-                    queryHolder(location.shardId, id, cancel, onAnswer)
-                }
-            }
-        }
-    }
-
-    private fun queryHolder(
-        shardId: ShardId,
-        id: JobId,
-        cancel: Boolean,
-        onAnswer: (CallerAnswer) -> Unit,
-    ) {
-        val others = listOf(shardId).filterNot { it in client.localShards }
-        queryShards(others, id, cancel, onAnswer) { readRecord(shardId, id, cancel, onAnswer) }
-    }
-
-    private fun readRecord(
-        shardId: ShardId,
-        id: JobId,
-        cancel: Boolean,
-        onAnswer: (CallerAnswer) -> Unit,
-    ) {
-        val key = JobKeys.record(shardId, id)
-        store.list(key) { result ->
-            val record =
-                (result as? ListResult.Listed)?.items?.firstOrNull { it.key == key }?.let(
-                    DurableJobRecord::decode,
-                )
-            val state = record?.progress?.state
-            onAnswer(
-                when {
-                    result is ListResult.Unavailable -> retryLaterAnswer("the store is not available: ${result.detail}")
-                    state == null -> CallerAnswer.UnknownJob
-                    cancel && !state.isEnded -> retryLaterAnswer("the holder of the job does not answer")
-                    else -> CallerAnswer.State(state)
-                },
-            )
-        }
-    }
+    ) = DurableJobLookup(id, cancel, loop, client, store, onAnswer).start()
 
     /** Counts the jobs of [queue], in all shards, of which no task has started. */
     fun countPending(
@@ -160,9 +77,6 @@
     private fun retryLaterAnswer(reason: String) = CallerAnswer.TryLater(reason, RETRY_AFTER_MILLIS)
 
     private companion object {
-        /** Shorter than the usual timeout of callers; a cancellation is stored in tens of milliseconds. */
-        const val ANSWER_LIMIT_MILLIS = 1_200L
-
         /** Maximum age of a count, as the platform specifies. */
         const val COUNT_AGE_MILLIS = 2_000L
 
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/durable/DurableJobStore.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/durable/DurableJobStore.kt
@@ -11,6 +11,7 @@
 import io.jackdawring.fleet.FleetKeys
 import io.jackdawring.fleet.store.CommitResult
 import io.jackdawring.fleet.store.KeyValueStore
+import io.jackdawring.fleet.store.ListResult
 import io.jackdawring.fleet.store.StoreItem
 import io.jackdawring.fleet.store.StoreMirror
 
@@ -141,6 +142,19 @@
 
     fun isMoving(id: JobId): Boolean = id in moves
 
+    /** Reads the record of a job before the mirror delivers it; [onRead] receives whether the job is known now. */
+    fun read(
+        id: JobId,
+        onRead: (isKnown: Boolean) -> Unit,
+    ) {
+        val key = JobKeys.record(holding.shardId, id)
+        store.list(key) { result ->
+            val item = (result as? ListResult.Listed)?.items?.firstOrNull { it.key == key }
+            if (item != null && !released) mirror.applyIfNewer(item)
+            onRead(!released && id in entries)
+        }
+    }
+
     private class PendingMove(
         val target: ShardId,
         val snapshot: () -> JobSnapshot,
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/durable/HostedDurableJobs.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/durable/HostedDurableJobs.kt
@@ -110,18 +110,26 @@
         awaitingEnd.getOrPut(id) { ArrayList(1) }.add(onState)
     }
 
+    /**
+     * Cancels a job; [onState] receives its state once that is stored, or null if the job is not known here.
+     *
+     * If the job is being moved, that is known only after the move. With [isStored], its record is in this shard, but
+     * the mirror may not have delivered it yet.
+     */
     fun cancel(
         id: JobId,
+        isStored: Boolean,
         onState: (JobState?) -> Unit,
     ) {
         val state = dispatcher.durableJobState(id)
-        if (state == null || state.isEnded) {
-            onState(state)
-        } else if (store.isMoving(id)) {
-            onState(null)
-        } else {
-            awaitEnd(id, onState)
-            dispatcher.cancel(id, loop.nowMillis())
+        when {
+            state == null && isStored && isLoaded ->
+                store.read(id) { isKnown -> if (isKnown) cancel(id, isStored = false, onState) else onState(null) }
+            state == null || state.isEnded -> onState(state)
+            else -> {
+                awaitEnd(id, onState)
+                if (!store.isMoving(id)) dispatcher.cancel(id, loop.nowMillis())
+            }
         }
     }
 
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/durable/RealDurableJobClient.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/durable/RealDurableJobClient.kt
@@ -51,15 +51,16 @@
         holding: ShardHolding,
         jobId: JobId,
         cancel: Boolean,
+        isStored: Boolean,
         onAnswer: (DurableJobClient.StateAnswer) -> Unit,
     ) {
         val host = shards.host(holding.shardId)
         if (host != null) {
             val onState = { state: JobState? -> onAnswer(DurableJobClient.StateAnswer.Known(state)) }
-            if (cancel) host.cancel(jobId, onState) else host.queryState(jobId, onState)
+            if (cancel) host.cancel(jobId, isStored, onState) else host.queryState(jobId, onState)
             return
         }
-        peers.queryState(holding.holder, JobStateMessage(holding.shardId, jobId, cancel)) { reply ->
+        peers.queryState(holding.holder, JobStateMessage(holding.shardId, jobId, cancel, isStored)) { reply ->
             val answered = reply as? PeerReply.Answered
             onAnswer(
                 answered?.let {
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/peer/PeerApi.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/peer/PeerApi.kt
@@ -107,7 +107,11 @@
     ) {
         val host = hostOrReject(exchange, message.shardId) ?: return
         val respond = { state: JobState? -> exchange.respond(json(JobStateReply.serializer(), JobStateReply(state))) }
-        if (message.cancel) host.cancel(message.jobId, respond) else host.queryState(message.jobId, respond)
+        if (message.cancel) {
+            host.cancel(message.jobId, message.isStored, respond)
+        } else {
+            host.queryState(message.jobId, respond)
+        }
     }
 
     private fun onPending(
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/shard/ShardHost.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/shard/ShardHost.kt
@@ -151,11 +151,12 @@
         onState: (JobState?) -> Unit,
     ) = durableJobs.queryState(id, onState)
 
-    /** Cancels a durable job; [onState] receives its state once that is stored, or null if it is not known here. */
+    /** Cancels a durable job; see [HostedDurableJobs.cancel]. */
     fun cancel(
         id: JobId,
+        isStored: Boolean,
         onState: (JobState?) -> Unit,
-    ) = durableJobs.cancel(id, onState)
+    ) = durableJobs.cancel(id, isStored, onState)
 
     fun release() {
         released = true
--- a/fleet/src/test/kotlin/io/jackdawring/fleet/durable/DurableJobRequestsTest.kt
+++ b/fleet/src/test/kotlin/io/jackdawring/fleet/durable/DurableJobRequestsTest.kt
@@ -33,6 +33,12 @@
         /** Failure domains whose holders never answer queries. */
         val unresponsive = HashSet<String>()
 
+        /** Called by failure domain when its holder is queried, before it answers. */
+        val onQuery = HashMap<String, () -> Unit>()
+
+        /** Failure domains whose holders cancel a job that they read from the store. */
+        val cancelStored = HashSet<String>()
+
         override val localShards = listOf(ShardId(FailureDomainId("a"), 0))
         override val holdings get() = candidates
 
@@ -53,14 +59,15 @@
             holding: ShardHolding,
             jobId: JobId,
             cancel: Boolean,
+            isStored: Boolean,
             onAnswer: (DurableJobClient.StateAnswer) -> Unit,
         ) {
-            requestedDomains.add(holding.shardId.failureDomain.value)
-            if (holding.shardId.failureDomain.value !in
-                unresponsive
-            ) {
-                onAnswer(states[holding.shardId.failureDomain.value] ?: DurableJobClient.StateAnswer.Known(null))
-            }
+            val domain = holding.shardId.failureDomain.value
+            requestedDomains.add(domain)
+            onQuery[domain]?.invoke()
+            if (domain in unresponsive) return
+            val cancelled = JobState.CANCELLED.takeIf { isStored && domain in cancelStored }
+            onAnswer(states[domain] ?: DurableJobClient.StateAnswer.Known(cancelled))
         }
 
         override fun countPending(
@@ -95,13 +102,28 @@
 
         fun count() = requests.countPending("q") { answer = it }
 
-        /** Stores [JOB] in the shard of failure domain "b". */
-        fun storeInDomainB(state: JobState) {
-            val shardId = ShardId(FailureDomainId("b"), 0)
+        /** Stores [JOB] in the shard of [domain] only. */
+        fun storeIn(
+            domain: String,
+            state: JobState,
+        ) {
+            val shardId = ShardId(FailureDomainId(domain), 0)
+            store.items.keys.removeIf { it.endsWith("/${JOB.id.value}") }
             store.put(JobKeys.location(JOB.id), JobLocation(shardId).encode())
             val record = DurableJobRecord(JOB, 1).let { it.copy(progress = it.progress.copy(state = state)) }
             store.put(JobKeys.record(shardId, JOB.id), record.encode())
         }
+
+        fun storeInDomainB(state: JobState) = storeIn("b", state)
+
+        /** Stores [JOB] in domain "b", from which it moves through [domains] when the holder there is queried first. */
+        fun moveWhenQueried(vararg domains: String) {
+            storeInDomainB(JobState.QUEUED)
+            client.onQuery["b"] = {
+                client.onQuery.clear()
+                domains.forEach { storeIn(it, JobState.QUEUED) }
+            }
+        }
     }
 
     private class Row(
@@ -186,6 +208,52 @@
                 queryState()
                 assertEquals(CallerAnswer.UnknownJob, answer)
             },
+            Row("a job that moves while it is looked up is found in its new shard") {
+                moveWhenQueried("c")
+                queryState()
+                assertEquals(JobState.QUEUED, (answer as CallerAnswer.State).state)
+            },
+            Row("a job that moves to the local shard while it is looked up is found there") {
+                moveWhenQueried("a")
+                queryState()
+                assertEquals(JobState.QUEUED, (answer as CallerAnswer.State).state)
+            },
+            Row("a job that moves away before its record is read, and back afterwards, is not reported as unknown") {
+                storeInDomainB(JobState.QUEUED)
+                client.onQuery["b"] = {
+                    client.onQuery.clear()
+                    storeIn("c", JobState.QUEUED)
+                    loop.schedule(6) { storeInDomainB(JobState.QUEUED) }
+                }
+                queryState()
+                assertEquals(JobState.QUEUED, (answer as CallerAnswer.State).state)
+            },
+            Row("a cancellation that meets a move is carried out by the new holder") {
+                moveWhenQueried("c")
+                client.cancelStored += "c"
+                queryState(cancel = true)
+                assertEquals(JobState.CANCELLED, (answer as CallerAnswer.State).state)
+                assertEquals(listOf("a", "b", "c", "c"), client.requestedDomains.toList())
+            },
+            Row("a cancellation that meets a move is not confirmed while the new holder cannot carry it out") {
+                moveWhenQueried("c")
+                queryState(cancel = true)
+                assertNull(answer)
+                pass(1_500)
+                assertIs<CallerAnswer.TryLater>(answer)
+            },
+            Row("a job whose location stays, but whose record does not exist, is unknown") {
+                storeInDomainB(JobState.QUEUED)
+                store.items.remove(JobKeys.record(ShardId(FailureDomainId("b"), 0), JOB.id))
+                queryState()
+                assertEquals(CallerAnswer.UnknownJob, answer)
+            },
+            Row("a job whose record cannot be decoded is not reported as unknown") {
+                storeInDomainB(JobState.QUEUED)
+                store.put(JobKeys.record(ShardId(FailureDomainId("b"), 0), JOB.id), "?".encodeToByteArray())
+                queryState()
+                assertIs<CallerAnswer.TryLater>(answer)
+            },
             Row("a cancellation that reaches no holder is not confirmed") {
                 storeInDomainB(JobState.RUNNING)
                 client.states["b"] = DurableJobClient.StateAnswer.Unreachable
--- a/fleet/src/test/kotlin/io/jackdawring/fleet/model/FakeFleet.kt
+++ b/fleet/src/test/kotlin/io/jackdawring/fleet/model/FakeFleet.kt
@@ -192,6 +192,17 @@
         }
     }
 
+    /** Queries the state of a durable job at the instance [id], or cancels the job. */
+    fun queryState(
+        job: JobSpec,
+        id: String,
+        cancel: Boolean,
+        onAnswer: (CallerAnswer) -> Unit,
+    ) {
+        val instance = instance(id)
+        instance.process.execute { instance.durableJobs.queryState(job.id, cancel, onAnswer) }
+    }
+
     /** Durable jobs that were accepted. */
     val accepted = LinkedHashSet<JobId>()
 
--- a/fleet/src/test/kotlin/io/jackdawring/fleet/model/MovedJobTest.kt
+++ b/fleet/src/test/kotlin/io/jackdawring/fleet/model/MovedJobTest.kt
@@ -2,12 +2,16 @@
 
 import io.jackdawring.core.shard.JobSpec
 import io.jackdawring.core.shard.JobState
+import io.jackdawring.fleet.CallerAnswer
 import org.junit.jupiter.api.DynamicTest
 import org.junit.jupiter.api.TestFactory
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
 
-/** Guards against accepted jobs that stay undone in a shard that cannot run them, and that run twice once they move. */
+/**
+ * Guards against accepted jobs that stay undone in a shard that cannot run them, that run twice once they move, and that
+ * are reported as unknown while they do.
+ */
 class MovedJobTest {
     private class Row(
         val name: String,
@@ -159,6 +163,66 @@
             },
         )
 
+    /** Accepted jobs in domain "a", which then loses its targets, while the store is slow. */
+    private fun FakeFleet.jobsThatMove(): List<JobSpec> {
+        val jobs = List(24) { FakeFleet.job("k$it", tasks = 1, estimateMillis = 60_000) }
+        jobs.forEach { submitDurable(it, "a1", durationMillis = 60_000) }
+        run(500)
+        assertEquals(jobs.map { it.id }.toSet(), accepted)
+        loseTargets("a")
+        run(2_000)
+        // The reads of a lookup are far apart, so that jobs move between them.
+        slowStore(10_000)
+        return jobs
+    }
+
+    /** Cancels [job], again after each answer to try later, and adds the final answer to [answers]. */
+    private fun FakeFleet.cancelUntilAnswered(
+        job: JobSpec,
+        id: String,
+        answers: MutableMap<JobSpec, CallerAnswer>,
+    ): Unit =
+        queryState(job, id, cancel = true) { answer ->
+            if (answer is CallerAnswer.TryLater) {
+                clock.schedule(1_000) { cancelUntilAnswered(job, id, answers) }
+            } else {
+                answers[job] = answer
+            }
+        }
+
+    private val lookupRows =
+        listOf(
+            Row("queries: an accepted job is never unknown") {
+                val jobs = jobsThatMove()
+                val answers = ArrayList<CallerAnswer>()
+                repeat(300) {
+                    jobs.forEach { job ->
+                        listOf("b1", "c1").forEach { queryState(job, it, cancel = false, answers::add) }
+                    }
+                    run(20)
+                }
+                run(1_500)
+                assertTrue(storedJobs().values.any { it.first != "a" }, "nothing has moved")
+                assertEquals(300 * 24 * 2, answers.size)
+                assertEquals(0, answers.count { it == CallerAnswer.UnknownJob }, "answers that a job is unknown")
+            },
+            Row("cancellations: each one is carried out, wherever the job is") {
+                val jobs = jobsThatMove()
+                val answers = HashMap<JobSpec, CallerAnswer>()
+                jobs.forEachIndexed { index, job ->
+                    clock.schedule(FIRST_CANCELLATION_MILLIS + 20L * index) {
+                        cancelUntilAnswered(job, if (index % 2 == 0) "b1" else "c1", answers)
+                    }
+                }
+                run(15_000)
+                assertEquals(jobs.toSet(), answers.keys.toSet())
+                assertEquals(0, answers.values.count { it == CallerAnswer.UnknownJob }, "answers that a job is unknown")
+                val states = storedJobs()
+                assertEquals(setOf(JobState.CANCELLED), states.values.map { it.second }.toSet())
+                assertTrue(states.values.any { it.first != "a" }, "nothing has moved")
+            },
+        )
+
     private val labelRows =
         listOf(
             Row("a job whose label only another failure domain has is stored there") {
@@ -188,7 +252,16 @@
     fun `jobs that move to another shard`() =
         rows.map { row -> DynamicTest.dynamicTest(row.name) { fleet().let { row.test(it) } } }
 
+    @TestFactory
+    fun `lookup of jobs that move`() =
+        lookupRows.map { row -> DynamicTest.dynamicTest(row.name) { fleet().let { row.test(it) } } }
+
     @TestFactory
     fun `jobs whose label few targets have`() =
         labelRows.map { row -> DynamicTest.dynamicTest(row.name) { fleet(label = { it }).let { row.test(it) } } }
+
+    private companion object {
+        /** About the time of the moves, counted from two seconds after the loss. */
+        const val FIRST_CANCELLATION_MILLIS = 1_500L
+    }
 }
