Start a holding before the listeners that may fail

Cause: the listener for callers was opened while a shard was taken. If its address was in use, the exception ended the take-over: the shard was held, but its durable jobs were never loaded, so no job could move to it.

Change: the host is started first, and CallerListener reports an address in use once and tries again. HeldShardsTest and CallerListenerTest fail without it.

--- a/fleet/src/main/kotlin/io/jackdawring/fleet/CallerListener.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/CallerListener.kt
@@ -24,6 +24,9 @@
     var server: HttpServer? = null
         private set
 
+    /** Whether the last attempt to open the listener failed. */
+    private var isAddressInUse = false
+
     /** Whether callers are accepted and their jobs can be served. */
     val isReady: Boolean get() = server != null && canServe()
 
@@ -32,10 +35,20 @@
         if (server != null) return
         val ageMillis = loop.nowMillis() - startedAtMillis
         if (!canAccept() && ageMillis < STARTUP_LIMIT_MILLIS) return
-        server = open()
+        server = openOrNull() ?: return
         logger.info { "accepting callers $ageMillis ms after start" }
     }
 
+    /** Null if the address is in use; the caller, which may be in the middle of taking a shard, must not fail for it. */
+    private fun openOrNull(): HttpServer? =
+        try {
+            open().also { isAddressInUse = false }
+        } catch (e: IllegalStateException) {
+            if (!isAddressInUse) logger.error { "cannot accept callers yet, trying again: ${e.message}" }
+            isAddressInUse = true
+            null
+        }
+
     private companion object {
         /** After this time, an instance that cannot serve jobs accepts callers all the same and answers with an error. */
         const val STARTUP_LIMIT_MILLIS = 3_000L
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/HeldShards.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/HeldShards.kt
@@ -167,10 +167,11 @@
         val host = createHost(holding)
         holding.cutOffRevision?.let { host.onHoldersCutOff(it, isPredecessor = it == previousRevision) }
         hosts[holding.shardId] = host
+        // Started first, so that a failure in a listener cannot leave a shard that is held but never loaded.
+        host.start()
         onHeldChanged()
         mirror.applyIfNewer(item)
         host.updateTargets(targetsOf(holding.shardId))
-        host.start()
         stopped.announce()
     }
 
--- a/fleet/src/test/kotlin/io/jackdawring/fleet/CallerListenerTest.kt
+++ b/fleet/src/test/kotlin/io/jackdawring/fleet/CallerListenerTest.kt
@@ -3,6 +3,7 @@
 import io.jackdawring.server.http.HttpServer
 import org.junit.jupiter.api.DynamicTest
 import org.junit.jupiter.api.DynamicTest.dynamicTest
+import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.TestFactory
 import kotlin.test.assertEquals
 
@@ -40,6 +41,19 @@
             }
         }
 
+    /** Guards against an address in use that interrupts what the instance does, such as the start of a holding. */
+    @Test
+    fun `a listener whose address is in use opens later`() {
+        var isInUse = true
+        val open = { if (isInUse) error("cannot listen") else FakeHttpServer() }
+        val listener = CallerListener(FakeControlLoop(), { true }, { true }, open)
+        listener.openIfPossible()
+        assertEquals(false, listener.isReady)
+        isInUse = false
+        listener.openIfPossible()
+        assertEquals(true, listener.isReady)
+    }
+
     private class FakeHttpServer : HttpServer {
         override val address = "127.0.0.1:1"
         override val requestsInProgress = 0
--- a/fleet/src/test/kotlin/io/jackdawring/fleet/HeldShardsTest.kt
+++ b/fleet/src/test/kotlin/io/jackdawring/fleet/HeldShardsTest.kt
@@ -20,6 +20,7 @@
 import kotlinx.collections.immutable.persistentListOf
 import org.junit.jupiter.api.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertFailsWith
 import kotlin.test.assertNotNull
 import kotlin.test.assertNull
 
@@ -42,7 +43,20 @@
             { 0 },
             PauseGuard(),
             { persistentListOf() },
-        ) {}
+        ) { onHeldChanged() }
+    private var onHeldChanged = {}
+
+    /** Guards against a shard that is held, but whose durable jobs are never loaded, so that none can move to it. */
+    @Test
+    fun `a holder whose listener fails when it takes the shard still loads its jobs`() {
+        mirror.start()
+        loop.clock.advance(100)
+        onHeldChanged = { error("the callers' address is in use") }
+        shards.maintain()
+        assertFailsWith<IllegalStateException> { loop.clock.advance(100) }
+        loop.clock.advance(100)
+        assertEquals(0, assertNotNull(shards.host(SHARD)).pendingJobs("q"))
+    }
 
     /** Guards against two dispatchers of one shard in an instance that is offered a shard it still believes to hold. */
     @Test
