Spread refused callers over the times at which they can be served

Cause: a refused caller was told the time by which the forecast exceeded its objective, so all callers of one overload came back together.

The relay passes on the earliest time of the shards that can run the job. Who is refused stays as it was.

--- a/core/src/main/kotlin/io/jackdawring/core/shard/JobAdmissionCheck.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/JobAdmissionCheck.kt
@@ -6,6 +6,7 @@
     private val selector: TargetSelector,
     private val forecast: CompletionForecast,
     private val waiting: WaitingTasks,
+    private val returns: ReturnTimes,
 ) {
     fun decide(
         job: TrackedJob,
@@ -18,13 +19,14 @@
             return AdmissionDecision.Admitted(Timeliness.ON_TIME, completion)
         }
         if (completion == null) {
-            return AdmissionDecision.Refused(JobOutcome.NotRun("no target can run it now", NO_TARGET_RETRY_MILLIS))
+            val outcome = JobOutcome.NotRun("no target can run it now", ReturnTimes.NO_TARGET_MILLIS)
+            return AdmissionDecision.Refused(outcome)
         }
         return when {
-            admission == Admission.EARLY -> refusal(job, completion, nowMillis)
+            admission == Admission.EARLY -> refusal(job, admission, completion, nowMillis)
             hasRoom(job, nowMillis) || canBeUseful(job, completion, nowMillis) ->
                 AdmissionDecision.Admitted(Timeliness.LATE, completion)
-            else -> refusal(job, completion, nowMillis)
+            else -> refusal(job, admission, completion, nowMillis)
         }
     }
 
@@ -58,6 +60,7 @@
 
     private fun refusal(
         job: TrackedJob,
+        admission: Admission,
         completionMillis: Double,
         nowMillis: Long,
     ): AdmissionDecision.Refused {
@@ -65,7 +68,10 @@
         val forecastMillis = completionMillis.toLong() - nowMillis
         val relation = if (lateMillis > 0) "exceeds" else "is close to"
         val reason = "forecast of $forecastMillis ms $relation the objective of ${job.spec.objectiveMillis} ms"
-        return AdmissionDecision.Refused(JobOutcome.NotRun(reason, maxOf(0, lateMillis), lateMillis))
+        // A job that is refused as an early one is offered elsewhere, and at last here again, so it is not counted yet.
+        val isReserved = admission != Admission.EARLY
+        val retryAfterMillis = returns.retryAfterMillis(job, maxOf(0, lateMillis), isReserved, nowMillis)
+        return AdmissionDecision.Refused(JobOutcome.NotRun(reason, retryAfterMillis, lateMillis))
     }
 
     private fun hasRoom(
@@ -79,8 +85,5 @@
 
         /** Time for the targets to answer the first poll of a new holder. */
         const val WARM_UP_MILLIS = 250L
-
-        /** Retry delay without a usable target; about the time until targets are listed and answer polls again. */
-        const val NO_TARGET_RETRY_MILLIS = 1_000L
     }
 }
--- a/core/src/main/kotlin/io/jackdawring/core/shard/RealShardDispatcher.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/RealShardDispatcher.kt
@@ -20,7 +20,8 @@
     private val durable = lifecycle.durable
     private val selector = TargetSelector(lifecycle.durations, options.offRackFactor)
     private val forecast = CompletionForecast(lifecycle.durations, options, control.cost)
-    private val admissionCheck = JobAdmissionCheck(control, selector, forecast, waiting)
+    private val returns = ReturnTimes(control, lifecycle.durations, waiting)
+    private val admissionCheck = JobAdmissionCheck(control, selector, forecast, waiting, returns)
     private val placement = Placement(options, control, lifecycle.durations, selector, waiting, lifecycle::onStarted)
     private val preemption = Preemption(options, control, lifecycle.durations)
     private val copies = SpeculativeCopies(options, control, lifecycle.durations, selector)
@@ -361,7 +362,7 @@
         nowMillis: Long,
     ) = lifecycle.finish(
         job,
-        JobOutcome.NotRun("jobs that are on time come first", job.spec.objectiveMillis),
+        JobOutcome.NotRun("jobs that are on time come first", returns.retryAfterBacklogMillis(job, nowMillis)),
         nowMillis,
     )
 
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/metrics/FleetMetrics.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/metrics/FleetMetrics.kt
@@ -31,6 +31,8 @@
             .classicUpperBounds(*BUCKETS_SECONDS)
             .withoutExemplars()
             .register(registry)
+    private val retryAfterSeconds =
+        registry.counter("jackdawring_caller_retry_after_seconds", "Seconds that refused callers were told to wait.")
     private val shardAnswers =
         registry.counter("jackdawring_shard_answers", "Jobs answered by held shards, by outcome.", "outcome")
     private val durableJobs =
@@ -74,6 +76,7 @@
         val outcome = answer.label
         answers.labelValues(outcome).inc()
         answerSeconds.labelValues(queue, outcome).observe(ageMillis / MILLIS_PER_SECOND)
+        if (answer is CallerAnswer.NotRun) retryAfterSeconds.inc(answer.retryAfterMillis / MILLIS_PER_SECOND)
     }
 
     fun shardAnswered(outcome: JobOutcome) = shardAnswers.labelValues(outcome.label).inc()
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/relay/RelayedJob.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/relay/RelayedJob.kt
@@ -94,8 +94,7 @@
         if (lastAdmission == Admission.EARLY && holding != null) {
             sendTo(holding, Admission.ON_TIME_OR_LATE, now)
         } else {
-            val refusal = refusals.values.first()
-            answer(CallerAnswer.NotRun(refusal.reason, refusal.retryAfterMillis))
+            answer(refusedAnswer(refusals.values.first().reason))
         }
     }
 
@@ -196,7 +195,8 @@
             }
 
             lastAdmission == Admission.ON_TIME_OR_LATE -> {
-                answer(CallerAnswer.NotRun(refusal.reason, refusal.retryAfterMillis))
+                refusals[shardId] = refusal
+                answer(refusedAnswer(refusal.reason))
             }
 
             else -> {
@@ -206,6 +206,13 @@
         }
     }
 
+    /** Answer after all refusals, with the earliest time at which one of the shards has room. */
+    private fun refusedAnswer(reason: String): CallerAnswer {
+        // A shard that cannot run the job now knows of no time, unless no shard can.
+        val able = refusals.values.filter { it.lateMillis != null }.ifEmpty { refusals.values }
+        return CallerAnswer.NotRun(reason, able.minOf { it.retryAfterMillis })
+    }
+
     private fun unservedAnswer(reason: String): CallerAnswer =
         if (acceptedBy != null) CallerAnswer.GivenUp(reason) else CallerAnswer.NotRun(reason, NO_HOLDER_RETRY_MILLIS)
 
@@ -238,6 +245,7 @@
                     "reason" to reason,
                     "ageMillis" to ageMillis,
                     "objectiveMillis" to job.objectiveMillis,
+                    "retryAfterMillis" to ((answer as? CallerAnswer.NotRun)?.retryAfterMillis ?: 0),
                     "refusedBy" to refusals.keys.joinToString { it.failureDomain.value },
                     "takenBy" to acceptedBy?.failureDomain?.value.orEmpty(),
                 )
--- a/fleet/src/test/kotlin/io/jackdawring/fleet/relay/RelayedJobTest.kt
+++ b/fleet/src/test/kotlin/io/jackdawring/fleet/relay/RelayedJobTest.kt
@@ -82,6 +82,14 @@
 
     private val rows =
         listOf(
+            Row("a job that all shards refuse is told the earliest time of those that can run it") {
+                submit()
+                reply(JobOutcome.NotRun("full", retryAfterMillis = 4_000, lateMillis = 90))
+                reply(JobOutcome.NotRun("full", retryAfterMillis = 3_000, lateMillis = 50))
+                reply(JobOutcome.NotRun("no target", retryAfterMillis = 1_000))
+                reply(JobOutcome.NotRun("full", retryAfterMillis = 6_000, lateMillis = 50))
+                assertEquals(4_000, (answer as CallerAnswer.NotRun).retryAfterMillis)
+            },
             Row("the outcome of the local shard is the answer") {
                 submit()
                 reply(JobOutcome.Completed)
