--- a/fleet/src/main/kotlin/io/jackdawring/fleet/HeldShards.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/HeldShards.kt
@@ -177,10 +177,11 @@
         // Without a grace: this holder has started nothing yet.
         host.updateEvacuated(evacuations.isEvacuated(holding.shardId.failureDomain), graceMillis = 0)
         hosts[holding.shardId] = host
+        // Started first, so that a failure in a listener cannot leave a shard that is held but never loaded.
+        host.start()
         onHeldChanged()
         mirror.applyIfNewer(item)
         host.updateTargets(targetsOf(holding.shardId))
-        host.start()
         stopped.announce()
     }
 
