--- a/core/src/test/kotlin/io/jackdawring/core/shard/CapacityForecastTest.kt
+++ b/core/src/test/kotlin/io/jackdawring/core/shard/CapacityForecastTest.kt
@@ -86,7 +86,7 @@
                 persistentSetOf(),
                 draining = false,
             )
-        val target = TrackedTarget(registration, index, TargetsByFreeCpu(DecisionCost()))
+        val target = TrackedTarget(registration, index, TargetsByFreeCpu(DecisionCost()), Evacuation())
         target.contact = row.contact
         row.targets[index].forEachIndexed { number, running -> target.add(run(target, "r$index.$number", running)) }
         return target
