Decide by the distribution of durations, not by their mean

Tasks vary by a factor of spread 0.4 and 3 in 100 take seven times as long. The forecast at admission took every task for an average one, so overloaded shards admitted twice as many jobs as they could serve in time; the cost of a placement preferred slow targets although many runs there were too long; runs of long tasks were stopped as hung after four times their estimate and started over; and one long run lowered the speed of its target.

Each queue now has a distribution of its durations. The forecast uses its mean for tasks ahead, the remaining time of runs that last, and an upper quantile for the last of several tasks. The cost of a placement has a term for the risk of missing the objective. The limit for hung runs follows the longest runs of the queue. A long run counts against its target only if it is the third in a row.

No rule for the CPU that is left free was clearly better than the present one, so that term stays as it was.

--- a/core/src/main/kotlin/io/jackdawring/core/shard/DurationEstimator.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/DurationEstimator.kt
@@ -3,15 +3,31 @@
 import kotlin.math.exp
 import kotlin.math.ln
 
-/** Scales declared task durations by a factor that is learned per queue from observed runs. */
+/** Scales declared task durations by a factor, and learns their distribution, per queue from observed runs. */
 internal class DurationEstimator {
-    private val logFactors = HashMap<String, Double>()
+    private class Queue {
+        val distribution = DurationDistribution()
+        val longRuns = LongRunFilter()
+        var factor = 1.0
+            private set
+        private var logFactor = 0.0
+
+        fun adjust(logRatio: Double) {
+            logFactor += FACTOR_WEIGHT * logRatio
+            factor = exp(logFactor)
+        }
+    }
+
+    private val queues = HashMap<String, Queue>()
+
+    /** Distribution of the durations of [queue] relative to the expected ones. */
+    fun distribution(queue: String): DurationDistribution = queues[queue]?.distribution ?: noRuns
 
     /** Expected duration of a task on a target of speed 1. */
     fun unitSpeedMillis(
         queue: String,
         estimateMillis: Long,
-    ): Double = estimateMillis.coerceAtLeast(1) * exp(logFactors[queue] ?: 0.0)
+    ): Double = estimateMillis.coerceAtLeast(1) * (queues[queue]?.factor ?: 1.0)
 
     /** Expected duration of [task] on [target], which is [offRackFactor] times as long outside the task's rack. */
     fun onTargetMillis(
@@ -29,11 +45,11 @@
         target: TrackedTarget,
         observedMillis: Long,
     ) {
-        val queue = task.job.spec.queue
-        val expected = unitSpeedMillis(queue, task.spec.estimateMillis)
-        val ratio =
-            ln((observedMillis.coerceAtLeast(1) * target.health.speed / expected).coerceIn(MIN_RATIO, MAX_RATIO))
-        logFactors[queue] = (logFactors[queue] ?: 0.0) + FACTOR_WEIGHT * ratio
+        val expected = unitSpeedMillis(task.job.spec.queue, task.spec.estimateMillis)
+        val ratio = (observedMillis.coerceAtLeast(1) * target.health.speed / expected).coerceIn(MIN_RATIO, MAX_RATIO)
+        val queue = queues.getOrPut(task.job.spec.queue, ::Queue)
+        queue.distribution.add(ratio)
+        if (queue.longRuns.classify(ratio) != LongRunFilter.Verdict.SINGLE) queue.adjust(ln(ratio))
         target.health.onDone(expected, observedMillis)
     }
 
@@ -45,5 +61,6 @@
         private const val FACTOR_WEIGHT = 0.02
         private const val MIN_RATIO = 0.1
         private const val MAX_RATIO = 10.0
+        private val noRuns = DurationDistribution()
     }
 }
--- a/core/src/main/kotlin/io/jackdawring/core/shard/JobAdmissionCheck.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/JobAdmissionCheck.kt
@@ -12,7 +12,10 @@
         admission: Admission,
         nowMillis: Long,
     ): AdmissionDecision {
-        val completion = forecast.completionMillis(job, Timeliness.ON_TIME, control.targets, waiting, nowMillis)
+        // Whether a job hardly waits does not depend on the spread of the durations.
+        val isPromise = admission != Admission.EARLY
+        val completion =
+            forecast.completionMillis(job, Timeliness.ON_TIME, isPromise, control.targets, waiting, nowMillis)
         val undecidable = job.started || isWarmingUp(nowMillis)
         if (undecidable || completion != null && completion <= limitMillis(job, admission)) {
             return AdmissionDecision.Admitted(Timeliness.ON_TIME, completion)
@@ -46,7 +49,8 @@
     ): Boolean {
         // A late job does not end before one that is on time, and a forecast is costly.
         if (onTimeCompletionMillis > job.latestUsefulMillis) return false
-        val completion = forecast.completionMillis(job, Timeliness.LATE, control.targets, waiting, nowMillis)
+        val completion =
+            forecast.completionMillis(job, Timeliness.LATE, isPromise = true, control.targets, waiting, nowMillis)
         return completion != null && completion <= job.latestUsefulMillis
     }
 
--- a/core/src/main/kotlin/io/jackdawring/core/shard/RealShardDispatcher.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/RealShardDispatcher.kt
@@ -13,18 +13,19 @@
     private val options: ShardOptions,
     private val effects: ShardEffects,
     private val pauses: PauseGuard,
+    fit: FitCost = RemainderCost,
 ) : ShardDispatcher {
     private val lifecycle = JobLifecycle(options, effects)
     private val control = lifecycle.control
     private val waiting = lifecycle.waiting
     private val durable = lifecycle.durable
-    private val selector = TargetSelector(lifecycle.durations, options.offRackFactor)
+    private val selector = TargetSelector(lifecycle.durations, options.offRackFactor, fit)
     private val forecast = CompletionForecast(lifecycle.durations, options, control.cost)
     private val admissionCheck = JobAdmissionCheck(control, selector, forecast, waiting)
     private val placement = Placement(options, control, lifecycle.durations, selector, waiting, lifecycle::onStarted)
     private val preemption = Preemption(options, control, lifecycle.durations)
     private val copies = SpeculativeCopies(options, control, lifecycle.durations, selector)
-    private val hangDetector = HangDetector(control)
+    private val hangDetector = HangDetector(control, lifecycle.durations)
     private val stalled = StalledJobs(control, waiting, durable, lifecycle.previousRuns)
     private val ownership = ShardOwnership()
     private var nextJobSequence = 0L
--- a/core/src/main/kotlin/io/jackdawring/core/shard/TargetHealth.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/TargetHealth.kt
@@ -12,13 +12,19 @@
  */
 internal class TargetHealth {
     private var logSpeed = 0.0
+        set(value) {
+            field = value
+            speed = exp(value)
+        }
     private var samples = 0
+    private val longRuns = LongRunFilter()
     private var consecutiveFaults = 0
     private var suspensions = 0
     private var suspendedUntilMillis = Long.MIN_VALUE
 
     /** Speed relative to the declared durations; 1.0 before the first run. */
-    val speed: Double get() = exp(logSpeed)
+    var speed = 1.0
+        private set
 
     fun isSuspended(nowMillis: Long): Boolean = nowMillis < suspendedUntilMillis
 
@@ -32,6 +38,14 @@
         consecutiveFaults = 0
         suspensions = 0
         val ratio = ln((expectedAtUnitSpeedMillis / observedMillis.coerceAtLeast(1)).coerceIn(MIN_SPEED, MAX_SPEED))
+        when (longRuns.classify(exp(logSpeed - ratio))) {
+            LongRunFilter.Verdict.SINGLE -> return
+
+            // The target has become slow; what it was before says nothing any more.
+            LongRunFilter.Verdict.LASTING -> samples = 0
+
+            LongRunFilter.Verdict.USUAL -> Unit
+        }
         samples++
         logSpeed += maxOf(1.0 / samples, SPEED_WEIGHT) * (ratio - logSpeed)
     }
@@ -55,6 +69,7 @@
     fun reset() {
         logSpeed = 0.0
         samples = 0
+        longRuns.reset()
         consecutiveFaults = 0
         suspensions = 0
         suspendedUntilMillis = Long.MIN_VALUE
