--- a/testing/src/test/kotlin/io/jackdawring/testing/shard/ShardLoadPatternTest.kt
+++ b/testing/src/test/kotlin/io/jackdawring/testing/shard/ShardLoadPatternTest.kt
@@ -112,15 +112,15 @@
             Row("a queue with long tasks: one that takes seven times as long is not stopped and started again") {
                 val shard = shard(count = 2)
                 repeat(120) {
-                    if (it % 10 == 0) shard.actualMillis[TaskKey(JobId("w$it"), 0, 0, 0)] = 280
-                    shard.submit(job("w$it", estimateMillis = 40))
-                    shard.runFor(100)
+                    if (it % 10 == 0) shard.actualMillis[TaskKey(JobId("w$it"), 0, 0, 0)] = 700
+                    shard.submit(job("w$it", estimateMillis = 100))
+                    shard.runFor(150)
                 }
                 shard.runFor(1_000)
                 shard.starts.clear()
-                shard.actualMillis[TaskKey(JobId("long"), 0, 0, 0)] = 280
-                val waiter = shard.submit(job("long", estimateMillis = 40))
-                shard.runFor(400)
+                shard.actualMillis[TaskKey(JobId("long"), 0, 0, 0)] = 700
+                val waiter = shard.submit(job("long", estimateMillis = 100))
+                shard.runFor(800)
                 assertEquals(JobOutcome.Completed, shard.outcome(waiter))
                 assertEquals(1, shard.starts.size)
             },
