Learn which kinds of task slow each other down, and keep them apart

The holder compares runs of a kind with a neighbour to those without it, and adds a term to the cost of targets where one of an interfering pair runs. StepSpec gets the optional image of a step; null is not stored.

--- a/core/src/main/kotlin/io/jackdawring/core/shard/JobLifecycle.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/JobLifecycle.kt
@@ -1,6 +1,7 @@
 package io.jackdawring.core.shard
 
 import io.jackdawring.core.TargetId
+import io.jackdawring.core.shard.interference.InterferenceAvoidance
 
 /** Manages the open jobs of a shard: queues their tasks, handles the ends of their runs and answers their waiters. */
 internal class JobLifecycle(
@@ -9,6 +10,7 @@
 ) : RunListener {
     val control = TargetControl(options, effects, this)
     val durations = DurationEstimator()
+    val interference = InterferenceAvoidance(effects::report)
     val waiting = WaitingTasks(::latestStartMillis)
     val previousRuns = PreviousHolderRuns(control, options.outcomeRetentionMillis)
     val durable = DurableJobs(effects, control)
@@ -157,6 +159,16 @@
         return task.job.objectiveAtMillis - (expectedMillis * DurationEstimator.SAFETY_FACTOR).toLong()
     }
 
+    override fun onAdded(
+        run: TrackedRun,
+        nowMillis: Long,
+    ) = interference.onRunAdded(run, nowMillis)
+
+    override fun onRemoved(
+        run: TrackedRun,
+        nowMillis: Long,
+    ) = interference.onRunRemoved(run, nowMillis)
+
     override fun onDone(
         run: TrackedRun,
         nowMillis: Long,
@@ -167,6 +179,7 @@
             return
         }
         if (!run.isAdopted) durations.onDone(task, run.target, nowMillis - run.sentAtMillis)
+        interference.onDone(task, run, nowMillis)
         task.runs.remove(run)
         if (!task.job.markDone(task) || !isOpen(task.job)) return
         stopRuns(task, "another copy completed", nowMillis)
@@ -384,6 +397,7 @@
         outcomes.removeExpired(nowMillis)
         previousRuns.removeExpired(nowMillis)
         crashes.removeExpired(nowMillis)
+        interference.tick(nowMillis)
     }
 
     /** Answers every waiter with [JobOutcome.Moved] and drops all open jobs. */
@@ -392,6 +406,7 @@
         jobsByWaiter.clear()
         jobs.clear()
         durable.clear()
+        interference.release()
     }
 
     private companion object {
--- a/core/src/main/kotlin/io/jackdawring/core/shard/RealShardDispatcher.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/RealShardDispatcher.kt
@@ -2,6 +2,7 @@
 
 import io.jackdawring.core.PauseGuard
 import io.jackdawring.core.TargetId
+import io.jackdawring.core.shard.interference.PlacementPenalty
 import kotlinx.collections.immutable.ImmutableCollection
 import kotlinx.collections.immutable.ImmutableList
 import kotlinx.collections.immutable.ImmutableMap
@@ -18,7 +19,8 @@
     private val control = lifecycle.control
     private val waiting = lifecycle.waiting
     private val durable = lifecycle.durable
-    private val selector = TargetSelector(lifecycle.durations, options.offRackFactor)
+    private val penalty = if (options.avoidsInterference) lifecycle.interference else PlacementPenalty.NONE
+    private val selector = TargetSelector(lifecycle.durations, options.offRackFactor, penalty)
     private val forecast = CompletionForecast(lifecycle.durations, options, control.cost)
     private val admissionCheck = JobAdmissionCheck(control, selector, forecast, waiting)
     private val placement = Placement(options, control, lifecycle.durations, selector, waiting, lifecycle::onStarted)
--- a/core/src/main/kotlin/io/jackdawring/core/shard/RunListener.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/RunListener.kt
@@ -4,6 +4,18 @@
 
 /** Receives the ends of runs; a run is removed from its target before a method is called. */
 internal interface RunListener {
+    /** The run was added to its target. */
+    fun onAdded(
+        run: TrackedRun,
+        nowMillis: Long,
+    )
+
+    /** The run was removed from its target. */
+    fun onRemoved(
+        run: TrackedRun,
+        nowMillis: Long,
+    )
+
     fun onDone(
         run: TrackedRun,
         nowMillis: Long,
--- a/core/src/main/kotlin/io/jackdawring/core/shard/ShardDecision.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/ShardDecision.kt
@@ -102,4 +102,23 @@
         val state: String,
         val reason: String,
     ) : ShardDecision
+
+    /**
+     * Tasks of [kind] and [neighbour] are kept apart from now on, or no longer if not [areApart].
+     *
+     * Runs of [kind] are expected to take [factor] times as long beside [neighbour]; [pairs] pairs of kinds are kept apart.
+     */
+    data class KindsSeparated(
+        val kind: String,
+        val neighbour: String,
+        val factor: Double,
+        val areApart: Boolean,
+        val pairs: Int,
+    ) : ShardDecision
+
+    /** A task was placed on a target other than the best one, which has a run that would slow it down, or vice versa. */
+    data class NeighbourAvoided(
+        val task: TaskKey,
+        val targetId: TargetId,
+    ) : ShardDecision
 }
--- a/core/src/main/kotlin/io/jackdawring/core/shard/ShardOptions.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/ShardOptions.kt
@@ -24,6 +24,8 @@
     val outcomeRetentionMillis: Long,
     /** Time for which a job without waiters is kept, so that a relay can replace a broken connection. */
     val orphanTimeoutMillis: Long,
+    /** Whether kinds of task that slow each other down are kept apart. */
+    val avoidsInterference: Boolean,
 ) {
     /** Builds [ShardOptions]. */
     class Builder {
@@ -36,6 +38,7 @@
         var adoptionTimeoutMillis: Long = 900
         var outcomeRetentionMillis: Long = 10_000
         var orphanTimeoutMillis: Long = 150
+        var avoidsInterference: Boolean = true
 
         fun build() =
             ShardOptions(
@@ -48,6 +51,7 @@
                 adoptionTimeoutMillis,
                 outcomeRetentionMillis,
                 orphanTimeoutMillis,
+                avoidsInterference,
             )
     }
 }
--- a/core/src/main/kotlin/io/jackdawring/core/shard/StepSpec.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/StepSpec.kt
@@ -9,7 +9,7 @@
  * [after] lists the steps whose tasks must all be done first. A target must have [requiredLabel] if it is set, runs at
  * most [maxPerTarget] tasks of the step at a time, and is slower outside the rack [rackAffinity]. Tasks with
  * [checkpointing] can resume from the checkpoint of an earlier run. Tasks with [speculative] may run in several copies.
- * Tasks that are [longRunning] run until their job is cancelled.
+ * Tasks that are [longRunning] run until their job is cancelled. [image] names the program that the tasks run, if known.
  */
 @Serializable
 data class StepSpec(
@@ -24,4 +24,5 @@
     val speculative: Boolean = false,
     @SerialName("lasting")
     val longRunning: Boolean = false,
+    val image: String? = null,
 )
--- a/core/src/main/kotlin/io/jackdawring/core/shard/TargetControl.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/TargetControl.kt
@@ -128,7 +128,7 @@
         task.lastAttempt++
         val run = TrackedRun(task.key, task.lastAttempt, target, task, nowMillis, expectedMillis)
         task.runs.add(run)
-        add(run)
+        add(run, nowMillis)
         val request = StartRequest(task.key, run.attempt, task.job.spec.payload, leaseUntil, task.checkpoint?.value)
         effects.start(target.registration, request)
     }
@@ -209,7 +209,7 @@
             }
 
             StartResult.Reason.INVALID -> {
-                remove(run)
+                remove(run, nowMillis)
                 listener.onInvalid(run, nowMillis)
                 return
             }
@@ -329,13 +329,13 @@
         val owner = run?.owner
         run?.recordCheckpoint(end.checkpoint)
         if (owner == null) {
-            run?.let(::remove)
+            run?.let { remove(it, nowMillis) }
             effects.report(ShardDecision.EndFound(end.task, end.attempt, target.id, end.ending))
             val version = listener.onUnknownEnd(end, nowMillis) ?: if (recovered) return else 0
             target.pendingEnds.addLast(PendingEnd(end.sequence, end.task.jobId, version))
             return
         }
-        remove(run)
+        remove(run, nowMillis)
         when (end.ending) {
             EndedRun.Ending.DONE -> listener.onDone(run, nowMillis)
             EndedRun.Ending.FAILED -> listener.onFailed(run, nowMillis)
@@ -440,7 +440,7 @@
         run.state = TrackedRun.State.RUNNING
         run.listedAfterMillis = nowMillis
         run.recordCheckpoint(entry.checkpoint)
-        add(run)
+        add(run, nowMillis)
         effects.report(ShardDecision.RunFound(run.key, run.attempt, target.id))
         return run
     }
@@ -582,14 +582,22 @@
         if (target.health.onFault(nowMillis, faultsToSuspend)) report(target, "suspended", reason)
     }
 
-    private fun add(run: TrackedRun) {
+    private fun add(
+        run: TrackedRun,
+        nowMillis: Long,
+    ) {
         run.target.add(run)
         index.add(run)
+        listener.onAdded(run, nowMillis)
     }
 
-    private fun remove(run: TrackedRun) {
+    private fun remove(
+        run: TrackedRun,
+        nowMillis: Long,
+    ) {
         run.target.remove(run)
         index.remove(run)
+        listener.onRemoved(run, nowMillis)
     }
 
     private fun markLost(
@@ -598,7 +606,7 @@
         nowMillis: Long,
         mayBeCrash: Boolean = false,
     ) {
-        remove(run)
+        remove(run, nowMillis)
         // A target that is draining may leave before its last runs end.
         if (mayBeCrash && !run.target.registration.draining) listener.onTargetLost(run, nowMillis)
         if (run.owner != null) listener.onLost(run, run.stopReason ?: reason, nowMillis)
--- a/core/src/main/kotlin/io/jackdawring/core/shard/TargetSelector.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/TargetSelector.kt
@@ -1,9 +1,12 @@
 package io.jackdawring.core.shard
 
+import io.jackdawring.core.shard.interference.PlacementPenalty
+
 /** Selects the target of a task among those with enough free capacity. */
 internal class TargetSelector(
     private val durations: DurationEstimator,
     private val offRackFactor: Double,
+    private val penalty: PlacementPenalty = PlacementPenalty.NONE,
 ) {
     /** The best target for [task] among those with the most free CPU that can take it now, or null if none can. */
     fun select(
@@ -61,7 +64,8 @@
                 task.spec.demand.cpuMillis
                     .coerceAtLeast(1)
         val base = if (meetsObjective) target.health.speed + fragment else LATE_COST + duration
-        return base + if (target === task.avoidedTarget) AVOIDED_COST else 0.0
+        val interference = if (meetsObjective) penalty.of(task, target, base, nowMillis) else 0.0
+        return base + interference + if (target === task.avoidedTarget) AVOIDED_COST else 0.0
     }
 
     companion object {
--- a/core/src/main/kotlin/io/jackdawring/core/shard/TrackedRun.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/TrackedRun.kt
@@ -1,5 +1,7 @@
 package io.jackdawring.core.shard
 
+import io.jackdawring.core.shard.interference.RunNeighbours
+
 /** A run on a target of the shard; [owner] is null until a job claims the run. */
 internal class TrackedRun(
     val key: TaskKey,
@@ -56,6 +58,9 @@
     /** Whether the target has been silent for a while, so that it may have crashed. */
     var isAtRisk = false
 
+    /** Which kinds of task ran beside this run; null before it is on its target. */
+    var neighbours: RunNeighbours? = null
+
     /** Why a stop was requested; null while the run should continue. */
     var stopReason: String? = null
     var stopSentAtMillis = Long.MIN_VALUE
--- a/core/src/main/kotlin/io/jackdawring/core/shard/TrackedTarget.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/TrackedTarget.kt
@@ -1,5 +1,7 @@
 package io.jackdawring.core.shard
 
+import io.jackdawring.core.shard.interference.NeighbourLog
+
 /** The holder's state of one target: its registration, polls, lease and runs. */
 internal class TrackedTarget(
     registration: ShardTarget,
@@ -55,6 +57,7 @@
     val runs = LinkedHashMap<TaskKey, TrackedRun>()
     val unansweredStarts = UnansweredStarts()
     val health = TargetHealth()
+    val neighbours = NeighbourLog()
     var contact = Contact.NEW
 
     /** Whether this holder has ever received the target's list of runs. */
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/metrics/FleetMetrics.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/metrics/FleetMetrics.kt
@@ -9,6 +9,7 @@
 import io.jackdawring.server.metrics.counter
 import io.jackdawring.server.metrics.expose
 import io.prometheus.metrics.core.metrics.CounterWithCallback
+import io.prometheus.metrics.core.metrics.Gauge
 import io.prometheus.metrics.core.metrics.Histogram
 import io.prometheus.metrics.model.registry.PrometheusRegistry
 
@@ -49,6 +50,17 @@
         )
     private val targetChanges =
         registry.counter("jackdawring_target_changes", "Changes of belief about targets, by new state.", "state")
+    private val interferingPairs =
+        Gauge
+            .builder()
+            .name("jackdawring_interfering_pairs")
+            .help("Pairs of kinds of task that held shards keep apart, because they slow each other down.")
+            .register(registry)
+    private val avoidedNeighbours =
+        registry.counter(
+            "jackdawring_avoided_neighbours",
+            "Placements on another target than otherwise, because runs there would interfere.",
+        )
     private val shardChanges =
         registry.counter(
             "jackdawring_shard_changes",
@@ -96,6 +108,10 @@
 
     fun targetChanged(state: String) = targetChanges.labelValues(state).inc()
 
+    fun interferingPairsChanged(change: Int) = interferingPairs.inc(change.toDouble())
+
+    fun neighbourAvoided() = avoidedNeighbours.inc()
+
     fun shardAcquired() = shardChanges.labelValues("taken").inc()
 
     fun shardReleased() = shardChanges.labelValues("let-go").inc()
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/shard/DecisionLog.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/shard/DecisionLog.kt
@@ -7,6 +7,7 @@
 import io.jackdawring.core.shard.ShardDecision
 import io.jackdawring.core.shard.TaskKey
 import io.jackdawring.fleet.metrics.FleetMetrics
+import java.util.Locale
 
 private val logger = KotlinLogging.logger("io.jackdawring.decision")
 
@@ -32,6 +33,8 @@
             is ShardDecision.RunStopRequested -> onStopRequested(decision)
             is ShardDecision.TargetCrashed -> onTargetCrashed(decision)
             is ShardDecision.TargetChanged -> onTargetChanged(decision)
+            is ShardDecision.KindsSeparated -> onKindsSeparated(decision)
+            is ShardDecision.NeighbourAvoided -> metrics.neighbourAvoided()
         }
     }
 
@@ -157,6 +160,17 @@
         log("target ${decision.state}", "target" to decision.targetId.value, "reason" to decision.reason)
     }
 
+    private fun onKindsSeparated(decision: ShardDecision.KindsSeparated) {
+        metrics.interferingPairsChanged(if (decision.areApart) 1 else -1)
+        log(
+            if (decision.areApart) "kinds of task are kept apart" else "kinds of task are no longer kept apart",
+            "kind" to decision.kind,
+            "neighbour" to decision.neighbour,
+            "factor" to String.format(Locale.ROOT, "%.2f", decision.factor),
+            "pairs" to decision.pairs,
+        )
+    }
+
     private fun log(
         text: String,
         vararg fields: Pair<String, Any>,
--- a/testing/src/main/kotlin/io/jackdawring/testing/shard/FakeShard.kt
+++ b/testing/src/main/kotlin/io/jackdawring/testing/shard/FakeShard.kt
@@ -17,6 +17,7 @@
 import io.jackdawring.core.shard.ShardDecision
 import io.jackdawring.core.shard.ShardDispatcher
 import io.jackdawring.core.shard.ShardEffects
+import io.jackdawring.core.shard.ShardOptions
 import io.jackdawring.core.shard.ShardTarget
 import io.jackdawring.core.shard.StartRequest
 import io.jackdawring.core.shard.StartResult
@@ -39,10 +40,11 @@
     val targets: List<FakeShardTarget>,
     /** Targets in the first list. */
     listed: List<FakeShardTarget> = targets,
+    private val options: ShardOptions = shardOptions(),
 ) {
     private inner class Holder : ShardEffects {
         val pauses = PauseGuard()
-        val dispatcher = ShardDispatcher.Factory.Default.create(shardOptions(), this, pauses)
+        val dispatcher = ShardDispatcher.Factory.Default.create(options, this, pauses)
         var alive = true
 
         private fun target(registration: ShardTarget) = targets.first { it.registration.id == registration.id }
@@ -99,7 +101,8 @@
             val step = stepOf(request.task)
             acknowledged.checkStart(request, step)
             capacities.checkStart(fake, step, knownCapacity, nowMillis)
-            val result = fake.start(request, step, actualMillis[request.task] ?: step.estimateMillis, nowMillis)
+            val workMillis = actualMillis[request.task] ?: step.estimateMillis
+            val result = fake.start(request, step, workMillis, nowMillis, kindOf(request.task))
             return if (result is StartResult.Accepted) onStarted(fake, request.task, result) else result
         }
 
@@ -448,6 +451,10 @@
 
     private fun stepOf(task: TaskKey) = jobs.getValue(task.jobId).steps[task.step]
 
+    /** The queue of [task], and its image if it has one. */
+    private fun kindOf(task: TaskKey) =
+        listOfNotNull(jobs.getValue(task.jobId).queue, stepOf(task).image).joinToString(" ")
+
     companion object {
         /** One-way latency between the holder and a target. */
         private const val LATENCY_MILLIS = 1L
@@ -470,6 +477,7 @@
             checkpointing: Boolean = false,
             speculative: Boolean = false,
             longRunning: Boolean = false,
+            image: String? = null,
         ) = JobSpec(
             JobId(id),
             queue,
@@ -490,6 +498,7 @@
                         checkpointing = checkpointing,
                         speculative = speculative,
                         longRunning = longRunning,
+                        image = image,
                     ),
                 ),
         )
--- a/testing/src/main/kotlin/io/jackdawring/testing/shard/FakeShardTarget.kt
+++ b/testing/src/main/kotlin/io/jackdawring/testing/shard/FakeShardTarget.kt
@@ -74,6 +74,9 @@
     /** Time that the target takes to stop a run. */
     var stopMillis = 0L
 
+    /** Factor by which a run takes longer beside another one, by the kinds of both; null if no kinds interfere. */
+    var slowdown: ((String, String) -> Double)? = null
+
     /** Additional delay of the answers to polls, as if the holder were slow to read them. */
     var answerDelayMillis = 0L
 
@@ -87,7 +90,11 @@
         /** Work that is saved in the checkpoint from which the run resumed. */
         val restoredMillis: Long,
         val checkpointing: Boolean,
+        val kind: String,
     ) {
+        /** Time by which neighbours have delayed the end. */
+        var delayMillis = 0.0
+
         /** Time at which a requested stop takes effect; null without a request. */
         var stopsAtMillis: Long? = null
         var saved = if (restoredMillis > 0) checkpoint(key, attempt, restoredMillis) else null
@@ -131,6 +138,7 @@
         step: StepSpec,
         workMillis: Long,
         nowMillis: Long,
+        kind: String = "",
     ): StartResult {
         val clock = nowMillis + clockOffsetMillis
         val hasRoom = !guardsCapacity || step.demand.fitsInto(freeOf(registration.capacity))
@@ -163,6 +171,7 @@
                 nowMillis,
                 restored,
                 step.checkpointing,
+                kind,
             )
         extendLease(request.leaseUntilMillis)
         return StartResult.Accepted(clock)
@@ -223,6 +232,7 @@
 
     /** Saves checkpoints that are due, and ends the runs that are complete or whose lease has expired. */
     internal fun advance(nowMillis: Long) {
+        slowdown?.let(::delayRuns)
         for (run in runs.values.toList()) {
             if ((nowMillis - run.startedAtMillis) % CHECKPOINT_MILLIS ==
                 CHECKPOINT_MILLIS - 1
@@ -232,7 +242,7 @@
             when {
                 nowMillis + clockOffsetMillis > leaseUntilMillis -> end(run, EndedRun.Ending.LAPSED)
                 run.stopsAtMillis?.let { nowMillis >= it } == true -> endStopped(run, nowMillis)
-                nowMillis >= run.endsAtMillis ->
+                nowMillis >= run.endsAtMillis + run.delayMillis ->
                     end(
                         run,
                         if (run.fails) EndedRun.Ending.FAILED else EndedRun.Ending.DONE,
@@ -241,6 +251,14 @@
         }
     }
 
+    /** Delays the ends of the runs that neighbours slow down by what they lose in a millisecond. */
+    private fun delayRuns(slowdown: (String, String) -> Double) {
+        for (run in runs.values) {
+            val factor = runs.values.filter { it !== run }.maxOfOrNull { slowdown(run.kind, it.kind) } ?: 1.0
+            run.delayMillis += 1 - 1 / factor
+        }
+    }
+
     /** Restarts as a new incarnation without any state. */
     fun restart() {
         runs.clear()
