--- a/core/src/main/kotlin/io/jackdawring/core/shard/TrackedTarget.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/TrackedTarget.kt
@@ -1,5 +1,7 @@
 package io.jackdawring.core.shard
 
+import io.jackdawring.core.shard.interference.NeighbourLog
+
 /** The holder's state of one target: its registration, polls, lease and runs. */
 internal class TrackedTarget(
     registration: ShardTarget,
@@ -57,6 +59,7 @@
     val unansweredStarts = UnansweredStarts()
     val health = TargetHealth()
     val warmUp = WarmUp()
+    val neighbours = NeighbourLog()
     var contact = Contact.NEW
 
     /** Whether this holder has ever received the target's list of runs. */
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/metrics/FleetMetrics.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/metrics/FleetMetrics.kt
@@ -77,6 +77,17 @@
             .register(registry)
     private val targetChanges =
         registry.counter("jackdawring_target_changes", "Changes of belief about targets, by new state.", "state")
+    private val interferingPairs =
+        Gauge
+            .builder()
+            .name("jackdawring_interfering_pairs")
+            .help("Pairs of kinds of task that held shards keep apart, because they slow each other down.")
+            .register(registry)
+    private val avoidedNeighbours =
+        registry.counter(
+            "jackdawring_avoided_neighbours",
+            "Placements on another target than otherwise, because runs there would interfere.",
+        )
     private val shardChanges =
         registry.counter(
             "jackdawring_shard_changes",
@@ -139,6 +150,9 @@
     fun evacuationRefused(by: String) = evacuationRefusals.labelValues(by).inc()
 
     fun evacuatedDomains(count: Int) = evacuatedDomains.set(count.toDouble())
+    fun interferingPairsChanged(change: Int) = interferingPairs.inc(change.toDouble())
+
+    fun neighbourAvoided() = avoidedNeighbours.inc()
 
     fun shardAcquired() = shardChanges.labelValues("taken").inc()
 
