--- a/core/src/main/kotlin/io/jackdawring/core/shard/interference/InterferenceAvoidance.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/interference/InterferenceAvoidance.kt
@@ -32,8 +32,7 @@
         nowMillis: Long,
     ) {
         val neighbours = run.neighbours ?: return
-        run.target.neighbours.remove(neighbours, nowMillis)
-        kinds.onEnded(neighbours.kind, nowMillis)
+        if (run.target.neighbours.remove(neighbours, nowMillis)) kinds.onEnded(neighbours.kind, nowMillis)
     }
 
     /** Learns from a run that has succeeded. */
--- a/core/src/main/kotlin/io/jackdawring/core/shard/interference/NeighbourLog.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/interference/NeighbourLog.kt
@@ -35,15 +35,16 @@
         return run
     }
 
-    /** Removes a run that has ended. */
+    /** Removes a run that has ended; returns whether it was present. */
     fun remove(
         run: RunNeighbours,
         nowMillis: Long,
-    ) {
+    ): Boolean {
         update(nowMillis)
-        if (!present.remove(run)) return
+        if (!present.remove(run)) return false
         runs[run.kind]--
         run.end(sums(run.kind, nowMillis), nowMillis)
+        return true
     }
 
     /** Whether a run of a kind that matches [predicate] is present. */
