Let less urgent jobs yield while urgent ones find no capacity

Cause: jobs with longer objectives can wait longer and took all capacity that became free in an overload, so the most urgent jobs were refused most.

Change: while two jobs of a more urgent priority could not be admitted on time within 500 ms, a less urgent one is admitted only with a wait of at most 0.6 of what its objective allows, and not as a late one (UrgentShortage).

--- a/core/src/main/kotlin/io/jackdawring/core/shard/JobAdmissionCheck.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/JobAdmissionCheck.kt
@@ -8,6 +8,8 @@
     private val waiting: WaitingTasks,
     private val returns: ReturnTimes,
 ) {
+    private val shortage = UrgentShortage()
+
     fun decide(
         job: TrackedJob,
         admission: Admission,
@@ -15,31 +17,39 @@
     ): AdmissionDecision {
         val completion = forecast.completionMillis(job, Timeliness.ON_TIME, control.targets, waiting, nowMillis)
         val undecidable = job.started || isWarmingUp(nowMillis)
-        if (undecidable || completion != null && completion <= limitMillis(job, admission)) {
+        val yields = shortage.concerns(job, nowMillis)
+        if (undecidable || completion != null && completion <= limitMillis(job, admission, yields)) {
             return AdmissionDecision.Admitted(Timeliness.ON_TIME, completion)
         }
         if (completion == null) {
             val outcome = JobOutcome.NotRun("no target can run it now", ReturnTimes.NO_TARGET_MILLIS)
             return AdmissionDecision.Refused(outcome)
         }
+        if (admission != Admission.EARLY && !yields) shortage.record(job, nowMillis)
         return when {
-            admission == Admission.EARLY -> refusal(job, admission, completion, nowMillis)
+            admission == Admission.EARLY || yields -> refusal(job, admission, completion, nowMillis)
             hasRoom(job, nowMillis) || canBeUseful(job, completion, nowMillis) ->
                 AdmissionDecision.Admitted(Timeliness.LATE, completion)
             else -> refusal(job, admission, completion, nowMillis)
         }
     }
 
-    /** Latest forecast with which [job] is admitted as one that is on time. */
+    /** Latest forecast with which [job] is admitted as one that is on time; [yields] is whether more urgent ones go first. */
     private fun limitMillis(
         job: TrackedJob,
         admission: Admission,
+        yields: Boolean,
     ): Double =
-        when (admission) {
-            Admission.EARLY -> job.arrivedAtMillis + EARLY_SHARE * job.spec.objectiveMillis
-            Admission.ON_TIME_OR_LATE -> job.objectiveAtMillis.toDouble()
+        when {
+            yields -> job.arrivedAtMillis + yieldingLimitMillis(job.spec)
+            admission == Admission.EARLY -> job.arrivedAtMillis + EARLY_SHARE * job.spec.objectiveMillis
+            else -> job.objectiveAtMillis.toDouble()
         }
 
+    /** Forecast duration up to which a job is admitted while more urgent ones find no capacity in time. */
+    private fun yieldingLimitMillis(job: JobSpec): Double =
+        job.criticalPathMillis + YIELDING_SHARE * (job.objectiveMillis - job.criticalPathMillis)
+
     /** Whether [job] ends while its result is useful if it waits until no job that is on time does. */
     private fun canBeUseful(
         job: TrackedJob,
@@ -83,6 +93,14 @@
         /** Share of the objective within which the forecast of a job that hardly waits lies on most targets. */
         const val EARLY_SHARE = 0.75
 
+        /**
+         * Share of its allowance for waiting that a job uses while more urgent ones find no capacity in time.
+         *
+         * With 0.75, the most urgent jobs are served half as often as the others; with 0.5, the worth of what is served
+         * drops in bursts of wide and of large jobs.
+         */
+        const val YIELDING_SHARE = 0.6
+
         /** Time for the targets to answer the first poll of a new holder. */
         const val WARM_UP_MILLIS = 250L
     }
