--- a/fleet/src/test/kotlin/io/jackdawring/fleet/model/DelegatedTaskTest.kt
+++ b/fleet/src/test/kotlin/io/jackdawring/fleet/model/DelegatedTaskTest.kt
@@ -183,6 +183,16 @@
                 assertTrue(cancel(2_600))
                 assertCancelled()
             },
+            Row("a task of the part that crashes its targets fails the job, all tasks of which stop") {
+                loseTarget()
+                repeat(12) {
+                    runs.targetsOf(ID).filterNot { it.startsWith("a") }.forEach(::restart)
+                    run(1_500)
+                }
+                assertEquals(JobState.FAILED, storedJobs().getValue(ID).second)
+                assertEquals(emptySet(), runs.runningTasksOf(ID))
+                assertEquals(emptyList(), store.items.keys.filter { "/part/" in it }, "parts that are left")
+            },
             Row("the failure domain of the part is cut off from the other ones: the task continues") {
                 val other = loseTarget()
                 val count = runs.countOf(ID)
