Add the subcommand instance check-config

Operators learn of a faulty configuration only when instances ignore it, or when callers get no answer from a route that never matches.

--- a/cli/src/main/kotlin/io/jackdawring/cli/CommandLine.kt
+++ b/cli/src/main/kotlin/io/jackdawring/cli/CommandLine.kt
@@ -141,7 +141,7 @@
     }
 
     companion object {
-        const val COMMAND_WIDTH = 20
+        const val COMMAND_WIDTH = 23
 
         /** Environment variable that adds the stack trace to the message of an internal fault. */
         const val STACK_TRACE_VARIABLE = "JACKDAWRING_STACK_TRACE"
--- a/cli/src/main/kotlin/io/jackdawring/cli/Commands.kt
+++ b/cli/src/main/kotlin/io/jackdawring/cli/Commands.kt
@@ -10,6 +10,7 @@
 import io.jackdawring.cli.commands.HelpCommand
 import io.jackdawring.cli.commands.InstanceBeliefsCommand
 import io.jackdawring.cli.commands.InstanceCheckCommand
+import io.jackdawring.cli.commands.InstanceCheckConfigCommand
 import io.jackdawring.cli.commands.InstanceCommand
 import io.jackdawring.cli.commands.LoadCommand
 import io.jackdawring.cli.commands.PlatformDemoCommand
@@ -28,6 +29,7 @@
         CommandFactory("serve") { ServeCommand() },
         CommandFactory("instance") { InstanceCommand() },
         CommandFactory("instance check") { InstanceCheckCommand() },
+        CommandFactory("instance check-config") { InstanceCheckConfigCommand() },
         CommandFactory("instance beliefs") { InstanceBeliefsCommand() },
         CommandFactory("config check") { ConfigCheckCommand() },
         CommandFactory("config publish") { ConfigPublishCommand() },
