Format FleetMetrics

The ktlint check of the module fleet failed at a missing blank line after two branches were merged, so no module that depends on it could be verified. The line is the one that ktlint:format adds.

--- a/fleet/src/main/kotlin/io/jackdawring/fleet/metrics/FleetMetrics.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/metrics/FleetMetrics.kt
@@ -150,6 +150,7 @@
     fun evacuationRefused(by: String) = evacuationRefusals.labelValues(by).inc()
 
     fun evacuatedDomains(count: Int) = evacuatedDomains.set(count.toDouble())
+
     fun interferingPairsChanged(change: Int) = interferingPairs.inc(change.toDouble())
 
     fun neighbourAvoided() = avoidedNeighbours.inc()
