--- a/core/src/test/kotlin/io/jackdawring/core/shard/PlacementComparisonTest.kt
+++ b/core/src/test/kotlin/io/jackdawring/core/shard/PlacementComparisonTest.kt
@@ -11,11 +11,7 @@
  * CPU that is left free that is clearly worse than another one.
  */
 class PlacementComparisonTest {
-    /**
-     * [onTime] and [wideOnTime] are the least shares of all jobs and of those of eight tasks.
-     *
-     * They hold for all seeds from 1 to 8 in pairs: the model is chaotic, and rounding differs between machines.
-     */
+    /** [onTime] and [wideOnTime] are the least shares of all jobs and of those of eight tasks. */
     private class Row(
         val load: ModelLoad,
         val onTime: Double,
@@ -30,22 +26,22 @@
 
     private val rows =
         listOf(
-            Row(ModelLoad("calm", 0.6), 0.78, 0.60),
-            Row(ModelLoad("usual", 1.0), 0.73, 0.50),
-            Row(ModelLoad("burst of all kinds", 1.0, listOf(1.7, 1.7, 1.7)), 0.45, 0.12),
-            Row(ModelLoad("burst of wide jobs", 1.0, listOf(3.5, 1.0, 1.0)), 0.45, 0.22),
-            Row(ModelLoad("burst of narrow jobs", 1.0, listOf(1.0, 1.8, 1.0)), 0.59, 0.25),
-            Row(ModelLoad("burst of large jobs", 1.0, listOf(1.0, 1.0, 2.5)), 0.61, 0.30),
-            Row(ModelLoad("lasting overload", 1.4), 0.47, 0.15),
+            Row(ModelLoad("calm", 0.6), 0.80, 0.65),
+            Row(ModelLoad("usual", 1.0), 0.74, 0.53),
+            Row(ModelLoad("burst of all kinds", 1.0, listOf(1.7, 1.7, 1.7)), 0.47, 0.14),
+            Row(ModelLoad("burst of wide jobs", 1.0, listOf(3.5, 1.0, 1.0)), 0.47, 0.25),
+            Row(ModelLoad("burst of narrow jobs", 1.0, listOf(1.0, 1.8, 1.0)), 0.60, 0.33),
+            Row(ModelLoad("burst of large jobs", 1.0, listOf(1.0, 1.0, 2.5)), 0.62, 0.35),
+            Row(ModelLoad("lasting overload", 1.4), 0.49, 0.19),
             Row(
                 ModelLoad("half of the targets slow", 1.0, listOf(1.3, 1.3, 1.3), speeds = listOf(0.55, 1.2)),
-                0.41,
-                0.08,
+                0.42,
+                0.11,
             ),
             Row(ModelLoad("calm, exact durations", 0.6, isUneven = false), 0.99, 0.99),
-            Row(ModelLoad("burst, exact durations", 1.2, listOf(1.7, 1.7, 1.7), isUneven = false), 0.56, 0.28),
-            Row(ModelLoad("calm, large targets", 0.6, cpuMillis = 64_000), 0.78, 0.60),
-            Row(ModelLoad("burst, large targets", 1.0, listOf(1.7, 1.7, 1.7), cpuMillis = 64_000), 0.45, 0.12),
+            Row(ModelLoad("burst, exact durations", 1.2, listOf(1.7, 1.7, 1.7), isUneven = false), 0.56, 0.30),
+            Row(ModelLoad("calm, large targets", 0.6, cpuMillis = 64_000), 0.80, 0.65),
+            Row(ModelLoad("burst, large targets", 1.0, listOf(1.7, 1.7, 1.7), cpuMillis = 64_000), 0.47, 0.14),
         )
 
     private val inUse = Rule("in use") { RemainderCost }
@@ -95,8 +91,7 @@
             assertTrue(other.used - mean.used < NOISE, "${rule.name} uses ${other.used} instead of ${mean.used}")
         }
         val used = mean.used ?: return
-        // Null if tasks hardly wait at the merged targets, which then have nothing to compare.
-        val usable = run(row.load, bound).used ?: return
+        val usable = run(row.load, bound).used ?: 1.0
         assertTrue(used >= usable - FRAGMENTS, "$used of the CPU is used, and $usable could be")
     }
 
@@ -109,7 +104,7 @@
         /** Difference between two rules that can be chance. */
         const val NOISE = 0.05
 
-        /** Share of the CPU that tasks of half a target leave unused at most. */
-        const val FRAGMENTS = 0.15
+        /** Share of the CPU that tasks of half a target leave unused. */
+        const val FRAGMENTS = 0.1
     }
 }
--- a/core/src/test/kotlin/io/jackdawring/core/shard/ShardModel.kt
+++ b/core/src/test/kotlin/io/jackdawring/core/shard/ShardModel.kt
@@ -180,7 +180,7 @@
             count: (ModelJob) -> Boolean,
         ) = of.count(count).toDouble() / of.size
         return ModelResult(
-            if (scarceMillis >= MIN_SCARCE_MILLIS) usedShares / scarceMillis else null,
+            if (scarceMillis > 0) usedShares / scarceMillis else null,
             share(measured) { it.isOnTime },
             load.kinds.indices.map { kind -> share(measured.filter { it.spec.priority == kind }) { it.isOnTime } },
         )
@@ -265,7 +265,6 @@
         const val MILLIS_PER_SECOND = 1_000.0
         const val DEADLINE_MILLIS = 1_500L
         const val BASE_OBJECTIVE_MILLIS = 60L
-        const val MIN_SCARCE_MILLIS = 1_000
         const val DEMAND_SPREAD = 0.2
         const val LONG_FACTOR = 7.0
     }
@@ -312,7 +311,7 @@
 
 /** Figures of one run of a [ShardModel]. */
 internal class ModelResult(
-    /** Mean share of the CPU in use while tasks wait; null if they hardly did. */
+    /** Mean share of the CPU in use while tasks wait; null if none did. */
     val usedWhileScarce: Double?,
     val onTime: Double,
     val onTimeByKind: List<Double>,
