Take the decisions by duration distributions out again

Cause: with them, jobs are admitted that are not served before their deadlines while capacity is short.

--- a/core/src/main/kotlin/io/jackdawring/core/shard/CompletionForecast.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/CompletionForecast.kt
@@ -1,7 +1,6 @@
 package io.jackdawring.core.shard
 
 import java.util.PriorityQueue
-import kotlin.math.pow
 
 /**
  * Forecasts when a job would complete if the waiting tasks were placed in order on the slots of the shard.
@@ -28,16 +27,10 @@
         sample: TrackedTask,
     ) = Slot(target, freeAtMillis, freeAtMillis + durations.onTargetMillis(sample, target, options.offRackFactor))
 
-    /**
-     * Time at which the job completes if it waits as one that is [timeliness]; null if no target can run it.
-     *
-     * The tasks ahead take their mean duration. Those of the job take the expected one, or, if [isPromise], one that
-     * is not exceeded by any of them in [KEPT_SHARE] of the cases.
-     */
+    /** Expected time at which the job completes if it waits as one that is [timeliness]; null if no target can run it. */
     fun completionMillis(
         job: TrackedJob,
         timeliness: Timeliness,
-        isPromise: Boolean,
         targets: Collection<TrackedTarget>,
         waiting: WaitingTasks,
         nowMillis: Long,
@@ -49,20 +42,13 @@
         if (slots.isEmpty() && stride > 1) slots.addAll(slots(sample, targets, nowMillis))
         if (slots.isEmpty()) return null
         val ahead = waiting.ahead(job, timeliness).take(MAX_TASKS * stride).toList()
-        fill(slots, everyNth(stride, 0, ahead), sample, nowMillis) { durations.distribution(it.job.spec.queue).mean }
-        val ownFactor = if (isPromise) lastOfFactor(job.spec.queue, own.size) else 1.0
-        val completion = fill(slots, everyNth(stride, 0, own), sample, nowMillis) { ownFactor }
+        fill(slots, everyNth(stride, 0, ahead), sample, nowMillis)
+        val completion = fill(slots, everyNth(stride, 0, own), sample, nowMillis)
         if (ahead.size < MAX_TASKS * stride) return completion
         val unseen = (waiting.countAhead(job, timeliness) - ahead.size).coerceAtLeast(0)
         return nowMillis + (completion - nowMillis) * (1 + unseen.toDouble() / ahead.size)
     }
 
-    /** Factor by which the last of [tasks] parallel tasks takes longer than expected. */
-    private fun lastOfFactor(
-        queue: String,
-        tasks: Int,
-    ): Double = maxOf(1.0, durations.distribution(queue).quantile(KEPT_SHARE.pow(1.0 / tasks)))
-
     /** Every [stride]th element of [all]; [offset] selects the first one. */
     private fun <T> everyNth(
         stride: Int,
@@ -71,23 +57,18 @@
     ): Collection<T> =
         if (stride == 1) all else all.filterIndexed { index, _ -> index % stride == Math.floorMod(offset, stride) }
 
-    /**
-     * Assigns [tasks], which take [factor] times as long as expected, to the earliest slots, and returns the time at
-     * which the last of them ends.
-     */
+    /** Assigns [tasks] to the earliest slots, and returns the time at which the last of them ends. */
     private fun fill(
         slots: PriorityQueue<Slot>,
         tasks: Collection<TrackedTask>,
         sample: TrackedTask,
         nowMillis: Long,
-        factor: (TrackedTask) -> Double,
     ): Double {
         var last = nowMillis.toDouble()
         for (task in tasks) {
             val slot = slots.poll() ?: break
             cost.add()
-            val duration = factor(task) * durations.onTargetMillis(task, slot.target, options.offRackFactor)
-            val end = slot.freeAtMillis + duration
+            val end = slot.freeAtMillis + durations.onTargetMillis(task, slot.target, options.offRackFactor)
             slots.add(slot(slot.target, end, sample))
             last = maxOf(last, end)
         }
@@ -119,27 +100,12 @@
         sample: TrackedTask,
         nowMillis: Long,
     ): Double {
-        val endMillis = endMillis(run, nowMillis)
+        val endMillis = run.expectedEndMillis(nowMillis)
         val isCheap = Preemption.lostMillis(run, options, nowMillis) < endMillis - nowMillis
         val isPreempted = isCheap && Preemption.isPreemptable(run, sample.job.spec)
         return (if (isPreempted) minOf(endMillis, nowMillis + options.stopMillis) else endMillis).toDouble()
     }
 
-    /** Mean of the times at which [run] can end, given how long it has lasted. */
-    private fun endMillis(
-        run: TrackedRun,
-        nowMillis: Long,
-    ): Long {
-        val queue =
-            run.owner
-                ?.job
-                ?.spec
-                ?.queue
-        if (queue == null || run.expectedMillis <= 0) return run.expectedEndMillis(nowMillis)
-        val lasted = (nowMillis - run.sentAtMillis).toDouble() / run.expectedMillis
-        return nowMillis + (run.expectedMillis * durations.distribution(queue).remaining(lasted)).toLong()
-    }
-
     private fun freeSlots(
         target: TrackedTarget,
         demand: Resources,
@@ -162,15 +128,6 @@
     }
 
     private companion object {
-        /**
-         * Share of the jobs that would keep the forecast on which they are admitted if all ran as soon as they could.
-         *
-         * Wide jobs need a longer forecast than narrow ones for the same share. With 0.1, 0.2 and 0.5, 0.54, 0.55 and
-         * 0.57 of the jobs of a burst were in time, but only 0.21, 0.19 and 0.16 of the wide ones, which are the most
-         * urgent (PlacementComparisonTest).
-         */
-        const val KEPT_SHARE = 0.1
-
         /** Limits the slots of a target for tasks with little or no demand. */
         const val MAX_FREE_SLOTS = 64
 
--- a/core/src/main/kotlin/io/jackdawring/core/shard/DurationEstimator.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/DurationEstimator.kt
@@ -3,31 +3,15 @@
 import kotlin.math.exp
 import kotlin.math.ln
 
-/** Scales declared task durations by a factor, and learns their distribution, per queue from observed runs. */
+/** Scales declared task durations by a factor that is learned per queue from observed runs. */
 internal class DurationEstimator {
-    private class Queue {
-        val distribution = DurationDistribution()
-        val longRuns = LongRunFilter()
-        var factor = 1.0
-            private set
-        private var logFactor = 0.0
-
-        fun adjust(logRatio: Double) {
-            logFactor += FACTOR_WEIGHT * logRatio
-            factor = exp(logFactor)
-        }
-    }
-
-    private val queues = HashMap<String, Queue>()
-
-    /** Distribution of the durations of [queue] relative to the expected ones. */
-    fun distribution(queue: String): DurationDistribution = queues[queue]?.distribution ?: noRuns
+    private val logFactors = HashMap<String, Double>()
 
     /** Expected duration of a task on a target of speed 1. */
     fun unitSpeedMillis(
         queue: String,
         estimateMillis: Long,
-    ): Double = estimateMillis.coerceAtLeast(1) * (queues[queue]?.factor ?: 1.0)
+    ): Double = estimateMillis.coerceAtLeast(1) * exp(logFactors[queue] ?: 0.0)
 
     /** Expected duration of [task] on [target], which is [offRackFactor] times as long outside the task's rack. */
     fun onTargetMillis(
@@ -45,11 +29,11 @@
         target: TrackedTarget,
         observedMillis: Long,
     ) {
-        val expected = unitSpeedMillis(task.job.spec.queue, task.spec.estimateMillis)
-        val ratio = (observedMillis.coerceAtLeast(1) * target.health.speed / expected).coerceIn(MIN_RATIO, MAX_RATIO)
-        val queue = queues.getOrPut(task.job.spec.queue, ::Queue)
-        queue.distribution.add(ratio)
-        if (queue.longRuns.classify(ratio) != LongRunFilter.Verdict.SINGLE) queue.adjust(ln(ratio))
+        val queue = task.job.spec.queue
+        val expected = unitSpeedMillis(queue, task.spec.estimateMillis)
+        val ratio =
+            ln((observedMillis.coerceAtLeast(1) * target.health.speed / expected).coerceIn(MIN_RATIO, MAX_RATIO))
+        logFactors[queue] = (logFactors[queue] ?: 0.0) + FACTOR_WEIGHT * ratio
         target.health.onDone(expected, observedMillis)
     }
 
@@ -75,6 +59,5 @@
         private const val FACTOR_WEIGHT = 0.02
         private const val MIN_RATIO = 0.1
         private const val MAX_RATIO = 10.0
-        private val noRuns = DurationDistribution()
     }
 }
--- a/core/src/main/kotlin/io/jackdawring/core/shard/JobAdmissionCheck.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/JobAdmissionCheck.kt
@@ -17,10 +17,7 @@
     ): AdmissionDecision {
         val evacuation = control.evacuation
         if (evacuation.isEvacuated && !job.started) return AdmissionDecision.Refused(evacuation.refuse(job))
-        // Whether a job hardly waits does not depend on the spread of the durations.
-        val isPromise = admission != Admission.EARLY
-        val completion =
-            forecast.completionMillis(job, Timeliness.ON_TIME, isPromise, control.targets, waiting, nowMillis)
+        val completion = forecast.completionMillis(job, Timeliness.ON_TIME, control.targets, waiting, nowMillis)
         val undecidable = job.started || isWarmingUp(nowMillis)
         val yields = shortage.concerns(job, nowMillis)
         if (undecidable || completion != null && completion <= limitMillis(job, admission, yields)) {
@@ -63,8 +60,7 @@
     ): Boolean {
         // A late job does not end before one that is on time, and a forecast is costly.
         if (onTimeCompletionMillis > job.latestUsefulMillis) return false
-        val completion =
-            forecast.completionMillis(job, Timeliness.LATE, isPromise = true, control.targets, waiting, nowMillis)
+        val completion = forecast.completionMillis(job, Timeliness.LATE, control.targets, waiting, nowMillis)
         return completion != null && completion <= job.latestUsefulMillis
     }
 
--- a/core/src/main/kotlin/io/jackdawring/core/shard/RealShardDispatcher.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/RealShardDispatcher.kt
@@ -14,21 +14,20 @@
     private val options: ShardOptions,
     private val effects: ShardEffects,
     private val pauses: PauseGuard,
-    fit: FitCost = RemainderCost,
 ) : ShardDispatcher {
     private val lifecycle = JobLifecycle(options, effects)
     private val control = lifecycle.control
     private val waiting = lifecycle.waiting
     private val durable = lifecycle.durable
     private val penalty = if (options.avoidsInterference) lifecycle.interference else PlacementPenalty.NONE
-    private val selector = TargetSelector(lifecycle.durations, options.offRackFactor, fit, penalty)
+    private val selector = TargetSelector(lifecycle.durations, options.offRackFactor, penalty)
     private val forecast = CompletionForecast(lifecycle.durations, options, control.cost)
     private val returns = ReturnTimes(control, lifecycle.durations, waiting)
     private val admissionCheck = JobAdmissionCheck(control, selector, forecast, waiting, returns)
     private val placement = Placement(options, control, lifecycle.durations, selector, waiting, lifecycle::onStarted)
     private val preemption = Preemption(options, control, lifecycle.durations)
     private val copies = SpeculativeCopies(options, control, lifecycle.durations, selector)
-    private val hangDetector = HangDetector(control, lifecycle.durations)
+    private val hangDetector = HangDetector(control)
     private val stalled = StalledJobs(control, waiting, durable, lifecycle.previousRuns)
     override val parts = RealJobParts(lifecycle, stalled, { nextJobSequence++ }) { if (!released) place(it) }
     private val ownership = ShardOwnership()
--- a/core/src/main/kotlin/io/jackdawring/core/shard/TargetHealth.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/TargetHealth.kt
@@ -12,19 +12,13 @@
  */
 internal class TargetHealth {
     private var logSpeed = 0.0
-        set(value) {
-            field = value
-            speed = exp(value)
-        }
     private var samples = 0
-    private val longRuns = LongRunFilter()
     private var consecutiveFaults = 0
     private var suspensions = 0
     private var suspendedUntilMillis = Long.MIN_VALUE
 
     /** Speed relative to the declared durations; 1.0 before the first run. */
-    var speed = 1.0
-        private set
+    val speed: Double get() = exp(logSpeed)
 
     /** Whether a run has shown the speed. */
     val hasSpeed: Boolean get() = samples > 0
@@ -40,14 +34,6 @@
     ) {
         clearFaults()
         val ratio = ln((expectedAtUnitSpeedMillis / observedMillis.coerceAtLeast(1)).coerceIn(MIN_SPEED, MAX_SPEED))
-        when (longRuns.classify(exp(logSpeed - ratio))) {
-            LongRunFilter.Verdict.SINGLE -> return
-
-            // The target has become slow; what it was before says nothing any more.
-            LongRunFilter.Verdict.LASTING -> samples = 0
-
-            LongRunFilter.Verdict.USUAL -> Unit
-        }
         samples++
         logSpeed += maxOf(1.0 / samples, SPEED_WEIGHT) * (ratio - logSpeed)
     }
@@ -62,7 +48,6 @@
     fun forgetSpeed() {
         logSpeed = 0.0
         samples = 0
-        longRuns.reset()
     }
 
     /** Records a fault; returns whether it suspends the target. */
--- a/core/src/main/kotlin/io/jackdawring/core/shard/TargetSelector.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/TargetSelector.kt
@@ -6,7 +6,6 @@
 internal class TargetSelector(
     private val durations: DurationEstimator,
     private val offRackFactor: Double,
-    private val fit: FitCost,
     private val penalty: PlacementPenalty = PlacementPenalty.NONE,
 ) {
     /** The best target for [task] among those with the most free CPU that can take it now, or null if none can. */
@@ -47,8 +46,7 @@
      * Cost of running [task] on [target]; the lowest cost is selected.
      *
      * A target that meets the objective costs its speed, so that fast targets stay free, plus a penalty for free CPU
-     * that further tasks cannot use ([fit]), plus one for the risk that the run takes so long that it misses the
-     * objective. Any other target costs more, in the order of the expected duration.
+     * that further tasks of this size cannot use. Any other target costs more, in the order of the expected duration.
      */
     private fun cost(
         task: TrackedTask,
@@ -57,12 +55,16 @@
     ): Double {
         val duration = durations.onTargetMillis(task, target, offRackFactor)
         val meetsObjective = nowMillis + duration * DurationEstimator.SAFETY_FACTOR <= task.job.objectiveAtMillis
-        val base =
-            if (meetsObjective) {
-                target.health.speed + fit.cost(task, target) + missCost(task, duration, nowMillis)
-            } else {
-                LATE_COST + duration
-            }
+        val left = target.free.cpuMillis - task.spec.demand.cpuMillis
+        val fragment =
+            (
+                left %
+                    task.spec.demand.cpuMillis
+                        .coerceAtLeast(1)
+            ).toDouble() /
+                task.spec.demand.cpuMillis
+                    .coerceAtLeast(1)
+        val base = if (meetsObjective) target.health.speed + fragment else LATE_COST + duration
         val interference = if (meetsObjective) penalty.of(task, target, base, nowMillis) else 0.0
         return base + interference + if (target === task.avoidedTarget) AVOIDED_COST else 0.0
     }
@@ -81,23 +83,7 @@
         return !target.health.hasSpeed || nowMillis + duration > task.job.objectiveAtMillis
     }
 
-    /** Cost of the probability that [task] misses its objective on a target where it takes [expectedMillis]. */
-    private fun missCost(
-        task: TrackedTask,
-        expectedMillis: Double,
-        nowMillis: Long,
-    ): Double {
-        val leftMillis = task.job.objectiveAtMillis - nowMillis
-        return MISS_COST * durations.distribution(task.job.spec.queue).shareAbove(leftMillis / expectedMillis)
-    }
-
     companion object {
-        /**
-         * Makes a risk of a few percent outweigh the difference between the speeds of two targets.
-         *
-         * With 0, 5 and 20, 0.70, 0.82 and 0.85 of the jobs of a calm load were in time (PlacementComparisonTest).
-         */
-        private const val MISS_COST = 20.0
         private const val LATE_COST = 1e6
         private const val AVOIDED_COST = 1e9
 
