Run accepted jobs whose acceptance the store did not answer

Callers saw a job answered 200 that stayed queued for ever while all targets were idle, and whose cancellation was answered 503.

Cause: the mirror of the shard's records delivers the record while its write is still unanswered; findUnknown skipped records of jobs that wait for an answer, and nothing examined the record again once the request had expired. A read for a cancellation did not find it either, because the mirror had that revision already. A second request for such a job was refused if the store refused it, although the first write could still be applied.

Change: a record in the mirror proves that the job is stored, whether or not its write is answered. A record that this holder wrote itself is started as an accepted job, all others are resumed as before. A read takes over a record that the mirror already has. Jobs whose requests expired with an open write are remembered, so that they are not refused.

--- a/fleet/src/main/kotlin/io/jackdawring/fleet/durable/DurableJobStore.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/durable/DurableJobStore.kt
@@ -71,6 +71,9 @@
         )
     private val entries = HashMap<JobId, DurableJobEntry>()
     private val accepts = LinkedHashMap<JobId, PendingAccept>()
+
+    /** Jobs whose requests have expired although a write of the job may have been applied, or may still be. */
+    private val unresolved = LinkedHashMap<JobId, PendingAccept>()
     private val dirty = LinkedHashMap<JobId, () -> JobSnapshot>()
     private val removals = LinkedHashSet<JobId>()
     private val moves = LinkedHashMap<JobId, PendingMove>()
@@ -95,6 +98,7 @@
         mirror.stop()
         accepts.values.toList().forEach { it.resolve(unknownOrRefused(it, "the shard has moved")) }
         accepts.clear()
+        unresolved.clear()
     }
 
     /** Stores [spec] unless it is already stored; [onOutcome] is called once, within [waitMillis]. */
@@ -107,7 +111,10 @@
             onOutcome(PersistOutcome.Persisted)
             return
         }
-        val pending = accepts.getOrPut(spec.id) { PendingAccept(DurableJobRecord(spec, unixMillis())) }
+        val pending =
+            accepts.getOrPut(spec.id) {
+                unresolved.remove(spec.id)?.repeated() ?: PendingAccept(DurableJobRecord(spec, unixMillis()))
+            }
         pending.onOutcomes.add(onOutcome)
         loop.schedule(minOf(REFUSING_STORE_WAIT_MILLIS, waitMillis)) { if (!pending.mayBeStored) expire(pending) }
         loop.schedule(waitMillis) { expire(pending) }
@@ -118,9 +125,15 @@
     private fun expire(pending: PendingAccept) {
         if (accepts[pending.id] !== pending) return
         accepts.remove(pending.id)
+        if (pending.mayBeStored) addUnresolved(pending)
         pending.resolve(unknownOrRefused(pending, "the store is not available"))
     }
 
+    private fun addUnresolved(pending: PendingAccept) {
+        unresolved[pending.id] = pending
+        if (unresolved.size > MAX_UNRESOLVED) unresolved.remove(unresolved.keys.first())
+    }
+
     /** Stores the progress of a job; [snapshot] is taken when the write is sent. */
     fun save(
         id: JobId,
@@ -196,7 +209,7 @@
 
     fun isMoving(id: JobId): Boolean = id in moves
 
-    /** Reads the record of a job before the mirror delivers it; [onRead] receives whether the job is known now. */
+    /** Reads the record of a job that is not known here; [onRead] receives whether the job is known now. */
     fun read(
         id: JobId,
         onRead: (isKnown: Boolean) -> Unit,
@@ -204,7 +217,11 @@
         val key = JobKeys.record(holding.shardId, id)
         store.list(key) { result ->
             val item = (result as? ListResult.Listed)?.items?.firstOrNull { it.key == key }
-            if (item != null && !released) mirror.applyIfNewer(item)
+            if (item != null && !released) {
+                mirror.applyIfNewer(item)
+                // The mirror may have had it before, and then reports no change.
+                if (loaded) mirror[key]?.let { adopt(listOf(it)) }
+            }
             onRead(!released && id in entries)
         }
     }
@@ -219,22 +236,43 @@
         held.onMirrorChanged(mirror)
         dirty.keys.retainAll { it in entries || it in held }
         removed.keys.retainAll { mirror[JobKeys.record(holding.shardId, it)] != null }
-        val found = mirror.items.mapNotNull(::findUnknown)
-        if (found.isEmpty() && loaded) return
-        loaded = true
-        logger.info { "$shardKey: found ${found.size} durable jobs in the store" }
-        listener.onFound(found.map { it.record.toDurableJob(unixMillis(), attemptBase(it.revision)) })
+        adopt(mirror.items)
     }
 
     /**
-     * The record of a job that is not known here.
+     * Takes over the jobs in [items] that are not known here.
      *
-     * It is one of an earlier holder or of another shard, or one whose write was delayed.
+     * A record that a write of this holder has created proves that the job is stored, whether or not that write is
+     * answered. All others are of earlier holders or of other shards.
      */
+    private fun adopt(items: Collection<StoreItem>) {
+        val found = items.mapNotNull(::findUnknown)
+        if (found.isEmpty() && loaded) return
+        val pending = found.mapNotNull { accepts.remove(it.id) ?: unresolved.remove(it.id) }.associateBy { it.id }
+        val (own, others) = found.partition { isOwnWrite(it, pending[it.id]) }
+        if (!loaded || others.isNotEmpty()) {
+            loaded = true
+            logger.info { "$shardKey: found ${others.size} durable jobs in the store" }
+            listener.onFound(others.map { it.record.toDurableJob(unixMillis(), attemptBase(it.revision)) })
+        }
+        for (entry in own) {
+            logger.info { "$shardKey: job ${entry.id.value} is stored, its write was not answered" }
+            listener.onAccepted(entry.record.toDurableJob(unixMillis()))
+        }
+        pending.values.forEach { it.resolve(PersistOutcome.Persisted) }
+    }
+
+    /** Whether a write of [pending] by this holder has created [entry]; earlier holders wrote before it had the shard. */
+    private fun isOwnWrite(
+        entry: DurableJobEntry,
+        pending: PendingAccept?,
+    ): Boolean = entry.revision > holding.revision && entry.record == pending?.record
+
+    /** The record of a job that is not known here, or null. */
     private fun findUnknown(item: StoreItem): DurableJobEntry? {
         if (JobKeys.isPart(holding.shardId, item.key)) return null
         val id = JobId(item.key.removePrefix(JobKeys.records(holding.shardId)))
-        if (id in entries || id in accepts || item.revision <= (removed[id] ?: 0)) return null
+        if (id in entries || item.revision <= (removed[id] ?: 0)) return null
         val record = DurableJobRecord.decode(item) ?: return null
         delegated.onFound(id, record)
         return DurableJobEntry(record, item.revision).also { entries[id] = it }
@@ -328,7 +366,7 @@
         }
         batch.partSaves.forEach { held.onCommitted(it, revision) }
         for (pending in batch.accepts) {
-            entries[pending.id] = DurableJobEntry(pending.record, revision)
+            entries.getOrPut(pending.id) { DurableJobEntry(pending.record, revision) }
         }
         for (id in batch.removals) {
             removals.remove(id)
@@ -423,6 +461,7 @@
 
     /** Answers all requests for a stored job, including those that arrived after [pending] had expired. */
     private fun resolvePersisted(pending: PendingAccept) {
+        unresolved.remove(pending.id)
         pending.resolve(PersistOutcome.Persisted)
         accepts.remove(pending.id)?.resolve(PersistOutcome.Persisted)
     }
@@ -475,5 +514,8 @@
         /** Store outages last seconds. */
         const val RETRY_AFTER_MILLIS = 2_000L
         const val REMOVAL_INTERVAL_MILLIS = 1_000L
+
+        /** Bounds the memory after a long outage; each write that is not answered leaves a few jobs unresolved. */
+        const val MAX_UNRESOLVED = 1_000
     }
 }
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/durable/PendingAccept.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/durable/PendingAccept.kt
@@ -16,6 +16,9 @@
     var isOutcomeUnknown = false
     val mayBeStored: Boolean get() = isInFlight || isOutcomeUnknown
 
+    /** The job for later requests, whose record this one may have stored. */
+    fun repeated() = PendingAccept(record).also { it.isOutcomeUnknown = true }
+
     /** Answers all requests for the job that have not been answered yet. */
     fun resolve(outcome: PersistOutcome) {
         val callbacks = onOutcomes.toList()
--- a/fleet/src/test/kotlin/io/jackdawring/fleet/durable/DurableJobStoreTest.kt
+++ b/fleet/src/test/kotlin/io/jackdawring/fleet/durable/DurableJobStoreTest.kt
@@ -217,6 +217,70 @@
                 assertEquals(listOf<PersistOutcome>(PersistOutcome.Persisted), outcomes)
                 assertEquals(listOf("j"), holder.found.map { it.spec.id.value })
             },
+            Row("a record that arrives while its write is not answered proves that the job is stored") {
+                store.reportsChanges = true
+                val holder = holder()
+                store.mode = Mode.ANSWERS_LOST
+                val outcomes = holder.accept("j")
+                pass(50)
+                assertEquals(listOf<PersistOutcome>(PersistOutcome.Persisted), outcomes)
+                assertEquals(listOf("j"), holder.accepted.map { it.spec.id.value })
+                assertEquals(emptyList(), holder.found.toList())
+            },
+            Row("a record that arrives after its request has expired: the job is this holder's own") {
+                store.reportsChanges = true
+                val holder = holder()
+                store.mode = Mode.LATE
+                val outcomes = holder.accept("j", waitMillis = 100)
+                pass(150)
+                assertIs<PersistOutcome.Unknown>(outcomes.single())
+                store.mode = Mode.HEALTHY
+                pass(4_000)
+                assertEquals(listOf("j"), holder.accepted.map { it.spec.id.value })
+                assertEquals(emptyList(), holder.found.toList())
+            },
+            Row("a later request for a job whose write may still be applied is not refused") {
+                store.reportsChanges = true
+                val holder = holder()
+                store.mode = Mode.LATE
+                holder.accept("j", waitMillis = 100)
+                pass(150)
+                store.mode = Mode.REFUSES
+                val outcomes = holder.accept("j", waitMillis = 600)
+                pass(700)
+                assertIs<PersistOutcome.Unknown>(outcomes.single())
+                pass(4_000)
+                assertEquals(listOf("j"), holder.accepted.map { it.spec.id.value })
+            },
+            Row("a job moves here while a request for it waits: its progress counts") {
+                store.reportsChanges = true
+                val from = holder("a")
+                val to = holder("b")
+                from.accept("j")
+                pass(50)
+                store.mode = Mode.LATE
+                val outcomes = to.accept("j")
+                pass(20)
+                store.mode = Mode.HEALTHY
+                from.jobs.move(JobId("j"), to.holding.shardId) {
+                    JobSnapshot(JobProgress(JobState.RUNNING, listOf(listOf(7L))), 7)
+                }
+                pass(5_000)
+                assertEquals(listOf<PersistOutcome>(PersistOutcome.Persisted), outcomes)
+                assertEquals(emptyList(), to.accepted.toList())
+                assertEquals(listOf(listOf(listOf(7L))), to.found.map { it.progress.done })
+            },
+            Row("a stored job is found by a read although its watch reported it before") {
+                store.reportsChanges = true
+                val holder = holder()
+                store.mode = Mode.ANSWERS_LOST
+                holder.accept("j")
+                pass(50)
+                val known = ArrayList<Boolean>()
+                holder.jobs.read(JobId("j")) { known.add(it) }
+                pass(50)
+                assertEquals(listOf(true), known)
+            },
             Row("a delayed write is never reported as a refusal, and its job is found") {
                 val holder = holder()
                 store.mode = Mode.LATE
--- a/fleet/src/test/kotlin/io/jackdawring/fleet/model/FakeFleet.kt
+++ b/fleet/src/test/kotlin/io/jackdawring/fleet/model/FakeFleet.kt
@@ -181,6 +181,7 @@
         job: JobSpec,
         id: String,
         durationMillis: Long,
+        onAnswer: (CallerAnswer) -> Unit = {},
     ) {
         jobs[job.id] = job
         durations[job.id] = durationMillis
@@ -190,6 +191,7 @@
             instance.durableJobs.submit(job, FakeJobCaller.WAIT_MILLIS) { answer ->
                 trace.add("caller: $answer", job.id)
                 if (answer == CallerAnswer.Stored) accepted.add(job.id)
+                onAnswer(answer)
             }
         }
     }
--- a/fleet/src/test/kotlin/io/jackdawring/fleet/model/FakeFleetStore.kt
+++ b/fleet/src/test/kotlin/io/jackdawring/fleet/model/FakeFleetStore.kt
@@ -28,6 +28,9 @@
     private val leaseEnds = HashMap<Long, Long>()
     private var lastLease = 0L
 
+    /** What happens to a commit that reaches the store. */
+    var fateOf: (StoreChange) -> CommitFate = { CommitFate.ANSWERED }
+
     /** Time until which calls are refused. */
     var downUntilMillis = 0L
 
--- a/fleet/src/test/kotlin/io/jackdawring/fleet/model/FakeStoreClient.kt
+++ b/fleet/src/test/kotlin/io/jackdawring/fleet/model/FakeStoreClient.kt
@@ -76,7 +76,17 @@
         CommitResult.Unavailable("no answer"),
         refused = CommitResult.Unavailable("down", mayHaveApplied = false),
         onResult = onResult,
-    ) { respond -> respond(store.commit(change)) }
+    ) { respond ->
+        when (store.fateOf(change)) {
+            CommitFate.ANSWERED -> respond(store.commit(change))
+            CommitFate.ANSWER_LOST -> store.commit(change)
+            CommitFate.ANSWER_LATE -> {
+                val result = store.commit(change)
+                clock.schedule(LATE_ANSWER_MILLIS) { respond(result) }
+            }
+            CommitFate.APPLIED_LATE -> clock.schedule(APPLIED_LATE_MILLIS) { store.commit(change) }
+        }
+    }
 
     override fun grantLease(
         lifetimeMillis: Long,
@@ -96,5 +106,9 @@
     private companion object {
         const val TIMEOUT_MILLIS = 1_000L
         const val LEASE_MILLIS = 10_000L
+
+        /** Within the timeout, and later than callers of a write wait. */
+        const val LATE_ANSWER_MILLIS = 900L
+        const val APPLIED_LATE_MILLIS = 3_000L
     }
 }
--- a/fleet/src/test/kotlin/io/jackdawring/fleet/store/FakeTransactionalStore.kt
+++ b/fleet/src/test/kotlin/io/jackdawring/fleet/store/FakeTransactionalStore.kt
@@ -26,6 +26,16 @@
 
     var mode = Mode.HEALTHY
     var latencyMillis = 4L
+
+    /** Whether watches report changes; if not, they are like one whose connection is broken. */
+    var reportsChanges = false
+    private val watches = ArrayList<Watch>()
+
+    private class Watch(
+        val prefix: String,
+        val onResult: (WatchResult) -> Unit,
+    )
+
     val items = LinkedHashMap<String, StoreItem>()
 
     /** Number of entries of each commit. */
@@ -48,13 +58,25 @@
         onResult(ListResult.Listed(found, revision))
     }
 
-    /** Never reports a change, like a watch whose connection is broken. */
     override fun watch(
         prefix: String,
         afterRevision: Long,
         waitMillis: Long,
         onResult: (WatchResult) -> Unit,
-    ) = Unit
+    ) {
+        watches.add(Watch(prefix, onResult))
+    }
+
+    private fun report(change: StoreChange) {
+        for (watch in watches.toList()) {
+            val written = change.writes.filter { it.key.startsWith(watch.prefix) }.mapNotNull { items[it.key] }
+            val removed = change.removals.filter { it.startsWith(watch.prefix) }
+            val events = written.map { StoreEvent.Written(it) } + removed.map { StoreEvent.Removed(it, revision) }
+            if (events.isEmpty()) continue
+            watches.remove(watch)
+            watch.onResult(WatchResult.Changed(events.toImmutableList(), revision))
+        }
+    }
 
     override fun commit(
         change: StoreChange,
@@ -85,6 +107,7 @@
         revision++
         change.writes.forEach { items[it.key] = StoreItem(it.key, it.value, revision, it.leaseId) }
         change.removals.forEach(items::remove)
+        if (reportsChanges) report(change)
         return CommitResult.Committed(revision)
     }
 
