Suspend targets for their own faults only, and end probation beside long tasks

Callers saw jobs that stayed queued for ever in a failure domain after one job whose runs all fail, while its targets were nearly idle.

Cause: two failed runs in a row suspended a target, also if the task fails everywhere; and a target on probation got a start only if it had no run at all, which never happens beside a long-running task. A target that rejects one start with 503, or a job that takes much longer than declared, closed it as well. The estimates of free capacity took closed targets for room, so the jobs did not move.

Change: FaultAttribution withdraws the faults of tasks and steps that fail or hang on several targets; at most half of the targets of a service are suspended for failed runs; probation counts new runs only, each of them for a second at most, and a long-running task that works ends it. Closed targets are no room.

--- a/core/src/main/kotlin/io/jackdawring/core/shard/CapacityForecast.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/CapacityForecast.kt
@@ -50,8 +50,7 @@
                 free.keys.firstOrNull {
                     it.registration.service == need.service &&
                         TargetSelector.isCapable(it, step) &&
-                        !it.isReserved(nowMillis) &&
-                        (!it.health.isOnProbation || it.runs.isEmpty()) &&
+                        TargetSelector.takesFurtherRuns(it, nowMillis) &&
                         step.demand.fitsInto(free.getValue(it))
                 }
             if (found != null) free[found] = free.getValue(found) - step.demand
@@ -65,7 +64,7 @@
         targets: List<TrackedTarget>,
         nowMillis: Long,
     ): Long =
-        if (targets.any { demand.fitsInto(it.free) }) {
+        if (targets.any { demand.fitsInto(it.free) && TargetSelector.takesFurtherRuns(it, nowMillis) }) {
             0
         } else {
             targets.minOf { maxOf(1, roomAtMillis(demand, it, nowMillis) - nowMillis) }
@@ -77,7 +76,10 @@
         target: TrackedTarget,
         nowMillis: Long,
     ): Long {
+        val opensAtMillis =
+            if (TargetSelector.takesFurtherRuns(target, nowMillis)) nowMillis else nowMillis + CLOSED_MILLIS
         var free = target.free
+        if (demand.fitsInto(free)) return opensAtMillis
         val ends =
             target.runs.values
                 .filterNot { it.isLongRunning }
@@ -85,8 +87,11 @@
                 .sortedBy { (endMillis) -> endMillis }
         for ((endMillis, released) in ends) {
             free += released
-            if (demand.fitsInto(free)) return endMillis
+            if (demand.fitsInto(free)) return maxOf(endMillis, opensAtMillis)
         }
-        return nowMillis
+        return opensAtMillis
     }
+
+    /** About the time for which a run keeps others from a target. */
+    private const val CLOSED_MILLIS = 1_000L
 }
--- a/core/src/main/kotlin/io/jackdawring/core/shard/HangDetector.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/HangDetector.kt
@@ -8,6 +8,7 @@
  */
 internal class HangDetector(
     private val control: TargetControl,
+    private val faults: FaultAttribution,
 ) {
     fun check(nowMillis: Long) {
         for (target in control.targets) {
@@ -32,7 +33,7 @@
         }
         // The limit doubles with each hang, so that a task that is longer than declared ends eventually.
         task.hangCount = minOf(task.hangCount + 1, MAX_DOUBLINGS)
-        control.recordFault(run.target, "run took over $HANG_FACTOR times its estimate", FAULTS_TO_SUSPEND, nowMillis)
+        faults.onFault(run, "run took over $HANG_FACTOR times its estimate", nowMillis)
         control.stop(run, "exceeded its time limit", nowMillis)
     }
 
@@ -43,8 +44,5 @@
 
         /** Keeps the limit of a task that hangs repeatedly within days. */
         const val MAX_DOUBLINGS = 16
-
-        /** Consecutive faults after which a target is suspended; a single hang may be the task's fault. */
-        const val FAULTS_TO_SUSPEND = 2
     }
 }
--- a/core/src/main/kotlin/io/jackdawring/core/shard/JobLifecycle.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/JobLifecycle.kt
@@ -14,6 +14,7 @@
     val waiting = WaitingTasks(::latestStartMillis)
     val previousRuns = PreviousHolderRuns(control, options.outcomeRetentionMillis)
     val durable = DurableJobs(effects, control)
+    val faults = FaultAttribution(control)
     private val crashes = CrashTracker(effects, ::onCrashProven)
 
     /** Open jobs that are not durable. */
@@ -196,6 +197,7 @@
             return
         }
         if (!run.isAdopted) recordDuration(run, task, nowMillis)
+        faults.onDone(run, nowMillis)
         interference.onDone(task, run, nowMillis)
         task.runs.remove(run)
         if (!task.job.markDone(task) || !isOpen(task.job)) return
@@ -229,7 +231,7 @@
         task.runs.remove(run)
         task.failedAttempts += run.attempt
         task.avoidedTarget = run.target
-        control.recordFault(run.target, "consecutive runs failed", FAULTS_TO_SUSPEND, nowMillis)
+        faults.onFault(run, "consecutive runs failed", nowMillis)
         if (task.done || !isOpen(task.job)) return
         if (task.failures >= task.job.spec.maxAttempts) {
             failTask(task, nowMillis)
@@ -459,9 +461,4 @@
         durable.clear()
         interference.release()
     }
-
-    private companion object {
-        /** Consecutive faults after which a target is suspended; a single failure may be the task's fault. */
-        const val FAULTS_TO_SUSPEND = 2
-    }
 }
--- a/core/src/main/kotlin/io/jackdawring/core/shard/RealShardDispatcher.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/RealShardDispatcher.kt
@@ -27,7 +27,7 @@
     private val placement = Placement(options, control, lifecycle.durations, selector, waiting, lifecycle::onStarted)
     private val preemption = Preemption(options, control, lifecycle.durations)
     private val copies = SpeculativeCopies(options, control, lifecycle.durations, selector)
-    private val hangDetector = HangDetector(control)
+    private val hangDetector = HangDetector(control, lifecycle.faults)
     private val stalled = StalledJobs(control, waiting, durable, lifecycle.previousRuns)
     override val parts = RealJobParts(lifecycle, stalled, { nextJobSequence++ }) { if (!released) place(it) }
     private val ownership = ShardOwnership()
--- a/core/src/main/kotlin/io/jackdawring/core/shard/TargetControl.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/TargetControl.kt
@@ -216,7 +216,7 @@
             }
 
             StartResult.Reason.UNHEALTHY -> {
-                recordFault(target, "rejected a start as unhealthy", 1, nowMillis)
+                if (target.health.onUnhealthy(nowMillis)) reportSuspension(target, "rejected a start as unhealthy")
             }
 
             StartResult.Reason.OTHER_INCARNATION -> {
@@ -418,6 +418,7 @@
         run.listedByPollSentAtMillis = run.target.pollSentAtMillis
         run.incarnationStartMillis = run.target.incarnationStartMillis
         run.isAtRisk = false
+        run.target.onListed(run)
         if (run.state == TrackedRun.State.UNCERTAIN) onAccepted(run, nowMillis)
         // A confirmed stop does not affect a start request that reaches the target later.
         val listedAfterStop =
@@ -589,15 +590,28 @@
         target.health.reset()
     }
 
-    fun recordFault(
+    /**
+     * Whether [target] may be suspended for its runs.
+     *
+     * If most targets of a service have faults, the tasks are more likely at fault than the targets.
+     */
+    fun maySuspend(
         target: TrackedTarget,
-        reason: String,
-        faultsToSuspend: Int,
         nowMillis: Long,
-    ) {
-        if (target.health.onFault(nowMillis, faultsToSuspend)) report(target, "suspended", reason)
+    ): Boolean {
+        val alike = targets.filter { it.registration.service == target.registration.service && it.isListed(nowMillis) }
+        val closed = alike.count { it !== target && (it.health.isSuspended(nowMillis) || it.health.isOnProbation) }
+        return closed == 0 || 2 * (closed + 1) <= alike.size
     }
 
+    fun reportSuspension(
+        target: TrackedTarget,
+        reason: String,
+    ) = report(target, "suspended", reason)
+
+    fun reportSuspensionWithdrawn(target: TrackedTarget) =
+        report(target, "no longer suspended", "its runs failed because of their tasks")
+
     private fun add(
         run: TrackedRun,
         nowMillis: Long,
--- a/core/src/main/kotlin/io/jackdawring/core/shard/TargetSelector.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/TargetSelector.kt
@@ -113,11 +113,16 @@
             acceptsTasks(target, nowMillis) &&
                 target.evacuation.mayStart(task.job, nowMillis) &&
                 matches(target, task) &&
-                !target.isReserved(nowMillis) &&
+                takesFurtherRuns(target, nowMillis) &&
                 (target.runs.isEmpty() || !task.crashes.runsAlone(nowMillis)) &&
-                (!target.health.isOnProbation || target.runs.isEmpty()) &&
                 task.spec.maxPerTarget?.let { limit -> runsOfStep(target, task) < limit } != false
 
+        /** Whether no run on [target] has to be alone there now. */
+        fun takesFurtherRuns(
+            target: TrackedTarget,
+            nowMillis: Long,
+        ): Boolean = !target.isReserved(nowMillis) && target.mayStartOnProbation
+
         private fun runsOfStep(
             target: TrackedTarget,
             task: TrackedTask,
--- a/core/src/main/kotlin/io/jackdawring/core/shard/TrackedJob.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/TrackedJob.kt
@@ -18,6 +18,7 @@
         spec.steps.mapIndexed { step, stepSpec ->
             List(stepSpec.count) { TrackedTask(TaskKey(spec.id, 0, step, it), this, stepSpec) }
         }
+    val stepRecords: List<StepRecord> = steps.map { StepRecord() }
     private val openTasks = IntArray(steps.size) { steps[it].size }
     private val released = BooleanArray(steps.size)
 
--- a/core/src/main/kotlin/io/jackdawring/core/shard/TrackedRun.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/TrackedRun.kt
@@ -55,6 +55,9 @@
     /** Whether the target is known to have survived the run for so long that its start cannot crash it. */
     val isSound: Boolean get() = listedByPollSentAtMillis >= sentAtMillis + SOUND_RUN_MILLIS
 
+    /** Whether the target has listed the run for so long that it neither failed at its start nor was lost. */
+    val works: Boolean get() = listedByPollSentAtMillis >= sentAtMillis + WORKING_RUN_MILLIS
+
     /** Whether the target has been silent for a while, so that it may have crashed. */
     var isAtRisk = false
 
@@ -94,6 +97,9 @@
         /** A run is always assumed to need at least another quarter of its expected duration. */
         const val MIN_REMAINING_DIVISOR = 4
 
+        /** Bounds the time for which one run keeps others from a target on probation. */
+        const val WORKING_RUN_MILLIS = 1_000L
+
         /** Far above the time in which a task that crashes its targets does so. */
         const val SOUND_RUN_MILLIS = 5_000L
     }
--- a/core/src/main/kotlin/io/jackdawring/core/shard/TrackedTarget.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/TrackedTarget.kt
@@ -133,6 +133,21 @@
     val hasDurableRuns: Boolean
         get() = pendingEnds.isNotEmpty() || runs.values.any { it.owner?.job?.isDurable != false }
 
+    /**
+     * Whether no run that was started on probation is still undecided.
+     *
+     * Runs from before the suspension say nothing, and a long one only keeps others back until it is known to work.
+     */
+    val mayStartOnProbation: Boolean
+        get() = !health.isOnProbation || runs.values.none { isProbe(it) && !it.works }
+
+    private fun isProbe(run: TrackedRun) = !run.isAdopted && run.sentAtMillis >= health.suspendedAtMillis
+
+    /** Records that the target lists [run]; a long-running task has succeeded once it is known to work. */
+    fun onListed(run: TrackedRun) {
+        if (health.isOnProbation && run.isLongRunning && isProbe(run) && run.works) health.clearFaults()
+    }
+
     /** Run that must not have others beside it for a while after its start. */
     private var isolatedRun: TrackedRun? = null
 
--- a/core/src/main/kotlin/io/jackdawring/core/shard/TrackedTask.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/TrackedTask.kt
@@ -38,6 +38,12 @@
     private var earliestStartMillis = Long.MIN_VALUE
     private var earlyEndsInRow = 0
 
+    /** Targets on which runs of this task have failed or hung. */
+    val faultTargets = LinkedHashSet<TrackedTarget>()
+
+    /** What is known of the runs of all tasks of the step. */
+    val stepRecord: StepRecord get() = job.stepRecords[key.step]
+
     /** Crashes of targets under the runs of this task. */
     val crashes = TaskCrashes()
 
--- a/core/src/test/kotlin/io/jackdawring/core/shard/CapacityForecastTest.kt
+++ b/core/src/test/kotlin/io/jackdawring/core/shard/CapacityForecastTest.kt
@@ -24,6 +24,8 @@
         val steps: List<StepSpec> = listOf(step(CPU / 2)),
         val waitingWork: Long = 0,
         val contact: TrackedTarget.Contact = TrackedTarget.Contact.HELD,
+        /** How long ago the targets were suspended; null if they were not. */
+        val suspendedAgoMillis: Long? = null,
     )
 
     private val lasting = Running(CPU, estimateMillis = null)
@@ -70,6 +72,20 @@
                 listOf(step(CPU / 2), step(CPU)),
             ),
             Row("a task without CPU on a full target", 0, listOf(listOf(lasting)), listOf(step(0))),
+            Row("a suspended target", null, listOf(emptyList()), suspendedAgoMillis = 500),
+            Row("a target on probation", 0, listOf(emptyList()), suspendedAgoMillis = 1_500),
+            Row(
+                "a target on probation, with a run from before",
+                0,
+                listOf(listOf(Running(CPU / 4, null, ranMillis = 2_000))),
+                suspendedAgoMillis = 1_500,
+            ),
+            Row(
+                "a target on probation, with a run from after it that may fail",
+                1_000,
+                listOf(listOf(Running(CPU / 4, null, ranMillis = 100))),
+                suspendedAgoMillis = 1_500,
+            ),
         )
 
     private fun target(
@@ -88,6 +104,7 @@
             )
         val target = TrackedTarget(registration, index, TargetsByFreeCpu(DecisionCost()), Evacuation())
         target.contact = row.contact
+        row.suspendedAgoMillis?.let { target.health.onUnhealthy(NOW_MILLIS - it) }
         row.targets[index].forEachIndexed { number, running -> target.add(run(target, "r$index.$number", running)) }
         return target
     }
--- a/testing/src/main/kotlin/io/jackdawring/testing/shard/FakeShard.kt
+++ b/testing/src/main/kotlin/io/jackdawring/testing/shard/FakeShard.kt
@@ -102,7 +102,8 @@
             acknowledged.checkStart(request, step)
             capacities.checkStart(fake, step, knownCapacity, nowMillis)
             val workMillis = actualMillis[request.task] ?: step.estimateMillis
-            val result = fake.start(request, step, workMillis, nowMillis, kindOf(request.task))
+            val isPoison = request.task.jobId in poison
+            val result = fake.start(request, step, workMillis, nowMillis, kindOf(request.task), isPoison)
             return if (result is StartResult.Accepted) onStarted(fake, request.task, result) else result
         }
 
@@ -262,6 +263,9 @@
     /** Actual durations of tasks at speed 1, where they differ from the declared ones. */
     val actualMillis = HashMap<TaskKey, Long>()
 
+    /** Jobs all of whose runs fail at their end, on any target. */
+    val poison = HashSet<JobId>()
+
     /** Tasks that crash their targets, and the crashes so far. */
     val crashes = CrashingTasks()
     private val capacities = CapacityChecker()
--- a/testing/src/main/kotlin/io/jackdawring/testing/shard/FakeShardTarget.kt
+++ b/testing/src/main/kotlin/io/jackdawring/testing/shard/FakeShardTarget.kt
@@ -68,6 +68,9 @@
     /** Whether stop requests are lost, while all other requests arrive. */
     var losesStops = false
 
+    /** Number of the next starts that are rejected as unhealthy. */
+    var unhealthyStarts = 0
+
     /** Whether another target has the address now. */
     var isReplaced = false
 
@@ -139,8 +142,13 @@
         workMillis: Long,
         nowMillis: Long,
         kind: String = "",
+        isPoison: Boolean = false,
     ): StartResult {
         val clock = nowMillis + clockOffsetMillis
+        if (unhealthyStarts > 0) {
+            unhealthyStarts--
+            return StartResult.Rejected(StartResult.Reason.UNHEALTHY, clock)
+        }
         val hasRoom = !guardsCapacity || step.demand.fitsInto(freeOf(registration.capacity))
         val rejection =
             when {
@@ -152,9 +160,9 @@
         if (rejection != null) return StartResult.Rejected(rejection, clock)
         val restored = request.checkpoint?.let { progressOf(request.task, it) } ?: 0
         val left = ((workMillis - restored) / speed).toLong() + if (restored > 0) RESTORE_MILLIS else 0
-        val fails = mode == Mode.FAILS
+        val fails = mode == Mode.FAILS || isPoison
         val duration =
-            if (fails) {
+            if (mode == Mode.FAILS) {
                 1
             } else if (mode == Mode.HANGS) {
                 FOREVER_MILLIS
