Start durable tasks of a cut off holder only when its ownership is over

Callers saw two runs of one durable task at a time for up to 236 ms after the holder of a failure domain was cut off.

Cause: a successor took one lease from its first listed target as proof that earlier durable runs are over, while a holder that is cut off renews leases for up to 15 s, also on targets that the store's list lacks.

A successor starts them one lease after no earlier ownership is left. A holder counts a run on a silent target as over only if the shard was still its own when the lease ended, and looks at the clock, pauses included, before each renewal.

--- a/core/src/main/kotlin/io/jackdawring/core/PauseGuard.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/PauseGuard.kt
@@ -13,10 +13,12 @@
     private var lastTickMillis = Long.MAX_VALUE
     private var clockDifferenceMillis = Long.MAX_VALUE
     private var settledAtMillis = Long.MIN_VALUE
+    private var uncountedMillis = 0L
 
     /** Must be called several times in [MIN_PAUSE_MILLIS]. */
     fun onTick(nowMillis: Long) {
         if (isOverdue(nowMillis)) settledAtMillis = nowMillis + SETTLE_MILLIS
+        uncountedMillis += jumpMillis(nowMillis)
         lastTickMillis = nowMillis
         unixMillis?.let { clockDifferenceMillis = it() - nowMillis }
     }
@@ -24,10 +26,18 @@
     /** Whether the process may still have to handle what arrived during a pause. */
     fun isCatchingUp(nowMillis: Long): Boolean = nowMillis < settledAtMillis || isOverdue(nowMillis)
 
+    /** The monotonic time and the length of the pauses that the monotonic clock did not count. */
+    fun elapsedMillis(nowMillis: Long): Long = nowMillis + uncountedMillis + jumpMillis(nowMillis)
+
     private fun isOverdue(nowMillis: Long): Boolean =
-        nowMillis - lastTickMillis >= MIN_PAUSE_MILLIS ||
-            unixMillis != null &&
-            unixMillis() - nowMillis - clockDifferenceMillis >= MIN_PAUSE_MILLIS
+        nowMillis - lastTickMillis >= MIN_PAUSE_MILLIS || jumpMillis(nowMillis) > 0
+
+    /** By how much the time of day has jumped since the last tick; 0 if that is no pause. */
+    private fun jumpMillis(nowMillis: Long): Long {
+        if (unixMillis == null || clockDifferenceMillis == Long.MAX_VALUE) return 0
+        val millis = unixMillis() - nowMillis - clockDifferenceMillis
+        return if (millis >= MIN_PAUSE_MILLIS) millis else 0
+    }
 
     companion object {
         /** Well below the time after which callers send a job again, far above the interval of ticks. */
--- a/core/src/main/kotlin/io/jackdawring/core/fleet/ShardElection.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/fleet/ShardElection.kt
@@ -1,5 +1,6 @@
 package io.jackdawring.core.fleet
 
+import io.jackdawring.core.FailureDomainId
 import io.jackdawring.core.InstanceId
 
 /**
@@ -20,6 +21,8 @@
         /** Whether no process listens at the address of the member. */
         var hasEnded: Boolean = false,
         var consecutiveDenials: Int = 0,
+        /** Time of the last message from the member; null before the first one. */
+        var lastContactMillis: Long? = null,
         /** Time of the last ping to which the member replied that it holds its shards; own pauses do not shift it. */
         var lastHoldingMillis: Long? = null,
     ) {
@@ -108,12 +111,20 @@
     ): MemberState {
         val memberState = memberStates.getOrPut(instanceId) { MemberState(nowMillis) }
         memberState.lastHeardMillis = nowMillis
+        memberState.lastContactMillis = nowMillis
         memberState.heardFrom = true
         memberState.consecutiveRefusals = 0
         memberState.hasEnded = false
         return memberState
     }
 
+    /** Time of the last request or answer of [instanceId]; null if there was none. */
+    fun lastContactMillis(instanceId: InstanceId): Long? = memberStates[instanceId]?.lastContactMillis
+
+    /** The instances that have sent a request or an answer since [sinceMillis]. */
+    fun contactsSince(sinceMillis: Long): Set<InstanceId> =
+        memberStates.filterValues { state -> state.lastContactMillis?.let { it >= sinceMillis } == true }.keys
+
     /**
      * Records that no connection to [instanceId] was possible; returns whether one more such case decides on a suspicion.
      *
@@ -200,9 +211,16 @@
     fun successors(
         members: Collection<FleetMember>,
         nowMillis: Long,
+    ): List<FleetMember> = liveMembers(members, self.failureDomain, nowMillis)
+
+    /** Other members of [domain] that answer, highest weight first. */
+    fun liveMembers(
+        members: Collection<FleetMember>,
+        domain: FailureDomainId,
+        nowMillis: Long,
     ): List<FleetMember> =
         members
-            .filter { it.failureDomain == self.failureDomain && it.instanceId != self.instanceId }
+            .filter { it.failureDomain == domain && it.instanceId != self.instanceId }
             .filter { member -> memberStates[member.instanceId]?.isLive(nowMillis) == true }
             .sortedWith(preference)
 
--- a/core/src/main/kotlin/io/jackdawring/core/shard/PreviousRunsCheck.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/PreviousRunsCheck.kt
@@ -9,6 +9,9 @@
     /** Time of the first tick; null before. */
     private var heldSinceMillis: Long? = null
 
+    /** Time at which earlier holders were known to have lost their ownership; null before. */
+    private var earlierStoppedAtMillis: Long? = null
+
     /** Whether a holder that may be cut off possibly runs durable jobs, unless it has stopped. */
     var mayDurableRunsGoOn = false
 
@@ -42,13 +45,12 @@
         }
     }
 
-    /** What is known of the runs of durable jobs, which a holder that is cut off stops itself. */
+    /** What is known of the runs of durable jobs; a holder that is cut off stops those itself. */
     private fun durableState(nowMillis: Long): PreviousRuns =
         when {
-            mayHaveMoreEnds() -> PreviousRuns.UNCERTAIN
-            areDurableRunsListed(nowMillis) -> PreviousRuns.LISTED
-            areLeasesOver(Long.MAX_VALUE, nowMillis) -> PreviousRuns.LEASES_ENDED
-            registry.firstListedAtMillis == null && areDurableRunsOver(nowMillis) -> PreviousRuns.LEASES_ENDED
+            mayHaveMoreEnds() || mayEarlierHoldersGoOn -> PreviousRuns.UNCERTAIN
+            areAllDurableListed -> PreviousRuns.LISTED
+            areDurableLeasesOver(registry.firstListedAtMillis, nowMillis) -> PreviousRuns.LEASES_ENDED
             else -> PreviousRuns.UNCERTAIN
         }
 
@@ -63,22 +65,36 @@
         return nowMillis - maxOf(listedAt, cutOff.lastStopMillis(firstToken) ?: listedAt) >= maxLeaseMillis
     }
 
-    private fun areDurableRunsListed(nowMillis: Long): Boolean {
-        val mayGoOn = mayDurableRunsGoOn && cutOff.upToToken != null && !isOwnershipOver(nowMillis)
-        return !mayGoOn && areAllListed
+    /** Whether an earlier holder that is cut off may still start durable runs or renew their leases. */
+    private val mayEarlierHoldersGoOn: Boolean
+        get() = mayDurableRunsGoOn && cutOff.upToToken != null && earlierStoppedAtMillis == null
+
+    /** Whether the lists have all durable runs; one that has lost its ownership has not said which targets it used. */
+    private val areAllDurableListed: Boolean
+        get() = areAllListed && !(mayDurableRunsGoOn && cutOff.upToToken != null)
+
+    /** Records that no earlier holder starts durable runs, or renews their leases, from [nowMillis] on. */
+    fun onEarlierHoldersStopped(nowMillis: Long) {
+        earlierStoppedAtMillis = earlierStoppedAtMillis ?: nowMillis
     }
 
-    /** Whether the ownership of each earlier holder has expired since, and the leases of its durable runs have ended. */
-    private fun isOwnershipOver(nowMillis: Long): Boolean =
-        heldMillis(nowMillis) >= ShardOwnership.LIFETIME_MILLIS + 2 * maxLeaseMillis
+    /** Whether a lease has passed since [sinceMillis] and since the last earlier holder has stopped. */
+    private fun areDurableLeasesOver(
+        sinceMillis: Long?,
+        nowMillis: Long,
+    ): Boolean {
+        val startMillis = sinceMillis ?: heldSinceMillis ?: return false
+        val stops = listOfNotNull(earlierStoppedAtMillis.takeIf { mayDurableRunsGoOn }, cutOff.lastStopMillis(0))
+        return nowMillis - (stops + startMillis).max() >= maxLeaseMillis
+    }
 
     /**
      * Whether no run of a durable job that previous holders started goes on, not even on targets that are out of reach.
      *
-     * A previous holder that is cut off stops such runs when its [ShardOwnership] expires.
+     * The lease of such a run ends once nobody renews it.
      */
     fun areDurableRunsOver(nowMillis: Long): Boolean {
-        if (heldSinceMillis == null || mayHaveMoreEnds()) return false
-        return areDurableRunsListed(nowMillis) || isOwnershipOver(nowMillis)
+        if (heldSinceMillis == null || mayHaveMoreEnds() || mayEarlierHoldersGoOn) return false
+        return areAllDurableListed || areDurableLeasesOver(heldSinceMillis, nowMillis)
     }
 }
--- a/core/src/main/kotlin/io/jackdawring/core/shard/RealShardDispatcher.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/RealShardDispatcher.kt
@@ -36,6 +36,11 @@
     private var nextJobSequence = 0L
     private var released = false
 
+    init {
+        control.mayHoldDurableRuns = ::mayHoldDurableRuns
+        control.wasHeldAt = ownership::wasHeldAt
+    }
+
     override val waitingTasks: Int get() = waiting.size
 
     override val examined: Long get() = control.cost.examined
@@ -269,8 +274,26 @@
         if (!released) durable.onMoved(jobId, nowMillis)
     }
 
-    override fun onOwnershipConfirmed(confirmedAtMillis: Long) {
-        ownership.confirmedAtMillis = confirmedAtMillis
+    override fun onOwnershipExtended(untilMillis: Long) {
+        ownership.validUntilMillis = untilMillis
+    }
+
+    override fun onOwnershipConfirmed(atMillis: Long) {
+        ownership.confirmedAtMillis = atMillis
+    }
+
+    override val awaitsConfirmation: Boolean get() = control.awaitsConfirmation
+
+    override fun onEarlierHoldersStopped(nowMillis: Long) = control.onEarlierHoldersStopped(nowMillis)
+
+    override val openDurableJobs: Int get() = durable.openJobs.size
+
+    private fun isOwnershipExpired(nowMillis: Long) = ownership.isExpired(pauses.elapsedMillis(nowMillis))
+
+    /** Whether found runs that no job has claimed, and those of durable jobs, may last. */
+    private fun mayHoldDurableRuns(nowMillis: Long): Boolean {
+        val hasNone = control.recovered && durable.openJobs.isEmpty()
+        return hasNone || !isOwnershipExpired(nowMillis)
     }
 
     override fun delayMillis(
@@ -332,9 +355,9 @@
 
     override fun tick(nowMillis: Long) {
         if (released) return
-        val isOwnershipExpired = ownership.isExpired(nowMillis)
-        if (isOwnershipExpired) lifecycle.stopDurableRuns("the store has not named this holder lately", nowMillis)
-        control.tick(nowMillis, isOwnershipExpired)
+        val isOwnershipExpired = isOwnershipExpired(nowMillis)
+        if (isOwnershipExpired) lifecycle.stopDurableRuns("the ownership of the shard is not confirmed", nowMillis)
+        control.tick(nowMillis)
         lifecycle.awaitedJobs.toList().forEach { checkJob(it, nowMillis) }
         hangDetector.check(nowMillis)
         lifecycle.removeExpired(nowMillis)
@@ -396,7 +419,7 @@
         lifecycle.resumeRecoveredJobs(nowMillis)
         if (waiting.isEmpty || pauses.isCatchingUp(nowMillis)) return
         waiting.demoteLateJobs(nowMillis)
-        placement.place(nowMillis, mayStartDurable = !ownership.isExpired(nowMillis))
+        placement.place(nowMillis, mayStartDurable = !isOwnershipExpired(nowMillis))
     }
 
     private fun preempt(nowMillis: Long) {
--- a/core/src/main/kotlin/io/jackdawring/core/shard/ShardDispatcher.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/ShardDispatcher.kt
@@ -167,8 +167,24 @@
     /** Tasks of durable jobs that run in another shard than their job. */
     val parts: JobParts
 
-    /** Records that the store still named this holder at [confirmedAtMillis]. */
-    fun onOwnershipConfirmed(confirmedAtMillis: Long)
+    /**
+     * Records that durable jobs may run here until [untilMillis]; without a call, they may always.
+     *
+     * The time is that of [io.jackdawring.core.PauseGuard.elapsedMillis].
+     */
+    fun onOwnershipExtended(untilMillis: Long)
+
+    /** Records that no other holder had claimed the shard at [atMillis]; without a call, none ever does. */
+    fun onOwnershipConfirmed(atMillis: Long)
+
+    /** Whether durable runs on silent targets wait for [onOwnershipConfirmed], because a successor may have their leases. */
+    val awaitsConfirmation: Boolean
+
+    /** Records that no earlier holder starts durable runs, or renews their leases, from [nowMillis] on. */
+    fun onEarlierHoldersStopped(nowMillis: Long)
+
+    /** Number of durable jobs that have not ended, parts included. */
+    val openDurableJobs: Int
 
     /**
      * Load of the usable targets by service, in percent of their CPU capacity.
--- a/core/src/main/kotlin/io/jackdawring/core/shard/ShardOwnership.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/ShardOwnership.kt
@@ -1,18 +1,19 @@
 package io.jackdawring.core.shard
 
 /**
- * Limits the time for which a holder that is cut off from the store runs durable jobs.
+ * Limits the time for which a holder runs durable jobs.
  *
- * Another entry instance may hold the shard by then, and may move its jobs to targets that this holder does not know.
+ * Later, another entry instance may hold the shard and start their tasks on targets that this holder does not know.
  */
 internal class ShardOwnership {
-    /** Time at which the store last named this holder; null if that is not reported. */
+    /** Time until which no other holder starts durable runs, pauses included; null if that is not limited. */
+    var validUntilMillis: Long? = null
+
+    /** Time at which no other holder had claimed the shard; null if that is not limited. */
     var confirmedAtMillis: Long? = null
 
-    fun isExpired(nowMillis: Long): Boolean = confirmedAtMillis?.let { nowMillis - it >= LIFETIME_MILLIS } == true
+    /** Whether no other holder can have renewed a lease that ended at [leaseEndMillis] without this one. */
+    fun wasHeldAt(leaseEndMillis: Long): Boolean = confirmedAtMillis?.let { it >= leaseEndMillis } != false
 
-    companion object {
-        /** Longer than the outages of the store that durable jobs have to bear. */
-        const val LIFETIME_MILLIS = 15_000L
-    }
+    fun isExpired(elapsedMillis: Long): Boolean = validUntilMillis?.let { elapsedMillis >= it } == true
 }
--- a/core/src/main/kotlin/io/jackdawring/core/shard/TargetControl.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/TargetControl.kt
@@ -48,6 +48,19 @@
         previousRunsCheck.mayDurableRunsGoOn = true
     }
 
+    /** Whether leases of durable runs may be renewed; asked before each renewal, as the process may have been paused. */
+    var mayHoldDurableRuns: (nowMillis: Long) -> Boolean = { true }
+
+    /** Whether no successor can have renewed a lease that ended at a given time. */
+    var wasHeldAt: (leaseEndMillis: Long) -> Boolean = { true }
+
+    /** Whether a durable run on a silent target would be over if [wasHeldAt] showed that. */
+    var awaitsConfirmation = false
+        private set
+
+    /** Records that no earlier holder starts durable runs, or renews their leases, from [nowMillis] on. */
+    fun onEarlierHoldersStopped(nowMillis: Long) = previousRunsCheck.onEarlierHoldersStopped(nowMillis)
+
     /** Records that the holder with [holderToken] stopped at [stoppedAtMillis], and adds the targets that it knew. */
     fun onHolderStopped(
         holderToken: Long,
@@ -480,19 +493,15 @@
         return unclaimed.isNotEmpty()
     }
 
-    /** Performs what is due; with [isOwnershipExpired], the leases of durable runs are not renewed. */
-    fun tick(
-        nowMillis: Long,
-        isOwnershipExpired: Boolean,
-    ) {
+    fun tick(nowMillis: Long) {
+        val mayHoldDurableRuns = mayHoldDurableRuns(nowMillis)
+        awaitsConfirmation = false
         previousRunsCheck.onTick(nowMillis)
         for (target in targets.toList()) {
-            target.isLeaseWithheld = isOwnershipExpired && target.hasDurableRuns
+            target.isLeaseWithheld = !mayHoldDurableRuns && target.hasDurableRuns
             if (target.contact != TrackedTarget.Contact.HELD && target.isLeaseOver(nowMillis)) {
                 target.mayHaveMoreEnds = false
-                target.runs.values
-                    .toList()
-                    .forEach { onLeaseExpired(it, nowMillis) }
+                expireLease(target, nowMillis)
             }
             target.unansweredStarts.removeExpired(nowMillis)
             stopUnansweredStarts(target, nowMillis)
@@ -506,6 +515,21 @@
         registry.forgetGone(nowMillis)
     }
 
+    /** Gives up the runs of a silent target; a successor that has claimed the shard may keep durable ones there. */
+    private fun expireLease(
+        target: TrackedTarget,
+        nowMillis: Long,
+    ) {
+        val isCertain = wasHeldAt(target.leaseEndMillis)
+        for (run in target.runs.values.toList()) {
+            if (isCertain || run.owner?.job?.isDurable == false) {
+                onLeaseExpired(run, nowMillis)
+            } else {
+                awaitsConfirmation = true
+            }
+        }
+    }
+
     private fun onLeaseExpired(
         run: TrackedRun,
         nowMillis: Long,
@@ -539,8 +563,13 @@
         }
     }
 
-    private fun mayRenewLease(target: TrackedTarget): Boolean =
-        target.mayRenewLease && (adoption.mayRenewLeases(recovered) || target.runs.values.none { it.owner == null })
+    private fun mayRenewLease(
+        target: TrackedTarget,
+        nowMillis: Long,
+    ): Boolean =
+        target.mayRenewLease &&
+            (mayHoldDurableRuns(nowMillis) || !target.hasDurableRuns) &&
+            (adoption.mayRenewLeases(recovered) || target.runs.values.none { it.owner == null })
 
     private fun checkRun(
         run: TrackedRun,
--- a/core/src/main/kotlin/io/jackdawring/core/shard/TargetPoller.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/TargetPoller.kt
@@ -4,7 +4,7 @@
 internal class TargetPoller(
     private val options: ShardOptions,
     private val effects: ShardEffects,
-    private val mayRenewLease: (TrackedTarget) -> Boolean,
+    private val mayRenewLease: (target: TrackedTarget, nowMillis: Long) -> Boolean,
 ) {
     /** Maximum time for which a run can last without a renewed lease, even if the target's clock is slow. */
     val maxLeaseMillis =
@@ -24,7 +24,7 @@
         val hasNewAck = acknowledged > target.confirmedAcknowledgedEnd
         if (target.pendingEnds.isNotEmpty() && !hasNewAck && sinceAnswerMillis < SAVE_POLL_INTERVAL_MILLIS) return
         val held = target.contact == TrackedTarget.Contact.HELD
-        val leaseUntil = if (held && mayRenewLease(target)) leaseUntil(target, nowMillis) else null
+        val leaseUntil = if (held && mayRenewLease(target, nowMillis)) leaseUntil(target, nowMillis) else null
         target.pollInFlight = true
         target.pollSequence++
         target.pollSentAtMillis = nowMillis
@@ -68,7 +68,7 @@
         nowMillis: Long,
     ): Long? {
         val offset = target.clockOffsetMillis ?: return null
-        if (mayRenewLease(target)) {
+        if (mayRenewLease(target, nowMillis)) {
             target.leaseExpiresAtMillis = maxOf(target.leaseExpiresAtMillis, nowMillis + maxLeaseMillis)
         }
         return target.leaseExpiresAtMillis - maxLeaseMillis + options.leaseMillis + offset
--- a/core/src/main/kotlin/io/jackdawring/core/shard/TrackedTarget.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/TrackedTarget.kt
@@ -104,7 +104,10 @@
     var foreignLeaseExpiresAtMillis = Long.MIN_VALUE / 2
 
     /** Whether no lease can go on, so that all runs are over if the target cannot be asked. */
-    fun isLeaseOver(nowMillis: Long): Boolean = nowMillis >= maxOf(leaseExpiresAtMillis, foreignLeaseExpiresAtMillis)
+    fun isLeaseOver(nowMillis: Long): Boolean = nowMillis >= leaseEndMillis
+
+    /** Latest time at which a lease of this holder or a previous one can expire. */
+    val leaseEndMillis: Long get() = maxOf(leaseExpiresAtMillis, foreignLeaseExpiresAtMillis)
 
     /** Whether the target gets no starts, because a successor would not know that it may have runs. */
     var isHeldBack = false
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/FleetDirectory.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/FleetDirectory.kt
@@ -82,9 +82,19 @@
     const val ROOT = "jackdawring/"
     const val MEMBERS = "jackdawring/members/"
     const val SHARDS = "jackdawring/shards/"
+    private const val OWNERSHIPS = "jackdawring/ownerships/"
 
     fun member(instanceId: String) = "$MEMBERS$instanceId"
 
+    /** Prefix of the keys of [ownership] for all holders of the shard [id]. */
+    fun ownerships(id: ShardId) = "$OWNERSHIPS${id.failureDomain.value}/${id.number}/"
+
+    /** Key of the holder at [revision] while it may run durable jobs. */
+    fun ownership(
+        id: ShardId,
+        revision: Long,
+    ) = ownerships(id) + revision
+
     fun shard(id: ShardId) = "$SHARDS${id.failureDomain.value}/${id.number}"
 }
 
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/HeldShards.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/HeldShards.kt
@@ -18,6 +18,7 @@
 import io.jackdawring.fleet.peer.PeerClient
 import io.jackdawring.fleet.peer.PeerReply
 import io.jackdawring.fleet.shard.DecisionLog
+import io.jackdawring.fleet.shard.DurableOwnership
 import io.jackdawring.fleet.shard.ShardHost
 import io.jackdawring.fleet.store.CommitResult
 import io.jackdawring.fleet.store.KeyValueStore
@@ -61,6 +62,7 @@
     private val stopped = StoppedHoldings(directory, peers, loop, hosts::get)
     private var draining = false
     val election = ShardElection(self)
+    private val earlierHolders = EarlierHolders(self, mirror, directory, election, peers, loop)
 
     val held: Set<ShardId> get() = hosts.keys
 
@@ -87,8 +89,21 @@
         if (members.isNotEmpty()) handOver(host, members.sortedByDescending { it.weight }, isRepeated = false)
     }
 
+    /** Confirms the holder of [shardId] at [revision] to it; see [EarlierHolders.confirm]. */
+    fun confirm(
+        shardId: ShardId,
+        revision: Long,
+    ): Boolean {
+        val isHeldLater = hosts[shardId]?.let { it.holding.revision != revision } == true
+        return earlierHolders.confirm(shardId, revision, mayHaveClaimed = isHeldLater || shardId in claiming)
+    }
+
+    /** Records that the entry of this instance was written to the store. */
+    fun onRegistered() = earlierHolders.onRegistered()
+
     /** Releases shards for which the store names a newer holder. */
     fun onDirectoryChanged() {
+        earlierHolders.onDirectoryChanged()
         directory.holdings.values.forEach { election.onHolder(it, loop.nowMillis()) }
         for (host in hosts.values.toList()) {
             val current = directory.holdings[host.holding.shardId] ?: continue
@@ -135,6 +150,8 @@
         onResult: (Boolean) -> Unit,
     ) {
         claiming.add(id)
+        val previous = directory.holdings[id]?.takeIf { it.revision == revision }
+        val claimedAtMillis = pauses.elapsedMillis(loop.nowMillis())
         val key = FleetKeys.shard(id)
         val value = self.encodeClaim(cutOffRevision)
         val change =
@@ -148,15 +165,17 @@
                 is CommitResult.Committed ->
                     startHolding(
                         ShardHolding(id, self, result.revision, cutOffRevision),
+                        claimedAtMillis,
+                        previous,
                         revision,
                         StoreItem(key, value, result.revision),
                     )
                 is CommitResult.Conflict -> result.items.forEach(mirror::applyIfNewer)
                 is CommitResult.LeaseEnded -> Unit
-                is CommitResult.Unavailable ->
-                    logger.debug {
-                        "claim of shard $key at revision $revision failed: ${result.detail}"
-                    }
+                is CommitResult.Unavailable -> {
+                    if (result.mayHaveApplied) earlierHolders.onClaimUnanswered(id)
+                    logger.debug { "claim of shard $key at revision $revision failed: ${result.detail}" }
+                }
             }
             onResult(id in hosts)
         }
@@ -164,6 +183,8 @@
 
     private fun startHolding(
         holding: ShardHolding,
+        claimedAtMillis: Long,
+        previous: ShardHolding?,
         previousRevision: Long,
         item: StoreItem,
     ) {
@@ -172,7 +193,7 @@
         hosts[holding.shardId]?.let { release(it, "acquired again, after a holder of which no news has arrived") }
         metrics.shardAcquired()
         logger.info { "acquired shard $name with fencing token ${holding.revision}" }
-        val host = createHost(holding)
+        val host = createHost(holding, claimedAtMillis, previous)
         holding.cutOffRevision?.let { host.onHoldersCutOff(it, isPredecessor = it == previousRevision) }
         // Without a grace: this holder has started nothing yet.
         host.updateEvacuated(evacuations.isEvacuated(holding.shardId.failureDomain), graceMillis = 0)
@@ -185,7 +206,11 @@
         stopped.announce()
     }
 
-    private fun createHost(holding: ShardHolding): ShardHost =
+    private fun createHost(
+        holding: ShardHolding,
+        claimedAtMillis: Long,
+        previous: ShardHolding?,
+    ): ShardHost =
         ShardHost(
             holding,
             options.shard,
@@ -198,7 +223,10 @@
             onFenced = { releaseFenced(holding) },
             PeerShardCapacities(directory, peers, ::host),
             PeerPartClient(directory, peers, ::host),
-            confirmedAtMillis = { mirror.confirmedAtMillis },
+            haveEarlierHoldersStopped = { earlierHolders.haveStopped(holding, previous) },
+            DurableOwnership(holding, claimedAtMillis, store, loop, pauses, { mirror.confirmedAtMillis }) { onResult ->
+                earlierHolders.requestConfirmations(holding, onResult)
+            },
         ) { listener -> DurableJobStore(holding, store, loop, unixMillis, options.durableRetentionMillis, listener) }
 
     private fun releaseFenced(holding: ShardHolding) {
@@ -246,7 +274,11 @@
         if (successor == null) {
             handingOver.remove(id)
             if (host !in undecided) host.cancelHandOver()
-            if (isRepeated) loop.schedule(HAND_OVER_RETRY_MILLIS) { handOver(host, successors(), isRepeated = true) }
+            if (isRepeated) {
+                loop.schedule(
+                    HAND_OVER_RETRY_MILLIS,
+                ) { handOver(host, successors(), isRepeated = true) }
+            }
             return
         }
         handingOver.add(id)
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/RealFleetInstance.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/RealFleetInstance.kt
@@ -96,7 +96,11 @@
     private val durableJobClient =
         RealDurableJobClient(directory.shardsOf(self.failureDomain), shards, directory, shardClient, peers)
     private val durableRequests = DurableJobRequests(loop, durableJobClient, components.store)
-    private val registration = MemberRegistration(self, components.store, loop, fleetMirror::applyIfNewer)
+    private val registration =
+        MemberRegistration(self, components.store, loop) { entry ->
+            shards.onRegistered()
+            fleetMirror.applyIfNewer(entry)
+        }
     private val callerApi = CallerApi(components.callerCodec, relay, loop, durableRequests)
     private val peerApi =
         PeerApi(self.incarnation, shards, loop, loads, gossip::itemsNewerThan, peerHealth::onPeerRequest)
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/peer/PeerApi.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/peer/PeerApi.kt
@@ -45,6 +45,7 @@
                 PeerPaths.PING -> onPing(exchange, decode(exchange, PingMessage.serializer()))
                 PeerPaths.HAND_OVER -> onHandOver(exchange, decode(exchange, HandOverMessage.serializer()))
                 PeerPaths.STOPPED -> onHolderStopped(exchange, decode(exchange, HandOverMessage.serializer()))
+                PeerPaths.CONFIRM -> onConfirmation(exchange, decode(exchange, ConfirmationMessage.serializer()))
                 PeerPaths.KEEP -> onPersist(exchange, decode(exchange, PersistMessage.serializer()))
                 PeerPaths.KEPT_STATE -> onJobState(exchange, decode(exchange, JobStateMessage.serializer()))
                 PeerPaths.PENDING -> onPending(exchange, decode(exchange, PendingMessage.serializer()))
@@ -179,6 +180,15 @@
         exchange.respond(json(HandOverReply.serializer(), HandOverReply(taken)))
     }
 
+    private fun onConfirmation(
+        exchange: HttpExchange,
+        message: ConfirmationMessage,
+    ) {
+        onPeerRequest(InstanceId(message.sender))
+        val confirmed = shards.confirm(message.shardId, message.revision)
+        exchange.respond(json(ConfirmationReply.serializer(), ConfirmationReply(confirmed)))
+    }
+
     private fun <T> json(
         type: KSerializer<T>,
         value: T,
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/peer/PeerClient.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/peer/PeerClient.kt
@@ -90,6 +90,22 @@
             onReply,
         )
 
+    /** Asks [member] to confirm the holder of a shard while the store is out. */
+    fun requestConfirmation(
+        member: FleetMember,
+        message: ConfirmationMessage,
+        onReply: (PeerReply<ConfirmationReply>) -> Unit,
+    ): HttpCall =
+        send(
+            member,
+            PeerPaths.CONFIRM,
+            ConfirmationMessage.serializer(),
+            message,
+            ConfirmationReply.serializer(),
+            PING_TIMEOUT_MILLIS,
+            onReply,
+        )
+
     /** Asks [member] to store a durable job; its answer takes up to [timeoutMillis]. */
     fun persist(
         member: FleetMember,
@@ -272,6 +288,7 @@
     const val PING = "/peer/ping"
     const val HAND_OVER = "/peer/hand-over"
     const val STOPPED = "/peer/stopped"
+    const val CONFIRM = "/peer/confirm"
     const val KEEP = "/peer/keep"
     const val KEPT_STATE = "/peer/kept-state"
     const val PENDING = "/peer/pending"
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/peer/PeerMessages.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/peer/PeerMessages.kt
@@ -105,6 +105,20 @@
     val revision: Long,
 )
 
+/** Asks a peer to confirm that it has not claimed [shardId], which [sender] holds since the store's [revision]. */
+@Serializable
+internal data class ConfirmationMessage(
+    val sender: String,
+    val shardId: ShardId,
+    val revision: Long,
+)
+
+/** Reply to a [ConfirmationMessage]. */
+@Serializable
+internal data class ConfirmationReply(
+    val confirmed: Boolean,
+)
+
 /** Reply to a [HandOverMessage]; [taken] is whether the peer holds the shard now, later than the sender. */
 @Serializable
 internal data class HandOverReply(
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/shard/ShardHost.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/shard/ShardHost.kt
@@ -44,7 +44,9 @@
     private val onFenced: () -> Unit,
     capacities: ShardCapacities,
     partClient: PartClient,
-    private val confirmedAtMillis: () -> Long?,
+    /** Whether all earlier holders have lost their ownership; asked until they have. */
+    private val haveEarlierHoldersStopped: () -> Boolean,
+    private val ownership: DurableOwnership,
     createDurableStore: (DurableJobStore.Listener) -> DurableJobStore,
 ) : ShardEffects {
     private class Waiter(
@@ -59,15 +61,18 @@
     private var nextWaiter = 0L
     private var released = false
     private var examinedBefore = 0L
+    private var earlierHoldersStopped = false
 
     fun start() {
+        dispatcher.onOwnershipExtended(ownership.validUntilMillis)
+        dispatcher.onOwnershipConfirmed(Long.MIN_VALUE)
         durableJobs.start()
         loop.repeatEvery(TICK_MILLIS, ::tick)
     }
 
     private fun tick(): Boolean {
         if (released) return false
-        confirmedAtMillis()?.let(dispatcher::onOwnershipConfirmed)
+        maintainOwnership()
         dispatcher.tick(loop.nowMillis())
         log.examined(dispatcher.examined - examinedBefore)
         examinedBefore = dispatcher.examined
@@ -76,6 +81,18 @@
         return true
     }
 
+    private fun maintainOwnership() {
+        if (hasDurableJobs) ownership.require() else ownership.maintain()
+        dispatcher.onOwnershipExtended(ownership.validUntilMillis)
+        if (dispatcher.awaitsConfirmation) ownership.confirm()
+        dispatcher.onOwnershipConfirmed(ownership.unclaimedAtMillis ?: Long.MIN_VALUE)
+        if (earlierHoldersStopped || !haveEarlierHoldersStopped()) return
+        earlierHoldersStopped = true
+        dispatcher.onEarlierHoldersStopped(loop.nowMillis())
+    }
+
+    val hasDurableJobs: Boolean get() = dispatcher.openDurableJobs > 0
+
     fun updateTargets(listed: ImmutableCollection<ShardTarget>) = dispatcher.updateTargets(listed, loop.nowMillis())
 
     /** As [ShardDispatcher.updateEvacuated]. */
@@ -159,7 +176,10 @@
     fun persist(
         message: PersistMessage,
         onOutcome: (PersistOutcome) -> Unit,
-    ) = durableJobs.persist(message, onOutcome)
+    ) {
+        ownership.require()
+        durableJobs.persist(message, onOutcome)
+    }
 
     /** Queries the state of a durable job; [onState] receives null if this shard has no such job. */
     fun queryState(
@@ -176,6 +196,7 @@
 
     fun release() {
         released = true
+        ownership.release()
         log.openParts(0)
         durableJobs.release()
         dispatcher.release(loop.nowMillis())
