Run the durable jobs of a lost failure domain elsewhere within seconds

Callers saw accepted jobs of a lost failure domain without a run for 31 s while another one was idle, and long-running tasks without a run for 12 s after the only instance of a failure domain had stopped gracefully.

Cause: four waits one after the other, 10 s for the member entry, 3 s for a restart, 17.3 s for a holder that may be cut off, and 2 s for a stall.

Change: a holder of another failure domain claims a shard with durable jobs once its ownership key has been gone, and its holder silent, for 1 s; the end of that lease also shows that the holder cannot go on. The stall is counted beside the wait for evidence. A shard goes back only to instances that answer or have registered since. An instance that stops without a successor in its failure domain hands a shard with durable jobs to another one. Shards without durable jobs are adopted as before.

--- a/core/src/main/kotlin/io/jackdawring/core/shard/StalledJobs.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/StalledJobs.kt
@@ -17,10 +17,11 @@
     /** Jobs of which nothing has run for [STALL_MILLIS], although their tasks wait. */
     fun find(nowMillis: Long): ImmutableList<StalledJob> {
         for (job in durable.openJobs) {
-            job.stalledSinceMillis = if (isStalled(job, nowMillis)) job.stalledSinceMillis ?: nowMillis else null
+            job.stalledSinceMillis = if (isWithoutRun(job, nowMillis)) job.stalledSinceMillis ?: nowMillis else null
         }
         return durable.openJobs
             .filter { job -> job.stalledSinceMillis?.let { nowMillis - it >= STALL_MILLIS } == true }
+            .filter { isStalled(it, nowMillis) }
             .map { StalledJob(it.spec.id, needsOf(it)) }
             .toImmutableList()
     }
@@ -34,6 +35,17 @@
             job.tasks().none { it.runs.isNotEmpty() } &&
             job.tasks().any { it.waiting && it.mayStart(nowMillis) }
 
+    /** As [isStalled]; the time in which a job of an earlier holder waits for evidence of its runs counts too. */
+    private fun isWithoutRun(
+        job: TrackedJob,
+        nowMillis: Long,
+    ): Boolean =
+        if (previousRuns.isAwaitingRecovery(job.spec.id)) {
+            job.tasks().none { control.isPresent(it.key) }
+        } else {
+            isStalled(job, nowMillis)
+        }
+
     private fun isMovable(
         job: TrackedJob,
         nowMillis: Long,
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/HeldShards.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/HeldShards.kt
@@ -63,6 +63,10 @@
     private var draining = false
     val election = ShardElection(self)
     private val earlierHolders = EarlierHolders(self, mirror, directory, election, peers, loop)
+    private val lapsed = LapsedOwnerships(self, mirror, election)
+
+    /** Times until which members of its failure domain are not offered a shard again. */
+    private val nextReturnMillis = HashMap<ShardId, Long>()
 
     val held: Set<ShardId> get() = hosts.keys
 
@@ -73,7 +77,8 @@
         stopped.announce()
         if (draining || !mirror.isLoaded) return
         val now = loop.nowMillis()
-        for (id in directory.shardsOf(self.failureDomain) + abandoned.find(directory, now)) {
+        val foreign = abandoned.find(directory, now) + lapsed.find(directory, isHolder = hosts.isNotEmpty(), now)
+        for (id in directory.shardsOf(self.failureDomain) + foreign.distinct()) {
             val holding = directory.holdings[id]
             if (id in hosts || id in claiming) continue
             if (election.shouldClaim(id, holding, directory.members.values, now)) claimFrom(id, holding)
@@ -81,14 +86,26 @@
         hosts.values.toList().forEach(::returnToOwnDomain)
     }
 
-    /** Hands over a shard of another failure domain once that domain has registered entry instances again. */
+    /** Hands over a shard of another failure domain once entry instances of that domain answer again. */
     private fun returnToOwnDomain(host: ShardHost) {
-        val domain = host.holding.shardId.failureDomain
-        if (domain == self.failureDomain || host.holding.shardId in handingOver) return
-        val members = directory.members.values.filter { it.failureDomain == domain }
-        if (members.isNotEmpty()) handOver(host, members.sortedByDescending { it.weight }, isRepeated = false)
+        val id = host.holding.shardId
+        val domain = id.failureDomain
+        val now = loop.nowMillis()
+        if (domain == self.failureDomain || id in handingOver || now < (nextReturnMillis[id] ?: 0)) return
+        // The entry of a lost instance lasts for a while, and one that was written since then is that of a new process.
+        val live = election.liveMembers(directory.members.values, domain, now).toSet()
+        val members =
+            directory.members.values.filter { it.failureDomain == domain && (it in live || isNewer(it, host.holding)) }
+        if (members.isEmpty()) return
+        nextReturnMillis[id] = now + RETURN_INTERVAL_MILLIS
+        handOver(host, members.sortedByDescending { it.weight }, isRepeated = false)
     }
 
+    private fun isNewer(
+        member: FleetMember,
+        holding: ShardHolding,
+    ) = (mirror[FleetKeys.member(member.instanceId.value)]?.revision ?: 0) > holding.revision
+
     /** Confirms the holder of [shardId] at [revision] to it; see [EarlierHolders.confirm]. */
     fun confirm(
         shardId: ShardId,
@@ -257,10 +274,18 @@
     /** Asks peers to take over all shards; a shard stays held and is offered again until a peer takes it. */
     fun handOverAll() {
         draining = true
-        hosts.values.toList().forEach { handOver(it, successors(), isRepeated = true) }
+        hosts.values.toList().forEach { handOver(it, successors(it), isRepeated = true) }
     }
 
-    private fun successors() = election.successors(directory.members.values, loop.nowMillis())
+    /** Durable jobs go to another failure domain if nobody in this one can take them. */
+    private fun successors(host: ShardHost): List<FleetMember> {
+        val now = loop.nowMillis()
+        val members = directory.members.values
+        val local = election.successors(members, now)
+        if (local.isNotEmpty() || !host.hasDurableJobs) return local
+        val otherDomains = members.map { it.failureDomain }.distinct() - self.failureDomain
+        return otherDomains.flatMap { election.liveMembers(members, it, now) }
+    }
 
     /** Offers the shard of [host] to [candidates], one after the other. */
     private fun handOver(
@@ -277,7 +302,7 @@
             if (isRepeated) {
                 loop.schedule(
                     HAND_OVER_RETRY_MILLIS,
-                ) { handOver(host, successors(), isRepeated = true) }
+                ) { handOver(host, successors(host), isRepeated = true) }
             }
             return
         }
@@ -323,5 +348,8 @@
     private companion object {
         /** Retry interval while there is no successor, for example while all peers restart. */
         const val HAND_OVER_RETRY_MILLIS = 200L
+
+        /** Interval of offers to a failure domain whose instances decline, for example because they stop. */
+        const val RETURN_INTERVAL_MILLIS = 1_000L
     }
 }
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/PeerHealthMonitor.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/PeerHealthMonitor.kt
@@ -84,9 +84,10 @@
             directory.holdings.values
                 .filter { it.holder.failureDomain != it.shardId.failureDomain }
                 .map { it.holder }
-        return (localHolders + adopters + holdersWithPendingRequests + domainMembers + otherHolders).distinctBy {
-            it.instanceId
-        }
+        val adoptedDomains = shards.held.map { it.failureDomain } - self.failureDomain
+        val adoptedMembers = directory.members.values.filter { it.failureDomain in adoptedDomains }
+        return (localHolders + adopters + holdersWithPendingRequests + domainMembers + otherHolders + adoptedMembers)
+            .distinctBy { it.instanceId }
     }
 
     private fun ping(holder: FleetMember) {
