Start speculative copies without ownership where no durable jobs are open

Callers would have waited longer for slow tasks: the limit of durable runs also kept copies of jobs that callers wait for back, in shards without durable jobs, whose holders have no ownership.

Change: the limit applies only where durable jobs are, or may be, open. So does the confirmation that a holder needs before it gives up a run on a silent target.

--- a/core/src/main/kotlin/io/jackdawring/core/shard/RealShardDispatcher.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/RealShardDispatcher.kt
@@ -38,7 +38,7 @@
 
     init {
         control.mayHoldDurableRuns = ::mayHoldDurableRuns
-        control.wasHeldAt = ownership::wasHeldAt
+        control.wasHeldAt = { leaseEndMillis -> hasNoDurableJobs || ownership.wasHeldAt(leaseEndMillis) }
     }
 
     override val waitingTasks: Int get() = waiting.size
@@ -290,11 +290,11 @@
 
     private fun isOwnershipExpired(nowMillis: Long) = ownership.isExpired(pauses.elapsedMillis(nowMillis))
 
+    /** Whether found runs that no job has claimed cannot be those of durable jobs. */
+    private val hasNoDurableJobs: Boolean get() = control.recovered && durable.openJobs.isEmpty()
+
     /** Whether found runs that no job has claimed, and those of durable jobs, may last. */
-    private fun mayHoldDurableRuns(nowMillis: Long): Boolean {
-        val hasNone = control.recovered && durable.openJobs.isEmpty()
-        return hasNone || !isOwnershipExpired(nowMillis)
-    }
+    private fun mayHoldDurableRuns(nowMillis: Long): Boolean = hasNoDurableJobs || !isOwnershipExpired(nowMillis)
 
     override fun delayMillis(
         needs: JobNeeds,
@@ -363,7 +363,7 @@
         lifecycle.removeExpired(nowMillis)
         place(nowMillis)
         preempt(nowMillis)
-        val mayCopy = waiting.isEmpty && !isOwnershipExpired && evacuation.isInService
+        val mayCopy = waiting.isEmpty && mayHoldDurableRuns(nowMillis) && evacuation.isInService
         if (mayCopy && !pauses.isCatchingUp(nowMillis)) copies.start(nowMillis)
     }
 
--- a/testing/src/main/kotlin/io/jackdawring/testing/shard/FakeShard.kt
+++ b/testing/src/main/kotlin/io/jackdawring/testing/shard/FakeShard.kt
@@ -41,10 +41,24 @@
     /** Targets in the first list. */
     listed: List<FakeShardTarget> = targets,
     private val options: ShardOptions = shardOptions(),
+    /** Time until which holders have ownership of the shard; null if that is not limited. */
+    ownedUntilMillis: Long? = null,
 ) {
+    /** Time until which holders have ownership of the shard; null if that is not limited. */
+    var ownedUntilMillis = ownedUntilMillis
+        set(value) {
+            field = value
+            value?.let(holder.dispatcher::onOwnershipExtended)
+        }
+
     private inner class Holder : ShardEffects {
         val pauses = PauseGuard()
         val dispatcher = ShardDispatcher.Factory.Default.create(options, this, pauses)
+
+        init {
+            ownedUntilMillis?.let(dispatcher::onOwnershipExtended)
+        }
+
         var alive = true
 
         private fun target(registration: ShardTarget) = targets.first { it.registration.id == registration.id }
