Log when a shard gains or loses its ownership

Cause: the logs could not tell a holder that stopped its durable runs for want of ownership from one that was released, nor say when a successor knew that earlier holders had lost theirs.

No decision changes.

--- a/fleet/src/main/kotlin/io/jackdawring/fleet/shard/DecisionLog.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/shard/DecisionLog.kt
@@ -141,6 +141,12 @@
         "cutOffToken" to (handOver.cutOffToken ?: "none"),
     )
 
+    /** Records that holders up to [holderToken], which may be cut off, have lost their ownership. */
+    fun ownershipsEnded(
+        holderToken: Long,
+        heldMillis: Long,
+    ) = log("earlier holders have lost their ownership", "holderToken" to holderToken, "heldMillis" to heldMillis)
+
     private fun onStartUnanswered(decision: ShardDecision.StartUnanswered) {
         metrics.startUnanswered()
         logRun("start not answered", decision.task, decision.attempt, decision.targetId, decision.reason)
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/shard/DurableOwnership.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/shard/DurableOwnership.kt
@@ -54,6 +54,7 @@
     private var isAsking = false
     private var nextQuestionMillis = Long.MIN_VALUE
     private var released = false
+    private var wasValid = false
 
     private fun nowMillis() = pauses.elapsedMillis(loop.nowMillis())
 
@@ -79,6 +80,7 @@
     fun maintain() {
         val now = nowMillis()
         if (released || now >= neededUntilMillis) return
+        logChange(now < validUntilMillis)
         if (!isCalling && now >= nextCallMillis && (isViewFresh || leaseId == null)) callStore(now)
         val isStoreLate = leasedAtMillis != NEVER_MILLIS && now - leasedAtMillis >= STORE_LATE_MILLIS
         if (isStoreLate && !isAsking && now >= nextQuestionMillis) ask(now)
@@ -88,6 +90,17 @@
         released = true
     }
 
+    private fun logChange(isValid: Boolean) {
+        if (isValid == wasValid) return
+        wasValid = isValid
+        val name = FleetKeys.shard(holding.shardId)
+        if (isValid) {
+            logger.info { "$name: durable jobs may run" }
+        } else {
+            logger.warn { "$name: durable jobs may not run, neither the store nor all instances confirm the holder" }
+        }
+    }
+
     private fun callStore(now: Long) {
         isCalling = true
         nextCallMillis = now + RENEWAL_INTERVAL_MILLIS
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/shard/ShardHost.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/shard/ShardHost.kt
@@ -62,6 +62,7 @@
     private var released = false
     private var examinedBefore = 0L
     private var earlierHoldersStopped = false
+    private val startedAtMillis = loop.nowMillis()
 
     fun start() {
         dispatcher.onOwnershipExtended(ownership.validUntilMillis)
@@ -88,6 +89,7 @@
         dispatcher.onOwnershipConfirmed(ownership.unclaimedAtMillis ?: Long.MIN_VALUE)
         if (earlierHoldersStopped || !haveEarlierHoldersStopped()) return
         earlierHoldersStopped = true
+        holding.cutOffRevision?.let { log.ownershipsEnded(it, loop.nowMillis() - startedAtMillis) }
         dispatcher.onEarlierHoldersStopped(loop.nowMillis())
     }
 
