Correct the clock of a target from a rejection as late

Callers would see accepted jobs that stay queued for ever, while their holder sends hundreds of starts a second that targets reject as late.

Cause: after a pause that the monotonic clock did not count, the holder's idea of a target's clock is off. Each rejection polled the target at once, which voids the poll in flight, so with several waiting tasks no answer that would correct the clock was ever evaluated.

Change: a rejection as late corrects the clock by the one that it carries.

Evidence: a row of ShardOwnershipTest failed before (three of six jobs never started).

--- a/core/src/main/kotlin/io/jackdawring/core/shard/TargetControl.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/TargetControl.kt
@@ -188,12 +188,24 @@
         val run = target.runs[request.task]?.takeIf { it.attempt == request.attempt } ?: return
         when (result) {
             is StartResult.Accepted -> onAccepted(run, nowMillis)
-            is StartResult.Rejected -> onRejected(run, result.reason, nowMillis)
+            is StartResult.Rejected -> {
+                if (result.reason == StartResult.Reason.LATE) correctClock(target, result.clockMillis, nowMillis)
+                onRejected(run, result.reason, nowMillis)
+            }
             is StartResult.NotSent -> onNotSent(run, result.detail, nowMillis)
             is StartResult.Unknown -> onUnanswered(run, result.detail, nowMillis)
         }
     }
 
+    /** A poll would tell the clock too, but each further rejection replaces the one in flight. */
+    private fun correctClock(
+        target: TrackedTarget,
+        clockMillis: Long?,
+        nowMillis: Long,
+    ) {
+        if (clockMillis != null) target.clockOffsetMillis = clockMillis - nowMillis
+    }
+
     private fun onAccepted(
         run: TrackedRun,
         nowMillis: Long,
--- a/testing/src/main/kotlin/io/jackdawring/testing/shard/FakeShardTarget.kt
+++ b/testing/src/main/kotlin/io/jackdawring/testing/shard/FakeShardTarget.kt
@@ -53,8 +53,8 @@
     /** How the target handles requests and runs. */
     var mode = Mode.HEALTHY
 
-    /** The target's clock minus the virtual time. */
-    val clockOffsetMillis = 100_000L
+    /** The target's clock minus the virtual time; it grows while the monotonic clock of the holder stands still. */
+    var clockOffsetMillis = 100_000L
 
     /** Time until which the target refuses connections after a restart. */
     internal var startingUntilMillis = 0L
--- a/testing/src/test/kotlin/io/jackdawring/testing/shard/ShardOwnershipTest.kt
+++ b/testing/src/test/kotlin/io/jackdawring/testing/shard/ShardOwnershipTest.kt
@@ -58,6 +58,16 @@
                 runFor(12_000)
                 assertEquals(JobState.COMPLETED, durableJobState(job))
             },
+            Row(
+                "a holder whose monotonic clock stood still starts what waits, although targets first reject it as late",
+            ) {
+                ownedUntilMillis = nowMillis + 60_000
+                targets.forEach { it.clockOffsetMillis += 5_000 }
+                val jobs = List(6) { job("d$it", tasks = 4, estimateMillis = 200, cpuMillis = 8_000) }
+                jobs.forEach(::submitDurable)
+                runFor(3_000)
+                assertEquals(jobs.map { JobState.COMPLETED }, jobs.map(::durableJobState))
+            },
             Row("a holder that was paused beyond its ownership renews no lease") {
                 val job = job("d", tasks = 2, estimateMillis = 10_000)
                 ownedUntilMillis = nowMillis + 1_000
