Serve callers while the stored jobs of a shard cannot be loaded

Cause: until the stored jobs are loaded, a new holder counted as one that may not hold durable runs, and withheld leases from targets that list ends of earlier runs. Between two ticks it still started tasks there, with a lease before all times, which a target rejects as invalid; that fails the job. Afterwards it started nothing there.

Change: the limit of durable runs needs a known durable job; before they are loaded, AdoptionWindow limits found runs, as ever. The targets whose leases are withheld are determined before each placement too.

Evidence: a row of ShardOwnershipTest failed before (no job of 20 is served) and passes. The models of cut off and lost holders pass.

--- a/core/src/main/kotlin/io/jackdawring/core/shard/RealShardDispatcher.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/RealShardDispatcher.kt
@@ -290,8 +290,8 @@
 
     private fun isOwnershipExpired(nowMillis: Long) = ownership.isExpired(pauses.elapsedMillis(nowMillis))
 
-    /** Whether found runs that no job has claimed cannot be those of durable jobs. */
-    private val hasNoDurableJobs: Boolean get() = control.recovered && durable.openJobs.isEmpty()
+    /** Whether no durable job is known; until they are loaded, [AdoptionWindow] limits the runs that may be theirs. */
+    private val hasNoDurableJobs: Boolean get() = durable.openJobs.isEmpty()
 
     /** Whether found runs that no job has claimed, and those of durable jobs, may last. */
     private fun mayHoldDurableRuns(nowMillis: Long): Boolean = hasNoDurableJobs || !isOwnershipExpired(nowMillis)
@@ -419,6 +419,8 @@
         lifecycle.resumeRecoveredJobs(nowMillis)
         if (waiting.isEmpty || pauses.isCatchingUp(nowMillis)) return
         waiting.demoteLateJobs(nowMillis)
+        // The ownership may have expired since the last tick, and a start needs a lease that may be renewed.
+        if (!mayHoldDurableRuns(nowMillis)) control.updateWithheldLeases(nowMillis)
         placement.place(nowMillis, mayStartDurable = !isOwnershipExpired(nowMillis))
     }
 
--- a/core/src/main/kotlin/io/jackdawring/core/shard/TargetControl.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/TargetControl.kt
@@ -505,12 +505,17 @@
         return unclaimed.isNotEmpty()
     }
 
-    fun tick(nowMillis: Long) {
+    /** Decides on which targets leases have to end, because this holder may not hold durable runs. */
+    fun updateWithheldLeases(nowMillis: Long) {
         val mayHoldDurableRuns = mayHoldDurableRuns(nowMillis)
+        targets.forEach { it.isLeaseWithheld = !mayHoldDurableRuns && it.hasDurableRuns }
+    }
+
+    fun tick(nowMillis: Long) {
+        updateWithheldLeases(nowMillis)
         awaitsConfirmation = false
         previousRunsCheck.onTick(nowMillis)
         for (target in targets.toList()) {
-            target.isLeaseWithheld = !mayHoldDurableRuns && target.hasDurableRuns
             if (target.contact != TrackedTarget.Contact.HELD && target.isLeaseOver(nowMillis)) {
                 target.mayHaveMoreEnds = false
                 expireLease(target, nowMillis)
--- a/testing/src/main/kotlin/io/jackdawring/testing/shard/FakeShardTarget.kt
+++ b/testing/src/main/kotlin/io/jackdawring/testing/shard/FakeShardTarget.kt
@@ -152,6 +152,7 @@
         val hasRoom = !guardsCapacity || step.demand.fitsInto(freeOf(registration.capacity))
         val rejection =
             when {
+                request.leaseUntilMillis < 0 -> StartResult.Reason.INVALID
                 maxOf(request.leaseUntilMillis, leaseUntilMillis) < clock -> StartResult.Reason.LATE
                 request.attempt <= (endedAttempts[request.task] ?: 0) -> StartResult.Reason.OLD_ATTEMPT
                 !hasRoom -> StartResult.Reason.NO_ROOM
--- a/testing/src/test/kotlin/io/jackdawring/testing/shard/ShardOwnershipTest.kt
+++ b/testing/src/test/kotlin/io/jackdawring/testing/shard/ShardOwnershipTest.kt
@@ -44,6 +44,24 @@
                 assertEquals(JobOutcome.Completed, answers[waiter]?.outcome)
                 assertEquals(1, starts.size)
             },
+            Row(
+                "a successor serves callers while it cannot load the stored jobs and targets list ends of earlier runs",
+            ) {
+                val earlier = List(6) { job("e$it", estimateMillis = 100) }
+                earlier.forEach(::submit)
+                runFor(50)
+                killHolder()
+                runFor(100)
+                readMillis = 5_000
+                replaceHolder()
+                val waiters =
+                    List(20) {
+                        runFor(30)
+                        submit(job("k$it", cpuMillis = 1_000), remainingMillis = 1_500)
+                    }
+                runFor(1_000)
+                assertEquals(waiters.map { JobOutcome.Completed }, waiters.map { answers[it]?.outcome })
+            },
             Row("a durable job starts once there is ownership, and stops when that ends") {
                 val job = job("d", tasks = 2, estimateMillis = 10_000)
                 submitDurable(job)
