Serve callers on targets whose results of durable jobs cannot be stored

Callers of a failure domain that is cut off would get no starts on targets that list results of durable jobs, from 2.4 s on and for as long as the store is out; 15 s were allowed for before the change for cut off holders.

Cause: a holder without ownership lets the leases of such targets end, so that these results count no more, and went on withholding them afterwards.

Change: once the lease has ended, results from before do not count, and the lease may be renewed for jobs that callers wait for.

Evidence: a row of ShardOwnershipTest failed before (no job is served) and passes now. The models of cut off and lost holders pass.

--- a/core/src/main/kotlin/io/jackdawring/core/shard/TargetControl.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/TargetControl.kt
@@ -508,7 +508,7 @@
     /** Decides on which targets leases have to end, because this holder may not hold durable runs. */
     fun updateWithheldLeases(nowMillis: Long) {
         val mayHoldDurableRuns = mayHoldDurableRuns(nowMillis)
-        targets.forEach { it.isLeaseWithheld = !mayHoldDurableRuns && it.hasDurableRuns }
+        targets.forEach { it.updateWithheldLease(mayHoldDurableRuns, nowMillis) }
     }
 
     fun tick(nowMillis: Long) {
@@ -629,7 +629,7 @@
         target.contact = TrackedTarget.Contact.NEW
         target.incarnationStartMillis = null
         target.clockOffsetMillis = null
-        target.processedEnd = 0
+        target.onRestarted()
         target.confirmedAcknowledgedEnd = 0
         target.pendingEnds.clear()
         target.mayHaveMoreEnds = false
--- a/core/src/main/kotlin/io/jackdawring/core/shard/TrackedTarget.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/TrackedTarget.kt
@@ -134,7 +134,25 @@
 
     /** Whether the target has runs that are, or may be, of durable jobs, or results of them that are not stored. */
     val hasDurableRuns: Boolean
-        get() = pendingEnds.isNotEmpty() || runs.values.any { it.owner?.job?.isDurable != false }
+        get() = pendingEnds.any { it.sequence > lapsedEnd } || runs.values.any { it.owner?.job?.isDurable != false }
+
+    /** Sequence of the last ended run that was processed before the lease ended; its result counts no more. */
+    private var lapsedEnd = 0L
+
+    /** Forgets the ended runs of the former incarnation, whose numbers start anew. */
+    fun onRestarted() {
+        processedEnd = 0
+        lapsedEnd = 0
+    }
+
+    /** Lets the lease end while this holder may not hold durable runs, with [mayHoldDurableRuns] it may be renewed. */
+    fun updateWithheldLease(
+        mayHoldDurableRuns: Boolean,
+        nowMillis: Long,
+    ) {
+        if (isLeaseWithheld && isLeaseOver(nowMillis)) lapsedEnd = processedEnd
+        isLeaseWithheld = !mayHoldDurableRuns && hasDurableRuns
+    }
 
     /**
      * Whether no run that was started on probation is still undecided.
--- a/testing/src/test/kotlin/io/jackdawring/testing/shard/ShardOwnershipTest.kt
+++ b/testing/src/test/kotlin/io/jackdawring/testing/shard/ShardOwnershipTest.kt
@@ -62,6 +62,21 @@
                 runFor(1_000)
                 assertEquals(waiters.map { JobOutcome.Completed }, waiters.map { answers[it]?.outcome })
             },
+            Row("targets with results of durable jobs that cannot be stored serve callers once their lease has ended") {
+                ownedUntilMillis = nowMillis + 1_000
+                saveMillis = 100_000
+                val durable = job("d", tasks = 12, estimateMillis = 100, cpuMillis = 8_000)
+                actualMillis[TaskKey(durable.id, 0, 0, 11)] = 100_000
+                submitDurable(durable)
+                runFor(1_000 + LEASE_MILLIS + 100)
+                val waiters =
+                    List(20) {
+                        runFor(30)
+                        submit(job("k$it", tasks = 4, cpuMillis = 1_000), remainingMillis = 1_500)
+                    }
+                runFor(1_000)
+                assertEquals(waiters.map { JobOutcome.Completed }, waiters.map { answers[it]?.outcome })
+            },
             Row("a durable job starts once there is ownership, and stops when that ends") {
                 val job = job("d", tasks = 2, estimateMillis = 10_000)
                 submitDurable(job)
