Log who started a run that is stopped, and which requests ended without an answer

Cause: two runs of a task in two failure domains could come from a wait that is counted from a hand-over, from a paused or restarted instance, or from a late request; the logs could not tell these apart.

Change: 'stopping run' says whether an earlier holder has started the run, for how long it has been without a job and when that holder was last known to serve; 'job admitted' names the relay; 'caller disconnected' is new; 'acquired shard' names the holder before. No logic changes.

--- a/core/src/main/kotlin/io/jackdawring/core/shard/RealShardDispatcher.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/RealShardDispatcher.kt
@@ -164,7 +164,7 @@
         lifecycle.add(job, waiter)
         val forecastMillis = decision.completionMillis?.let { it.toLong() - nowMillis } ?: -1
         effects.report(
-            ShardDecision.JobAdmitted(spec.id, spec.queue, forecastMillis, spec.objectiveMillis, waiting.size),
+            ShardDecision.JobAdmitted(spec.id, waiter, spec.queue, forecastMillis, spec.objectiveMillis, waiting.size),
         )
         lifecycle.advance(job, nowMillis)
         place(nowMillis)
--- a/core/src/main/kotlin/io/jackdawring/core/shard/RunStopper.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/RunStopper.kt
@@ -3,6 +3,7 @@
 /** Requests the stop of runs, and repeats requests that are not answered. */
 internal class RunStopper(
     private val effects: ShardEffects,
+    private val adoption: AdoptionWindow,
 ) {
     fun stop(
         run: TrackedRun,
@@ -12,10 +13,24 @@
         if (run.stopReason != null) return
         run.stopReason = reason
         run.state = TrackedRun.State.STOPPING
-        effects.report(ShardDecision.RunStopRequested(run.key, run.attempt, run.target.id, reason))
+        effects.report(toDecision(run, reason, nowMillis))
         send(run, nowMillis)
     }
 
+    private fun toDecision(
+        run: TrackedRun,
+        reason: String,
+        nowMillis: Long,
+    ) = ShardDecision.RunStopRequested(
+        run.key,
+        run.attempt,
+        run.target.id,
+        reason,
+        run.isAdopted,
+        unclaimedMillis = if (run.owner == null) nowMillis - run.sentAtMillis else null,
+        servedAgoMillis = adoption.previousHolderSeenAtMillis?.takeIf { run.isAdopted }?.let { nowMillis - it },
+    )
+
     /** Sends the request unless one was sent within the retry interval. */
     fun send(
         run: TrackedRun,
--- a/core/src/main/kotlin/io/jackdawring/core/shard/ShardDecision.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/ShardDecision.kt
@@ -7,6 +7,7 @@
     /** A job was admitted to the queue. */
     data class JobAdmitted(
         val jobId: JobId,
+        val waiter: WaiterId,
         val queue: String,
         val forecastMillis: Long,
         val objectiveMillis: Long,
@@ -109,6 +110,12 @@
         val attempt: Int,
         val targetId: TargetId,
         val reason: String,
+        /** Whether an earlier holder has started the run. */
+        val isAdopted: Boolean,
+        /** Time for which this holder has known the run without a job; null if a job has claimed it. */
+        val unclaimedMillis: Long?,
+        /** Time since the holder whose callers may have sent the job was last known to serve them; null if not known. */
+        val servedAgoMillis: Long?,
     ) : ShardDecision
 
     /** A target crashed during a run of a task, as did [crashes] targets during runs of this task so far. */
--- a/core/src/main/kotlin/io/jackdawring/core/shard/TargetControl.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/TargetControl.kt
@@ -15,9 +15,9 @@
     val evacuation = Evacuation()
     private val registry = TargetRegistry(cost, evacuation, ::report)
     private val poller = TargetPoller(options, effects, ::mayRenewLease)
-    private val stopper = RunStopper(effects)
-    private val index = RunIndex()
     private val adoption = AdoptionWindow(options)
+    private val stopper = RunStopper(effects, adoption)
+    private val index = RunIndex()
     private val cutOffHolders = CutOffHolders()
     private val previousRunsCheck = PreviousRunsCheck(registry, cutOffHolders, poller.maxLeaseMillis)
 
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/HeldShards.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/HeldShards.kt
@@ -209,7 +209,11 @@
         val name = FleetKeys.shard(holding.shardId)
         hosts[holding.shardId]?.let { release(it, "acquired again, after a holder of which no news has arrived") }
         metrics.shardAcquired()
-        logger.info { "acquired shard $name with fencing token ${holding.revision}" }
+        logger.info {
+            "acquired shard $name with fencing token ${holding.revision} from " +
+                (previous?.let { "${it.holder.instanceId.value} with ${it.revision}" } ?: "nobody known") +
+                ", holders that may be cut off: up to ${holding.cutOffRevision ?: "none"}"
+        }
         val host = createHost(holding, claimedAtMillis, previous)
         holding.cutOffRevision?.let { host.onHoldersCutOff(it, isPredecessor = it == previousRevision) }
         // Without a grace: this holder has started nothing yet.
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/relay/RelayedJob.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/relay/RelayedJob.kt
@@ -50,10 +50,23 @@
 
     /** Cancels the job, because its caller has disconnected. */
     fun cancel() {
+        if (!ended) logDisconnected()
         ended = true
         pendingRequest?.cancel()
     }
 
+    private fun logDisconnected() =
+        logger.atInfo {
+            message = "caller disconnected"
+            payload =
+                mapOf(
+                    "job" to job.id.value,
+                    "ageMillis" to loop.nowMillis() - arrivedAtMillis,
+                    "takenBy" to acceptedBy?.failureDomain?.value.orEmpty(),
+                    "firstFencingToken" to firstFencingToken,
+                )
+        }
+
     private fun sendNext() {
         if (ended) return
         val now = loop.nowMillis()
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/shard/DecisionLog.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/shard/DecisionLog.kt
@@ -7,6 +7,7 @@
 import io.jackdawring.core.shard.ShardDecision
 import io.jackdawring.core.shard.ShardDecision.TasksChangedShard.Change
 import io.jackdawring.core.shard.TaskKey
+import io.jackdawring.core.shard.WaiterId
 import io.jackdawring.fleet.metrics.FleetMetrics
 import java.util.Locale
 
@@ -23,9 +24,13 @@
     /** Counts the tasks, targets and runs that decisions have examined. */
     fun examined(count: Long) = metrics.decisionsExamined(count)
 
-    fun report(decision: ShardDecision) {
+    /** Logs and counts [decision]; [relayOf] names the entry instance that a request came through. */
+    fun report(
+        decision: ShardDecision,
+        relayOf: (WaiterId) -> String? = { null },
+    ) {
         when (decision) {
-            is ShardDecision.JobAdmitted -> onAdmitted(decision)
+            is ShardDecision.JobAdmitted -> onAdmitted(decision, relayOf(decision.waiter))
             is ShardDecision.JobAnswered -> onAnswered(decision)
             is ShardDecision.DurableJobChanged -> onDurableJobChanged(decision)
             is ShardDecision.TasksChangedShard -> onTasksChangedShard(decision)
@@ -44,15 +49,18 @@
         }
     }
 
-    private fun onAdmitted(decision: ShardDecision.JobAdmitted) =
-        log(
-            "job admitted",
-            "job" to decision.jobId.value,
-            "queue" to decision.queue,
-            "forecastMillis" to decision.forecastMillis,
-            "objectiveMillis" to decision.objectiveMillis,
-            "waitingTasks" to decision.queuedTasks,
-        )
+    private fun onAdmitted(
+        decision: ShardDecision.JobAdmitted,
+        relay: String?,
+    ) = log(
+        "job admitted",
+        "job" to decision.jobId.value,
+        "relay" to relay.orEmpty(),
+        "queue" to decision.queue,
+        "forecastMillis" to decision.forecastMillis,
+        "objectiveMillis" to decision.objectiveMillis,
+        "waitingTasks" to decision.queuedTasks,
+    )
 
     private fun onAnswered(decision: ShardDecision.JobAnswered) {
         val outcome = decision.outcome
@@ -154,7 +162,16 @@
 
     private fun onStopRequested(decision: ShardDecision.RunStopRequested) {
         metrics.stopRequested()
-        logRun("stopping run", decision.task, decision.attempt, decision.targetId, decision.reason)
+        logRun(
+            "stopping run",
+            decision.task,
+            decision.attempt,
+            decision.targetId,
+            decision.reason,
+            "startedBy" to if (decision.isAdopted) "an earlier holder" else "this holder",
+            "unclaimedMillis" to (decision.unclaimedMillis ?: "claimed"),
+            "servedAgoMillis" to (decision.servedAgoMillis ?: "unknown"),
+        )
     }
 
     private fun logRun(
@@ -163,6 +180,7 @@
         attempt: Int,
         targetId: TargetId,
         reason: String,
+        vararg fields: Pair<String, Any>,
     ) = log(
         text,
         "job" to task.jobId.value,
@@ -170,6 +188,7 @@
         "attempt" to attempt,
         "target" to targetId.value,
         "reason" to reason,
+        *fields,
     )
 
     private fun onTargetCrashed(decision: ShardDecision.TargetCrashed) {
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/shard/ShardHost.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/shard/ShardHost.kt
@@ -245,7 +245,7 @@
         if (!released) onFenced()
     }
 
-    override fun report(decision: ShardDecision) = log.report(decision)
+    override fun report(decision: ShardDecision) = log.report(decision) { waiters[it]?.relay }
 
     private companion object {
         /** Resolution of time limits; short compared with the shortest latency objective. */
