Let PartitionProbe cut off a single instance, pause or restart it, and deliver late

Cause: the probe had three instances in each domain, cuts of 6 s and more and short runs, so it could not show two runs in two failure domains of which one has a single instance.

Change: properties for the instances of a domain, steps in a row, short cuts, pauses, restarts, paths that return one by one, callers that wait for less time and go to another instance, long runs, and requests that arrive after a cut. The report has the overlap. Defaults are as before. No product code changes.

--- a/cli/src/test/kotlin/io/jackdawring/cli/process/DomainBorder.kt
+++ b/cli/src/test/kotlin/io/jackdawring/cli/process/DomainBorder.kt
@@ -8,6 +8,7 @@
 import java.util.Base64
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.CopyOnWriteArrayList
+import java.util.concurrent.TimeUnit
 
 /**
  * All paths between two failure domains and from them to the store; they can be cut.
@@ -17,9 +18,12 @@
  */
 internal class DomainBorder(
     private val domains: List<String>,
+    /** Whether what is sent into a cut arrives after it, as from a sender that sends lost packets again. */
+    private val isLate: Boolean = false,
 ) : AutoCloseable {
     private val transport = HttpTransport(threads = 2, name = "border")
     private val client = transport.client()
+    private val executor = transport.executor()
     private val domainOfPort = ConcurrentHashMap<String, String>()
     private val serverGates = CopyOnWriteArrayList<Gate>()
     private val storeGates = ConcurrentHashMap<String, List<Gate>>()
@@ -77,7 +81,14 @@
 
     override fun close() = transport.close()
 
-    /** Forwards requests to [server]; while it is cut, requests and responses get lost without a sign. */
+    /** The address at which the other domain reaches the server that listens on [address] of [INSIDE]. */
+    fun outside(address: String): String = "$OUTSIDE:${address.substringAfter(':')}"
+
+    /**
+     * Forwards requests to [server]; while it is cut, requests and responses get lost without a sign.
+     *
+     * With [isLate], requests and the news that their senders have gone arrive once it is restored.
+     */
     inner class Gate(
         listenAddress: String,
         private val server: String,
@@ -85,6 +96,7 @@
         private val toClient: (String) -> String,
     ) {
         private val lost = ConcurrentHashMap.newKeySet<HttpExchange>()
+        private val held = CopyOnWriteArrayList<() -> Unit>()
         private val listener = transport.serverFactory().start(listenAddress, ::forward)
 
         @Volatile
@@ -95,20 +107,34 @@
             isCut = true
         }
 
-        /** Restores the path; what got lost stays lost. */
+        /** Restores the path; what got lost stays lost, what was held arrives in order. */
         fun restore() {
             isCut = false
+            held.forEachIndexed { i, step -> executor.schedule(step, i * HELD_STEP_MILLIS, TimeUnit.MILLISECONDS) }
+            held.clear()
             lost.toList().forEach(HttpExchange::disconnect)
             lost.clear()
         }
 
         private fun forward(exchange: HttpExchange) {
-            if (isCut) return lost.plusAssign(exchange)
+            if (!isCut) return pass(exchange)
+            if (!isLate) return lost.plusAssign(exchange)
+            held += { pass(exchange) }
+        }
+
+        private fun pass(exchange: HttpExchange) {
             val request = exchange.request
             val body = toServer(request.body.decodeToString()).encodeToByteArray()
             val forwarded = HttpRequestMessage(request.method, request.path, request.query, request.headers, body)
             val call = client.send(server, forwarded, TIMEOUT_MILLIS) { respond(exchange, it) }
-            exchange.onDisconnected { if (!isCut) call.cancel() }
+            exchange.onDisconnected {
+                when {
+                    isCut -> if (isLate) held += call::cancel
+                    // The request itself has to leave first.
+                    isLate -> executor.schedule(call::cancel, HELD_STEP_MILLIS, TimeUnit.MILLISECONDS)
+                    else -> call.cancel()
+                }
+            }
         }
 
         private fun respond(
@@ -135,5 +161,6 @@
 
         /** Longer than the longest poll and than the longest cut. */
         const val TIMEOUT_MILLIS = 60_000L
+        const val HELD_STEP_MILLIS = 1L
     }
 }
--- a/cli/src/test/kotlin/io/jackdawring/cli/process/ProbeRun.kt
+++ b/cli/src/test/kotlin/io/jackdawring/cli/process/ProbeRun.kt
@@ -59,9 +59,19 @@
         settings: File,
         val domain: String,
         val addresses: StandInSite.Addresses,
-        val process: ProgramProcess,
+        private val start: () -> ProgramProcess,
     ) {
         val name: String = settings.nameWithoutExtension
+        private val processes = CopyOnWriteArrayList(listOf(start()))
+        val process: ProgramProcess get() = processes.last()
+
+        /** Output of all its processes. */
+        val output: String get() = processes.joinToString("\n") { it.output }
+
+        /** Starts a new process after the last one has ended. */
+        fun restart() {
+            processes += start()
+        }
     }
 
     protected class Outage(
@@ -83,6 +93,9 @@
         }
     protected abstract val instances: List<Instance>
     private val outcomes = HashMap<String, Int>()
+    private val waitMillis = probeNumber("waitMillis", DEADLINE_MILLIS).toLong()
+    private val goesElsewhere = probeSetting("elsewhere", "false").toBoolean()
+    private val longestRunMillis = probeNumber("longestRunMillis", MAX_RUN_MILLIS.toInt()).toLong()
 
     @Volatile
     private var stopping = false
@@ -102,6 +115,12 @@
         instance: Instance,
     ): Boolean = true
 
+    /** Address at which the caller [number] reaches [instance]. */
+    protected open fun addressOf(
+        instance: Instance,
+        number: Int,
+    ): String = instance.addresses.callers
+
     private fun timeOfDay(millis: Long): String =
         TIME_OF_DAY.format(Instant.ofEpochMilli(millis + clockOffsetMillis).atOffset(ZoneOffset.UTC))
 
@@ -119,8 +138,9 @@
         val settings = File(folder, "$name.toml")
         settings.writeText(site.settings(name, addresses, domain, storeAddress))
         val variables = mapOf("JACKDAWRING_NODE_FILE" to settings.path)
-        val process = ProgramProcess("probe-$seed-$name", listOf("instance"), variables)
-        return Instance(settings, domain, addresses, process)
+        return Instance(settings, domain, addresses) {
+            ProgramProcess("probe-$seed-$name", listOf("instance"), variables)
+        }
     }
 
     /** An address whose port is not among those that clients get, so that it stays free while it is closed. */
@@ -186,6 +206,7 @@
         var sequence = 0
         while (!stopping) {
             val id = "%04x%04x%08x".format(seed, number, ++sequence)
+            var last: Instance? = null
             for (attempt in 0 until MAX_SENDS) {
                 // Some connections break while their job runs.
                 val breaks = choices.nextInt(BREAK_ONE_IN) == 0
@@ -196,10 +217,13 @@
                             MAX_BREAK_MILLIS,
                         )
                     } else {
-                        DEADLINE_MILLIS
+                        waitMillis
                     }
-                val instance = instances.filter { reaches(number, attempt, it) }.random(choices)
-                val answered = send(instance, id, timeoutMillis)
+                val reached = instances.filter { reaches(number, attempt, it) }
+                val others = reached.filter { !goesElsewhere || it !== last }
+                val instance = others.ifEmpty { reached }.random(choices)
+                last = instance
+                val answered = send(addressOf(instance, number), id, timeoutMillis)
                 val status = if (reaches(number, attempt, instance)) answered else 0
                 val kind = if (attempt == 0) "first" else "again"
                 synchronized(outcomes) { outcomes.merge("$kind $status", 1, Int::plus) }
@@ -213,20 +237,24 @@
 
     /** Submits the job [id] and returns the status of the response, 0 for none. */
     private fun send(
-        instance: Instance,
+        address: String,
         id: String,
         timeoutMillis: Long,
     ): Int {
-        val headers = persistentMapOf("host" to "h.example", "x-deadline-ms" to "$DEADLINE_MILLIS")
+        val headers = persistentMapOf("host" to "h.example", "x-deadline-ms" to "$waitMillis")
         val request = HttpRequestMessage("POST", "/p/$id", headers = headers, body = JOB.encodeToByteArray())
         val status = CompletableFuture<Int>()
-        client.send(instance.addresses.callers, request, timeoutMillis) { result ->
+        client.send(address, request, timeoutMillis) { result ->
             status.complete((result as? HttpResult.Answered)?.response?.status ?: 0)
         }
         return status.get()
     }
 
-    private fun runMillis(task: String): Long = Random(task.hashCode() + seed).nextLong(MIN_RUN_MILLIS, MAX_RUN_MILLIS)
+    private fun runMillis(task: String): Long {
+        val choices = Random(task.hashCode() + seed)
+        val isLong = longestRunMillis > MAX_RUN_MILLIS && choices.nextInt(LONG_ONE_IN) == 0
+        return choices.nextLong(MIN_RUN_MILLIS, if (isLong) longestRunMillis else MAX_RUN_MILLIS)
+    }
 
     /** Pairs of runs of the same task at the same time, one pair a task, by the records of the targets. */
     private fun findDoubleRuns(): List<Pair<StandInPlatformTarget.Run, StandInPlatformTarget.Run>> =
@@ -252,7 +280,10 @@
         val start = timeOfDay(outage.startMillis)
         val text = "${outage.domain} ${outage.kind} for ${outage.lengthMillis} ms, $start to $end"
         write("$text: ${found.size} tasks with two runs at a time")
-        found.forEach { (first, second) -> write("  ${first.task}: ${describe(first)}; ${describe(second)}") }
+        for ((first, second) in found) {
+            val overlapMillis = first.endMillis?.let { minOf(it, second.endMillis ?: it) - second.startMillis }
+            write("  ${first.task}: ${overlapMillis ?: "?"} ms; ${describe(first)}; ${describe(second)}")
+        }
     }
 
     private fun describe(run: StandInPlatformTarget.Run): String {
@@ -265,7 +296,7 @@
     /** Instances by the fencing tokens under which they held a shard, according to the logs. */
     private fun holders(): Map<Long, String> =
         instances
-            .flatMap { HOLDER.findAll(it.process.output) }
+            .flatMap { HOLDER.findAll(it.output) }
             .associate { it.groupValues[2].toLong() to it.groupValues[1] }
 
     /** Writes what the instances have logged of the job and of the shards around two runs of the same task. */
@@ -278,7 +309,7 @@
         val until = timeOfDay(second.startMillis + LOG_AFTER_MILLIS)
         val lines =
             instances.flatMap { instance ->
-                LOG_LINE.findAll(instance.process.output).mapNotNull {
+                LOG_LINE.findAll(instance.output).mapNotNull {
                     val (time, message, fields) = it.destructured
                     val isNear = time > from && time < until && SHARD_LINE.containsMatchIn(message)
                     if (isNear || job in fields) "$time ${instance.name} $message $fields" else null
@@ -291,7 +322,7 @@
     override fun close() {
         stopping = true
         instances.forEach { it.process.close() }
-        instances.forEach { File(folder, "${it.name}.log").writeText(it.process.output) }
+        instances.forEach { File(folder, "${it.name}.log").writeText(it.output) }
         transport.close()
         site.close()
     }
@@ -307,7 +338,8 @@
             """{"spec":"t","steps":[{"count":2,"cpu":1000,"memMb":64,"estimateMs":550}],"bestEffort":true}"""
         const val MIN_RUN_MILLIS = 200L
         const val MAX_RUN_MILLIS = 900L
-        const val DEADLINE_MILLIS = 5_000L
+        const val LONG_ONE_IN = 3
+        const val DEADLINE_MILLIS = 5_000
         const val RESEND_MILLIS = 1_300L
         const val MAX_SENDS = 3
         const val MAX_PAUSE_MILLIS = 100L
@@ -327,7 +359,8 @@
         const val SETTLE_MILLIS = 6_000L
         val HOLDER = Regex("is held by (\\S+), fencing token (\\d+)")
         val LOG_LINE = Regex(""""@timestamp":"[^T]*T([^Z]*)Z".*?"message":"([^"]*)".*"level_value":\d+,?(.*)\}""")
-        val SHARD_LINE = Regex("shard|hand-over|member entry|earlier runs|end without a job")
+        val SHARD_LINE =
+            Regex("shard|hand-over|member entry|earlier|end without a job|paused|ready")
         const val SHOWN_CASES = 2
         const val LOG_BEFORE_MILLIS = 3_000L
         const val LOG_AFTER_MILLIS = 500L
