Notice at once that a target with unstored ends has restarted

What callers saw: two runs of one task, or a run after one that was done. A silent target gets a start, accepts its stop, restarts under its id, and carries the start out late; meanwhile the task has run elsewhere.

Cause: a restarted target does not know the stop, and gets it again once the holder sees the new incarnation. While ends wait to be stored, the holder asks every 100 ms for a list that the target returns at once. Only a new incarnation, whose list is empty, makes such a poll wait, so the restart was noticed up to 0.4 s later.

RunOverlapTest failed before in all seven new rows.

Change: these polls do not wait. In the same incarnation the answer is the same and comes at the same time, so there are no more polls than before. A late start that comes before the next poll, or while nobody holds the shard, remains.

--- a/core/src/main/kotlin/io/jackdawring/core/shard/TargetPoller.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/TargetPoller.kt
@@ -29,7 +29,8 @@
         target.pollSequence++
         target.pollSentAtMillis = nowMillis
         target.nextPollAtMillis = nowMillis + if (held) 0 else SILENT_POLL_INTERVAL_MILLIS
-        val wait = if (held) waitMillis else 0
+        // With ends that wait to be stored, only a new incarnation would wait, and be noticed that much later.
+        val wait = if (held && target.pendingEnds.isEmpty()) waitMillis else 0
         effects.poll(target.registration, PollRequest(target.pollSequence, leaseUntil, acknowledged, wait))
     }
 
--- a/testing/src/test/kotlin/io/jackdawring/testing/shard/RunOverlapTest.kt
+++ b/testing/src/test/kotlin/io/jackdawring/testing/shard/RunOverlapTest.kt
@@ -89,6 +89,28 @@
             }
         }
 
+    /** Guards against a holder that learns of a restart only at the end of a long poll, as the new lists are empty. */
+    @TestFactory
+    fun `a start whose stop was accepted is carried out by a restarted target whose results waited to be stored`() =
+        (0L..120L step 20).map { offsetMillis ->
+            DynamicTest.dynamicTest("restarted after $offsetMillis ms") {
+                val shard = shard(count = 3)
+                val target = shard.targets[0]
+                target.mode = Mode.SILENT
+                target.lateStartMillis = 2_200 + offsetMillis + LATE_AFTER_RESTART_MILLIS
+                shard.submit(longJob(shard, actualMillis = 3_500), remainingMillis = 10_000)
+                shard.runFor(300)
+                target.mode = Mode.HEALTHY
+                shard.runFor(1_500)
+                shard.saveMillis = 60_000
+                shard.submitDurable(job("stored", tasks = 40, estimateMillis = 60))
+                shard.runFor(400 + offsetMillis)
+                assertTrue(target.unacknowledgedEnds > 0, "results wait to be stored")
+                shard.restart(target, downMillis = 10)
+                shard.runFor(2_000)
+            }
+        }
+
     private val rows =
         listOf(
             // Guards against a start that is carried out beside the run that replaced it.
@@ -253,5 +275,8 @@
     private companion object {
         /** Time after which a caller sends a job again whose connection is broken. */
         const val RESEND_MILLIS = 1_300L
+
+        /** More than the interval of polls while results wait to be stored, and less than a long poll. */
+        const val LATE_AFTER_RESTART_MILLIS = 250L
     }
 }
