--- a/core/src/main/kotlin/io/jackdawring/core/PauseGuard.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/PauseGuard.kt
@@ -13,11 +13,15 @@
     private var lastTickMillis = Long.MAX_VALUE
     private var clockDifferenceMillis = Long.MAX_VALUE
     private var settledAtMillis = Long.MIN_VALUE
+    private var pausedSinceMillis = Long.MIN_VALUE
     private var uncountedMillis = 0L
 
     /** Must be called several times in [MIN_PAUSE_MILLIS]. */
     fun onTick(nowMillis: Long) {
-        if (isOverdue(nowMillis)) settledAtMillis = nowMillis + SETTLE_MILLIS
+        if (isOverdue(nowMillis)) {
+            pausedSinceMillis = pausedSinceMillis(nowMillis)
+            settledAtMillis = nowMillis + SETTLE_MILLIS
+        }
         uncountedMillis += jumpMillis(nowMillis)
         lastTickMillis = nowMillis
         unixMillis?.let { clockDifferenceMillis = it() - nowMillis }
@@ -26,6 +30,20 @@
     /** Whether the process may still have to handle what arrived during a pause. */
     fun isCatchingUp(nowMillis: Long): Boolean = nowMillis < settledAtMillis || isOverdue(nowMillis)
 
+    /** Time at which a message that is read now has arrived at the earliest. */
+    fun earliestArrivalMillis(nowMillis: Long): Long =
+        when {
+            isOverdue(nowMillis) -> pausedSinceMillis(nowMillis)
+            nowMillis < settledAtMillis -> pausedSinceMillis
+            else -> nowMillis
+        }
+
+    /** Beginning of the pause that ends now, or of the one before if what arrived in that was not read yet. */
+    private fun pausedSinceMillis(nowMillis: Long): Long {
+        val sinceMillis = lastTickMillis - jumpMillis(nowMillis)
+        return if (lastTickMillis < settledAtMillis) minOf(sinceMillis, pausedSinceMillis) else sinceMillis
+    }
+
     /** The monotonic time and the length of the pauses that the monotonic clock did not count. */
     fun elapsedMillis(nowMillis: Long): Long = nowMillis + uncountedMillis + jumpMillis(nowMillis)
 
--- a/core/src/main/kotlin/io/jackdawring/core/fleet/ShardElection.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/fleet/ShardElection.kt
@@ -23,7 +23,7 @@
         var consecutiveDenials: Int = 0,
         /** Time of the last message from the member; null before the first one. */
         var lastContactMillis: Long? = null,
-        /** Time of the last ping to which the member replied that it holds its shards; own pauses do not shift it. */
+        /** Time at which callers of its runs waited by its last reply that it holds its shards; own pauses do not shift it. */
         var lastHoldingMillis: Long? = null,
     ) {
         /** What was known of the member before its claim of a shard is outdated. */
@@ -53,7 +53,7 @@
     private val nextAttempt = HashMap<ShardId, Long>()
 
     /**
-     * Records a reply of [instanceId] to a ping that was sent at [sentAtMillis].
+     * Records a reply of [instanceId], according to which all callers of its runs waited at [servedAtMillis].
      *
      * [holds] is whether it holds all shards assigned to it in the store. The reply may have waited to be read.
      */
@@ -61,11 +61,11 @@
         instanceId: InstanceId,
         holds: Boolean,
         nowMillis: Long,
-        sentAtMillis: Long = nowMillis,
+        servedAtMillis: Long = nowMillis,
     ) {
         val memberState = recordContact(instanceId, nowMillis)
         memberState.consecutiveDenials = if (holds) 0 else memberState.consecutiveDenials + 1
-        if (holds) memberState.lastHoldingMillis = sentAtMillis
+        if (holds) memberState.lastHoldingMillis = servedAtMillis
     }
 
     /** Records the holder of a shard according to the store; a change of it shows that the new holder is alive. */
--- a/core/src/main/kotlin/io/jackdawring/core/shard/CutOffHolders.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/CutOffHolders.kt
@@ -19,6 +19,11 @@
     var upToToken: Long? = null
         private set
 
+    private var highestToken: Long? = null
+
+    /** Whether the holder with [holderToken] was, or may have been, cut off. */
+    fun wasCutOff(holderToken: Long): Boolean = highestToken?.let { holderToken <= it } == true
+
     /** Whether the holders that have stopped knew all runs of the shard. */
     var areRunsKnown = true
         private set
@@ -30,6 +35,7 @@
     /** Records that holders up to [holderToken] may be cut off. */
     fun onCutOff(holderToken: Long) {
         upToToken = maxOf(upToToken ?: 0, holderToken)
+        highestToken = maxOf(highestToken ?: 0, holderToken)
         applyStops()
     }
 
--- a/core/src/main/kotlin/io/jackdawring/core/shard/JobLifecycle.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/JobLifecycle.kt
@@ -2,6 +2,7 @@
 
 import io.jackdawring.core.TargetId
 import io.jackdawring.core.shard.interference.InterferenceAvoidance
+import kotlinx.collections.immutable.toImmutableMap
 
 /** Manages the open jobs of a shard: queues their tasks, handles the ends of their runs and answers their waiters. */
 internal class JobLifecycle(
@@ -21,6 +22,8 @@
     private val jobs = LinkedHashMap<JobId, TrackedJob>()
     private val jobsByWaiter = HashMap<WaiterId, TrackedJob>()
     private val outcomes = ExpiringMap<JobId, JobOutcome>(options.outcomeRetentionMillis)
+    private val resendAfterMillis = options.resendAfterMillis
+    private val abandoned = AbandonedJobs(resendAfterMillis)
 
     val awaitedJobs: Collection<TrackedJob> get() = jobs.values
 
@@ -51,15 +54,15 @@
         jobsByWaiter[waiter] = job
     }
 
-    /** Removes a waiter, and returns its job if no other request waits for it. */
+    /** Removes a waiter that has gone at [sinceMillis], and returns its job if no other request waits for it. */
     fun leave(
         waiter: WaiterId,
-        nowMillis: Long,
+        sinceMillis: Long,
     ): TrackedJob? {
         val job = jobsByWaiter.remove(waiter) ?: return null
         job.waiters.remove(waiter)
         if (job.waiters.isNotEmpty()) return null
-        job.withoutWaitersSinceMillis = nowMillis
+        job.withoutWaitersSinceMillis = sinceMillis
         return job
     }
 
@@ -168,6 +171,53 @@
     private fun isOpen(job: TrackedJob): Boolean =
         if (job.isDurable) durable.isOpen(job) && job.ending == null else jobs[job.spec.id] === job
 
+    override fun isAbandoned(jobId: JobId): Boolean = jobId in abandoned
+
+    override fun abandon(
+        jobId: JobId,
+        sinceMillis: Long,
+        nowMillis: Long,
+    ) = abandoned.add(jobId, sinceMillis, nowMillis)
+
+    /** Records which jobs nobody waits for according to an earlier holder's [handOver] of [madeAtMillis]. */
+    fun abandonAll(
+        handOver: HandOver,
+        madeAtMillis: Long,
+        nowMillis: Long,
+    ) = handOver.abandonedJobs
+        .filterKeys { it !in jobs }
+        .forEach { (id, agoMillis) -> abandon(id, madeAtMillis - agoMillis, nowMillis) }
+
+    /** A relay asks for [jobId], so that its caller waits again. */
+    fun onAsked(jobId: JobId) = abandoned.remove(jobId)
+
+    /** What a successor has to know, apart from the relays that have fallen silent. */
+    fun handOver(nowMillis: Long): HandOver {
+        val withRuns = control.withRuns(abandoned.ids)
+        val since =
+            abandoned.ids
+                .associateWith { checkNotNull(abandoned.sinceMillis(it)) }
+                .filter { (id, sinceMillis) -> id in withRuns || nowMillis - sinceMillis < resendAfterMillis }
+        val listed = since.entries.toList().takeLast(MAX_ABANDONED_JOBS)
+        val unlistedSince = (since - listed.map { it.key }.toSet()).values.minOrNull()
+        val handOver = control.handOver(nowMillis)
+        // Their relays may still replace their connections.
+        val orphanedSince = jobs.values.mapNotNull { it.withoutWaitersSinceMillis }.minOrNull()
+        val unservedSince = listOfNotNull(unlistedSince, orphanedSince).minOrNull() ?: nowMillis
+        return handOver.copy(
+            unservedMillis = maxOf(handOver.unservedMillis, nowMillis - unservedSince),
+            abandonedJobs = listed.associate { (id, sinceMillis) -> id to nowMillis - sinceMillis }.toImmutableMap(),
+        )
+    }
+
+    /** Time for which callers of runs that may go on may have been gone. */
+    fun unservedMillis(nowMillis: Long): Long {
+        val abandonedSince = control.withRuns(abandoned.ids).mapNotNull(abandoned::sinceMillis)
+        val orphanedSince = jobs.values.mapNotNull { it.withoutWaitersSinceMillis }
+        val since = abandonedSince + orphanedSince + listOfNotNull(control.unclaimedSinceMillis(nowMillis))
+        return since.minOrNull()?.let { maxOf(0, nowMillis - it) } ?: 0
+    }
+
     override fun awaitsRuns(jobId: JobId): Boolean =
         previousRuns.isAwaitingRecovery(jobId) && (jobs[jobId] ?: durable.find(jobId)) != null
 
@@ -415,6 +465,7 @@
         jobs.remove(job.spec.id)
         val isFinal = outcome is JobOutcome.Completed || outcome is JobOutcome.Failed
         if (isFinal) recordOutcome(job.spec.id, outcome, nowMillis)
+        if (!isFinal && job.started) abandonRuns(job, nowMillis)
         val age = nowMillis - job.arrivedAtMillis
         effects.report(ShardDecision.JobAnswered(job.spec.id, job.spec.queue, outcome, age, job.spec.objectiveMillis))
         job.waiters.forEach { waiter ->
@@ -424,6 +475,14 @@
         endTasks(job, nowMillis)
     }
 
+    private fun abandonRuns(
+        job: TrackedJob,
+        nowMillis: Long,
+    ) {
+        val lastWaitedMillis = job.withoutWaitersSinceMillis ?: minOf(nowMillis, job.deadlineMillis)
+        abandon(job.spec.id, lastWaitedMillis, nowMillis)
+    }
+
     /** Stops the runs of durable jobs, whose tasks wait again afterwards. */
     fun stopDurableRuns(
         reason: String,
@@ -448,6 +507,7 @@
 
     fun removeExpired(nowMillis: Long) {
         outcomes.removeExpired(nowMillis)
+        abandoned.removeExpired(nowMillis, control::withUnclaimedRuns)
         previousRuns.removeExpired(nowMillis)
         crashes.removeExpired(nowMillis)
         interference.tick(nowMillis)
@@ -461,4 +521,9 @@
         durable.clear()
         interference.release()
     }
+
+    private companion object {
+        /** Bounds the message to a successor. */
+        const val MAX_ABANDONED_JOBS = 200
+    }
 }
--- a/core/src/main/kotlin/io/jackdawring/core/shard/PreviousRunsCheck.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/PreviousRunsCheck.kt
@@ -15,7 +15,8 @@
     /** Whether a holder that may be cut off possibly runs durable jobs, unless it has stopped. */
     var mayDurableRunsGoOn = false
 
-    private val areAllListed: Boolean
+    /** Whether the lists of the targets have all runs of earlier holders. */
+    val areAllListed: Boolean
         get() = registry.knowsAllWithRuns && cutOff.areRunsKnown && registry.targets.all { it.hasAnswered }
 
     fun onTick(nowMillis: Long) {
--- a/core/src/main/kotlin/io/jackdawring/core/shard/RealShardDispatcher.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/RealShardDispatcher.kt
@@ -69,16 +69,32 @@
         place(nowMillis)
     }
 
-    override fun handOver(nowMillis: Long): HandOver = control.handOver(nowMillis)
+    override fun handOver(nowMillis: Long): HandOver {
+        val handOver = lifecycle.handOver(nowMillis)
+        return handOver.copy(unservedMillis = maxOf(handOver.unservedMillis, unreadMillis(nowMillis)))
+    }
+
+    override fun unservedMillis(nowMillis: Long): Long =
+        maxOf(lifecycle.unservedMillis(nowMillis), unreadMillis(nowMillis))
+
+    /** Time for which news of callers that have gone may wait to be read, because the process was paused. */
+    private fun unreadMillis(nowMillis: Long): Long = nowMillis - pauses.earliestArrivalMillis(nowMillis)
 
     override fun cancelHandOver() = control.cancelHandOver()
 
     override fun inherit(
+        holderToken: Long,
         handOver: HandOver,
+        madeAtMillis: Long,
         nowMillis: Long,
-    ) = control.inherit(handOver, nowMillis)
+    ) {
+        lifecycle.abandonAll(handOver, madeAtMillis, nowMillis)
+        control.inherit(holderToken, handOver, madeAtMillis, nowMillis)
+    }
 
-    override fun onPreviousHolderSeen(seenAtMillis: Long) = control.onPreviousHolderSeen(seenAtMillis)
+    override fun onOthersCutOff() = control.onOthersCutOff()
+
+    override fun onPredecessorServed(servedAtMillis: Long) = control.onPredecessorServed(servedAtMillis)
 
     override fun onHoldersCutOff(
         holderToken: Long,
@@ -92,6 +108,7 @@
         nowMillis: Long,
     ) {
         if (released) return
+        lifecycle.abandonAll(handOver, stoppedAtMillis, nowMillis)
         control.onHolderStopped(holderToken, handOver, stoppedAtMillis, nowMillis)
         place(nowMillis)
     }
@@ -103,6 +120,7 @@
     ) {
         val id = request.job.id
         val known = lifecycle.find(id)
+        lifecycle.onAsked(id)
         val outcome = lifecycle.findOutcome(id, nowMillis).takeUnless { it is JobOutcome.GivenUp && !request.mayRun }
         when {
             released -> effects.answer(waiter, JobOutcome.Moved)
@@ -175,16 +193,17 @@
         waiter: WaiterId,
         nowMillis: Long,
     ) {
-        val job = lifecycle.leave(waiter, nowMillis) ?: return
+        val job = lifecycle.leave(waiter, pauses.earliestArrivalMillis(nowMillis)) ?: return
         if (!job.started) abandon(job, nowMillis)
     }
 
     override fun expire(
         waiter: WaiterId,
+        sinceMillis: Long,
         nowMillis: Long,
     ) {
         val job = lifecycle.findByWaiter(waiter) ?: return
-        withdraw(waiter, nowMillis)
+        if (lifecycle.leave(waiter, sinceMillis) != null && !job.started) abandon(job, nowMillis)
         // Not NotRun even if nothing started: the caller may have sent the job elsewhere, and the relay must not do so too.
         val outcome = JobOutcome.GivenUp("its relay fell silent")
         effects.answer(waiter, outcome)
@@ -371,9 +390,8 @@
         job: TrackedJob,
         nowMillis: Long,
     ) {
-        val orphanSince = job.withoutWaitersSinceMillis
         when {
-            orphanSince != null && nowMillis - orphanSince >= options.orphanTimeoutMillis -> abandon(job, nowMillis)
+            isOrphan(job, nowMillis) -> abandon(job, nowMillis)
             nowMillis >= job.deadlineMillis -> giveUp(job, nowMillis)
             isHopeless(job, nowMillis) -> refuseLate(job, nowMillis)
             evacuatedJobs.isStranded(job, nowMillis) ->
@@ -381,6 +399,15 @@
         }
     }
 
+    /** Whether nobody waits for [job], nor may a relay that replaces its connection still do so. */
+    private fun isOrphan(
+        job: TrackedJob,
+        nowMillis: Long,
+    ): Boolean {
+        val sinceMillis = job.withoutWaitersSinceMillis ?: return false
+        return nowMillis - sinceMillis >= options.orphanTimeoutMillis && !pauses.isCatchingUp(nowMillis)
+    }
+
     /** Whether [job] was admitted as a late one and can no longer end while its result is useful. */
     private fun isHopeless(
         job: TrackedJob,
--- a/core/src/main/kotlin/io/jackdawring/core/shard/RunListener.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/RunListener.kt
@@ -24,6 +24,16 @@
     /** Whether an open job [jobId] waits until the runs of previous holders are known; its runs are then its own. */
     fun awaitsRuns(jobId: JobId): Boolean
 
+    /** Whether nobody waits for the job [jobId] any more, so that its runs have to end. */
+    fun isAbandoned(jobId: JobId): Boolean
+
+    /** Records that nobody has waited for [jobId] since [sinceMillis], so that runs of it have to end. */
+    fun abandon(
+        jobId: JobId,
+        sinceMillis: Long,
+        nowMillis: Long,
+    )
+
     /** The run failed, by the task's own fault or the target's. */
     fun onFailed(
         run: TrackedRun,
--- a/core/src/main/kotlin/io/jackdawring/core/shard/RunStopper.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/RunStopper.kt
@@ -28,7 +28,7 @@
         reason,
         run.isAdopted,
         unclaimedMillis = if (run.owner == null) nowMillis - run.sentAtMillis else null,
-        servedAgoMillis = adoption.previousHolderSeenAtMillis?.takeIf { run.isAdopted }?.let { nowMillis - it },
+        servedAgoMillis = adoption.servedAtMillis(run.sentAtMillis)?.takeIf { run.isAdopted }?.let { nowMillis - it },
     )
 
     /** Sends the request unless one was sent within the retry interval. */
--- a/core/src/main/kotlin/io/jackdawring/core/shard/ShardDispatcher.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/ShardDispatcher.kt
@@ -38,22 +38,34 @@
     fun cancelHandOver()
 
     /**
-     * Adds the targets that the previous holder knew, some of which the list may lack for a while.
+     * Time for which callers of jobs with runs here may have been gone, whether by their own word or unnoticed.
      *
-     * Without this call, or if runs may be on other targets too, jobs that may already run wait until every lease of
+     * Relays that have fallen silent do not count. A successor stops runs that nobody claims in time from then.
+     */
+    fun unservedMillis(nowMillis: Long): Long
+
+    /**
+     * Adds the targets that the predecessor, which held the shard with [holderToken], knew at [madeAtMillis].
+     *
+     * The list of targets may lack some of them for a while. Without this call, or if runs may be on other targets too, jobs that may already run wait until every lease of
      * the previous holder has expired.
      */
     fun inherit(
+        holderToken: Long,
         handOver: HandOver,
+        madeAtMillis: Long,
         nowMillis: Long,
     )
 
     /**
-     * Records that the previous holder, which has failed since, was last known to hold the shard at [seenAtMillis].
+     * Records that all callers of the runs that the predecessor knew were known to wait at [servedAtMillis].
      *
-     * Its callers send their jobs again soon after, so runs that no relay claims are stopped in time.
+     * They may send their jobs again soon after, so runs that no relay claims are stopped in time.
      */
-    fun onPreviousHolderSeen(seenAtMillis: Long)
+    fun onPredecessorServed(servedAtMillis: Long)
+
+    /** Records that the predecessor knew of earlier holders that were possibly cut off; [onHolderStopped] may follow. */
+    fun onOthersCutOff()
 
     /**
      * Records that earlier holders up to [holderToken] may be alive and cut off, with targets that this one may not know.
@@ -88,12 +100,13 @@
     )
 
     /**
-     * Gives up a request whose relay, the entry instance that forwarded it, has stopped sending messages.
+     * Gives up a request whose relay, the entry instance that forwarded it, has sent nothing since [sinceMillis].
      *
      * The caller may have sent the job to another shard meanwhile, so a resend by the relay does not start it again.
      */
     fun expire(
         waiter: WaiterId,
+        sinceMillis: Long,
         nowMillis: Long,
     )
 
--- a/core/src/main/kotlin/io/jackdawring/core/shard/TargetControl.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/TargetControl.kt
@@ -14,11 +14,11 @@
     val cost = DecisionCost()
     val evacuation = Evacuation()
     private val registry = TargetRegistry(cost, evacuation, ::report)
-    private val poller = TargetPoller(options, effects, ::mayRenewLease)
-    private val adoption = AdoptionWindow(options)
+    private val poller = TargetPoller(options, effects, ::mayRenewLease, ::leaseLimitMillis)
+    private val cutOffHolders = CutOffHolders()
+    private val adoption = AdoptionWindow(options, poller.maxLeaseMillis, cutOffHolders)
     private val stopper = RunStopper(effects, adoption)
     private val index = RunIndex()
-    private val cutOffHolders = CutOffHolders()
     private val previousRunsCheck = PreviousRunsCheck(registry, cutOffHolders, poller.maxLeaseMillis)
 
     val targets: Collection<TrackedTarget> get() = registry.targets
@@ -68,8 +68,13 @@
         stoppedAtMillis: Long,
         nowMillis: Long,
     ) {
-        // Its relays do not send their jobs again before that.
-        if (cutOffHolders.onStopped(holderToken, handOver, stoppedAtMillis)) onPreviousHolderSeen(stoppedAtMillis)
+        cutOffHolders.onStopped(holderToken, handOver, stoppedAtMillis)
+        val servedAtMillis = stoppedAtMillis - handOver.unservedMillis
+        if (holderToken == predecessorToken) {
+            adoption.onPredecessorServed(servedAtMillis, stoppedAtMillis)
+        } else {
+            adoption.onHolderStopped(holderToken, servedAtMillis, stoppedAtMillis)
+        }
         registry.add(handOver.targets, nowMillis)
         targets.forEach { poller.poll(it, nowMillis) }
     }
@@ -105,7 +110,8 @@
         val areLaterRunsKnown = previousRunsCheck.awaitedState(Long.MAX_VALUE, nowMillis) != PreviousRuns.UNCERTAIN
         val areAllRunsThere = registry.knowsAllWithRuns && cutOffHolders.areRunsKnown || areLaterRunsKnown
         val areDurableRunsOver = previousRunsCheck.areDurableRunsOver(nowMillis)
-        return HandOver(registrations, areAllRunsThere, cutOffHolders.upToToken, areDurableRunsOver)
+        val unservedMillis = unclaimedSinceMillis(nowMillis)?.let { nowMillis - it } ?: 0
+        return HandOver(registrations, areAllRunsThere, cutOffHolders.upToToken, areDurableRunsOver, unservedMillis)
     }
 
     /** Continues without a successor. */
@@ -128,12 +134,18 @@
         }
     }
 
-    /** Adds the targets that the previous holder knew. */
+    private var predecessorToken: Long? = null
+
+    /** Adds the targets that the predecessor knew; see [ShardDispatcher.inherit]. */
     fun inherit(
+        holderToken: Long,
         handOver: HandOver,
+        madeAtMillis: Long,
         nowMillis: Long,
     ) {
-        onPreviousHolderSeen(nowMillis)
+        predecessorToken = holderToken
+        adoption.onPredecessorServed(madeAtMillis - handOver.unservedMillis, madeAtMillis)
+        if (handOver.cutOffToken != null) adoption.mayOthersBeCutOff = true
         handOver.cutOffToken?.let(cutOffHolders::onCutOff)
         if (!handOver.areDurableRunsOver) previousRunsCheck.mayDurableRunsGoOn = true
         if (handOver.areAllRunsThere) registry.knowsAllWithRuns = true
@@ -141,9 +153,12 @@
         targets.forEach { poller.poll(it, nowMillis) }
     }
 
-    /** Records that the previous holder was last known to hold the shard at [seenAtMillis]. */
-    fun onPreviousHolderSeen(seenAtMillis: Long) {
-        adoption.previousHolderSeenAtMillis = seenAtMillis
+    /** Records that all callers of the predecessor's runs were known to wait at [servedAtMillis]. */
+    fun onPredecessorServed(servedAtMillis: Long) = adoption.onPredecessorServed(servedAtMillis, servedAtMillis)
+
+    /** Records that the predecessor knew of cut off holders, whose runs it did not know. */
+    fun onOthersCutOff() {
+        adoption.mayOthersBeCutOff = true
     }
 
     fun start(
@@ -527,6 +542,7 @@
             target.runs.values
                 .toList()
                 .forEach { checkRun(it, nowMillis) }
+            renewLimitedLease(target, nowMillis)
             poller.poll(target, nowMillis)
         }
         registry.forgetGone(nowMillis)
@@ -588,19 +604,72 @@
             (mayHoldDurableRuns(nowMillis) || !target.hasDurableRuns) &&
             (adoption.mayRenewLeases(recovered) || target.runs.values.none { it.owner == null })
 
+    /** Time at which a lease of [target] has to end, in case the stop of a run without a job does not arrive. */
+    private fun leaseLimitMillis(target: TrackedTarget): Long? =
+        target.runs.values
+            .filter(::isUnclaimed)
+            .minOfOrNull { adoption.leaseEndsAtMillis(it.sentAtMillis) }
+
+    /** Extends the lease of [target] once jobs have claimed its runs; the next poll would come too late for that. */
+    private fun renewLimitedLease(
+        target: TrackedTarget,
+        nowMillis: Long,
+    ) {
+        if (!target.isLeaseLimited || target.contact != TrackedTarget.Contact.HELD) return
+        if (mayRenewLease(target, nowMillis) && leaseLimitMillis(target) == null) poller.pollNow(target, nowMillis)
+    }
+
+    private fun isUnclaimed(run: TrackedRun) = run.owner == null && !listener.awaitsRuns(run.key.jobId)
+
     private fun checkRun(
         run: TrackedRun,
         nowMillis: Long,
     ) {
-        val unclaimed = run.owner == null && !listener.awaitsRuns(run.key.jobId)
-        if (unclaimed &&
-            nowMillis >= adoption.endsAtMillis(run.sentAtMillis, recovered)
-        ) {
-            stop(run, "no job claimed the run", nowMillis)
+        if (isUnclaimed(run)) {
+            when {
+                listener.isAbandoned(run.key.jobId) -> stop(run, "its job was abandoned", nowMillis)
+                nowMillis >= adoption.endsAtMillis(run.sentAtMillis, recovered) -> stopUnclaimed(run, nowMillis)
+            }
         }
         stopper.sendAgain(run, nowMillis)
     }
 
+    private fun stopUnclaimed(
+        run: TrackedRun,
+        nowMillis: Long,
+    ) {
+        if (run.stopReason != null) return
+        stop(run, "no job claimed the run", nowMillis)
+        // A successor that finds the run again must not wait again. Before recovery, it may be one of a durable job.
+        if (!recovered) return
+        val servedAtMillis = adoption.servedAtMillis(run.sentAtMillis) ?: run.sentAtMillis
+        listener.abandon(run.key.jobId, servedAtMillis, nowMillis)
+    }
+
+    /** Jobs of [jobIds] of which runs go on that no job has claimed. */
+    fun withUnclaimedRuns(jobIds: Collection<JobId>): Set<JobId> {
+        val unclaimed =
+            targets.flatMap { target ->
+                target.runs.values
+                    .filter(::isUnclaimed)
+                    .map { it.key.jobId }
+            }
+        return unclaimed.filter { it in jobIds }.toSet()
+    }
+
+    /** Jobs of [jobIds] of which runs may go on. */
+    fun withRuns(jobIds: Collection<JobId>): Set<JobId> {
+        if (jobIds.isEmpty()) return emptySet()
+        val running = targets.flatMap { target -> target.runs.keys.map { it.jobId } }.toSet()
+        return jobIds.filter { it in running }.toSet()
+    }
+
+    /** Time since which callers of unclaimed runs of earlier holders may have gone; null if there can be no such run. */
+    fun unclaimedSinceMillis(nowMillis: Long): Long? =
+        adoption.openSinceMillis(nowMillis).takeUnless { previousRunsCheck.areAllListed && hasNoUnclaimedRuns }
+
+    private val hasNoUnclaimedRuns: Boolean get() = targets.none { it.runs.values.any(::isUnclaimed) }
+
     private fun onUnreachable(
         target: TrackedTarget,
         detail: String,
--- a/core/src/main/kotlin/io/jackdawring/core/shard/TargetPoller.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/TargetPoller.kt
@@ -5,6 +5,8 @@
     private val options: ShardOptions,
     private val effects: ShardEffects,
     private val mayRenewLease: (target: TrackedTarget, nowMillis: Long) -> Boolean,
+    /** Time by which each lease of a target has to end; null without a limit. */
+    private val leaseLimitMillis: (target: TrackedTarget) -> Long?,
 ) {
     /** Maximum time for which a run can last without a renewed lease, even if the target's clock is slow. */
     val maxLeaseMillis =
@@ -70,7 +72,10 @@
     ): Long? {
         val offset = target.clockOffsetMillis ?: return null
         if (mayRenewLease(target, nowMillis)) {
-            target.leaseExpiresAtMillis = maxOf(target.leaseExpiresAtMillis, nowMillis + maxLeaseMillis)
+            val longest = nowMillis + maxLeaseMillis
+            val expiresAt = leaseLimitMillis(target)?.let { minOf(it, longest) } ?: longest
+            target.isLeaseLimited = expiresAt < longest
+            target.leaseExpiresAtMillis = maxOf(target.leaseExpiresAtMillis, expiresAt)
         }
         return target.leaseExpiresAtMillis - maxLeaseMillis + options.leaseMillis + offset
     }
--- a/core/src/main/kotlin/io/jackdawring/core/shard/TrackedTarget.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/TrackedTarget.kt
@@ -100,6 +100,9 @@
     /** Latest time on the monotonic clock at which a requested lease can expire. */
     var leaseExpiresAtMillis = Long.MIN_VALUE / 2
 
+    /** Whether the last lease was shorter than others, because of runs without a job. */
+    var isLeaseLimited = false
+
     /** Latest time at which a lease that a previous holder requested can expire. */
     var foreignLeaseExpiresAtMillis = Long.MIN_VALUE / 2
 
--- a/core/src/test/kotlin/io/jackdawring/core/fleet/ShardElectionTest.kt
+++ b/core/src/test/kotlin/io/jackdawring/core/fleet/ShardElectionTest.kt
@@ -180,7 +180,7 @@
             },
             SeenRow("a reply that was read long after its ping was sent", 1_000, 300) {
                 onHolder(heldBy(members[0]), 0)
-                onHeartbeat(InstanceId("e1"), true, 900, sentAtMillis = 300)
+                onHeartbeat(InstanceId("e1"), true, 900, servedAtMillis = 300)
             },
             SeenRow("a successor that took over a moment ago from a holder that never answered", 1_200, null) {
                 onHolder(heldBy(members[0]), 0)
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/HeldShards.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/HeldShards.kt
@@ -4,6 +4,7 @@
 import io.jackdawring.core.InstanceId
 import io.jackdawring.core.PauseGuard
 import io.jackdawring.core.fleet.FleetMember
+import io.jackdawring.core.fleet.RelayFailureDetector
 import io.jackdawring.core.fleet.ShardElection
 import io.jackdawring.core.fleet.ShardHolding
 import io.jackdawring.core.fleet.ShardId
@@ -16,6 +17,7 @@
 import io.jackdawring.fleet.metrics.FleetMetrics
 import io.jackdawring.fleet.peer.HandOverMessage
 import io.jackdawring.fleet.peer.PeerClient
+import io.jackdawring.fleet.peer.PeerClocks
 import io.jackdawring.fleet.peer.PeerReply
 import io.jackdawring.fleet.shard.DecisionLog
 import io.jackdawring.fleet.shard.DurableOwnership
@@ -44,6 +46,7 @@
     private val directory: FleetDirectory,
     private val targetClient: TargetClient,
     private val peers: PeerClient,
+    private val clocks: PeerClocks,
     private val loads: ShardLoads,
     private val metrics: FleetMetrics,
     private val unixMillis: () -> Long,
@@ -59,9 +62,10 @@
     /** Hosts with an offer that was not answered and may still be taken, however later ones are answered. */
     private val undecided = HashSet<ShardHost>()
     private val abandoned = AbandonedShards(self)
-    private val stopped = StoppedHoldings(directory, peers, loop, hosts::get)
+    private val stopped = StoppedHoldings(directory, peers, clocks, loop, hosts::get)
     private var draining = false
     val election = ShardElection(self)
+    val relays = RelayFailureDetector()
     private val earlierHolders = EarlierHolders(self, mirror, directory, election, peers, loop)
     private val lapsed = LapsedOwnerships(self, mirror, election)
 
@@ -72,6 +76,9 @@
 
     fun host(id: ShardId): ShardHost? = hosts[id]
 
+    /** Longest time for which callers of runs in one of the held shards may have been gone. */
+    fun unservedMillis(): Long = hosts.values.maxOfOrNull { it.unservedMillis() } ?: 0
+
     /** Claims shards whose holder is missing or suspected, and hands back those of other failure domains. */
     fun maintain() {
         stopped.announce()
@@ -133,7 +140,8 @@
     /** Passes the news of a stopped holder on to a later one in this process; returns whether there is one. */
     fun onHolderStopped(message: HandOverMessage): Boolean {
         val host = hosts[message.shardId]?.takeIf { it.holding.revision > message.revision } ?: return false
-        host.onHolderStopped(message.revision, message.toHandOver(), message.stoppedAgoMillis)
+        val stoppedAtMillis = message.madeAtMillis(loop.nowMillis(), PeerClient.PING_TIMEOUT_MILLIS)
+        host.onHolderStopped(message.revision, message.toHandOver(), stoppedAtMillis)
         return true
     }
 
@@ -145,7 +153,11 @@
             it.updateEvacuated(evacuations.isEvacuated(domain), evacuations.graceMillis(domain))
         }
 
-    fun onRelayFailed(relay: InstanceId) = hosts.values.forEach { it.expireAll(relay.value) }
+    /** Drops the jobs of [relay], which has sent nothing since [sinceMillis]. */
+    fun onRelayFailed(
+        relay: InstanceId,
+        sinceMillis: Long,
+    ) = hosts.values.forEach { it.expireAll(relay.value, sinceMillis) }
 
     /** Claims the shard [id], whose holder according to [previous] is missing or suspected. */
     private fun claimFrom(
@@ -155,8 +167,11 @@
         val seenAt = election.lastSeenMillis(id, loop.nowMillis())
         val cutOffRevision = previous?.let { it.cutOffRevisionFor(self, election.hasEnded(it)) }
         claim(id, previous?.revision ?: 0, cutOffRevision) { taken ->
-            if (taken && previous == null) hosts[id]?.inherit(HandOver.NONE)
-            if (taken && seenAt != null) hosts[id]?.onPreviousHolderSeen(seenAt)
+            if (taken && previous == null) hosts[id]?.inherit(holderToken = 0, HandOver.NONE, loop.nowMillis())
+            if (taken && seenAt != null) hosts[id]?.onPredecessorServed(seenAt)
+            // An adopter does not reach the targets of a holder that it has claimed the shard from.
+            val wasAdopted = previous != null && previous.holder.failureDomain != id.failureDomain
+            if (taken && wasAdopted && previous.cutOffRevision != null) hosts[id]?.onOthersCutOff()
         }
     }
 
@@ -245,6 +260,7 @@
             PeerShardCapacities(directory, peers, ::host),
             PeerPartClient(directory, peers, ::host),
             haveEarlierHoldersStopped = { earlierHolders.haveStopped(holding, previous) },
+            lastSentMillis = { relay -> relays.lastSentMillis(InstanceId(relay)) },
             DurableOwnership(holding, claimedAtMillis, store, loop, pauses, { mirror.confirmedAtMillis }) { onResult ->
                 earlierHolders.requestConfirmations(holding, onResult)
             },
@@ -311,7 +327,9 @@
             return
         }
         handingOver.add(id)
-        peers.handOver(successor, HandOverMessage.of(host.holding, host.handOver())) { reply ->
+        val sentAtMillis = clocks.clockOf(successor, loop.nowMillis())
+        val message = HandOverMessage.of(host.holding, host.handOver()).copy(sentAtMillis = sentAtMillis)
+        peers.handOver(successor, message) { reply ->
             if (hosts[id] !== host) return@handOver
             if (reply is PeerReply.NoResponse || reply is PeerReply.Cancelled) undecided.add(host)
             if (reply is PeerReply.Answered && reply.message.taken) {
@@ -330,6 +348,7 @@
         if (draining || message.shardId in claiming) {
             onResult(false)
         } else {
+            val madeAtMillis = message.madeAtMillis(loop.nowMillis(), PeerClient.HAND_OVER_TIMEOUT_MILLIS)
             val seenAt = election.lastSeenMillis(message.shardId, loop.nowMillis())
             val before = hosts[message.shardId]
             claim(message.shardId, message.revision, message.cutOffRevision) {
@@ -342,8 +361,9 @@
                 }
                 val handOver = message.toHandOver()
                 // A shard that was held before has had other holders since the message was sent.
-                host?.inherit(if (host === before) handOver.copy(areAllRunsThere = false) else handOver)
-                if (seenAt != null) host?.onPreviousHolderSeen(seenAt)
+                val known = if (host === before) handOver.copy(areAllRunsThere = false) else handOver
+                host?.inherit(message.revision, known, madeAtMillis)
+                if (seenAt != null) host?.onPredecessorServed(seenAt)
                 onResult(taken)
             }
         }
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/PeerHealthMonitor.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/PeerHealthMonitor.kt
@@ -3,7 +3,6 @@
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.jackdawring.core.InstanceId
 import io.jackdawring.core.fleet.FleetMember
-import io.jackdawring.core.fleet.RelayFailureDetector
 import io.jackdawring.fleet.peer.PeerClient
 import io.jackdawring.fleet.peer.PeerClocks
 import io.jackdawring.fleet.peer.PeerReply
@@ -22,14 +21,16 @@
     private val loop: ControlLoop,
     private val onAnswered: () -> Unit,
 ) {
-    private val relays = RelayFailureDetector()
+    private val relays = shards.relays
     private var lastRoundMillis = loop.nowMillis()
 
-    /** Records that a request of [sender] has arrived. */
-    fun onPeerRequest(sender: InstanceId) {
-        val now = loop.nowMillis()
-        relays.onHeartbeat(sender, now)
-        shards.election.onPeerRequest(sender, now)
+    /** Records that a request has arrived that [sender] sent at [sentAtMillis]. */
+    fun onPeerRequest(
+        sender: InstanceId,
+        sentAtMillis: Long,
+    ) {
+        relays.onHeartbeat(sender, sentAtMillis)
+        shards.election.onPeerRequest(sender, loop.nowMillis())
     }
 
     /** Pings the holders that this instance depends on and drops the jobs of failed relays. */
@@ -38,7 +39,7 @@
         compensateOwnPause(now - lastRoundMillis - PING_INTERVAL_MILLIS, now)
         lastRoundMillis = now
         pingHolders(holdersWithPendingRequests)
-        relays.takeFailed(now).forEach(shards::onRelayFailed)
+        relays.takeFailed(now).forEach { (relay, lastSentMillis) -> shards.onRelayFailed(relay, lastSentMillis) }
     }
 
     /** Extends the timeouts of peers by the time for which this process was paused and could receive nothing. */
@@ -48,7 +49,7 @@
     ) {
         if (pausedMillis < MIN_PAUSE_MILLIS) return
         logger.info { "process was paused for $pausedMillis ms; extending peer timeouts" }
-        relays.onPaused(pausedMillis)
+        relays.onPaused(pausedMillis, now)
         shards.election.onPaused(pausedMillis, now)
     }
 
@@ -92,19 +93,25 @@
 
     private fun ping(holder: FleetMember) {
         val sentAtMillis = loop.nowMillis()
-        peers.ping(holder, gossip.createPing(self.instanceId.value)) { reply ->
+        val message = gossip.createPing(self.instanceId.value, clocks.clockOf(holder, sentAtMillis))
+        peers.ping(holder, message) { reply ->
             val now = loop.nowMillis()
             when (reply) {
                 is PeerReply.Answered -> {
                     gossip.applyIfNewer(reply.message.news)
                     loads.applyIfNewer(reply.message.loads)
-                    clocks.onPong(holder.instanceId, reply.message, now)
+                    clocks.onPong(holder.instanceId, reply.message, sentAtMillis, now)
                     val shardsInStore =
                         directory.holdings.values
                             .filter { it.holder.instanceId == holder.instanceId }
                             .map { it.shardId }
                     val holds = reply.message.shards.containsAll(shardsInStore)
-                    shards.election.onHeartbeat(holder.instanceId, holds, now, sentAtMillis)
+                    shards.election.onHeartbeat(
+                        holder.instanceId,
+                        holds,
+                        now,
+                        sentAtMillis - reply.message.unservedMillis,
+                    )
                     onAnswered()
                 }
 
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/RealFleetInstance.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/RealFleetInstance.kt
@@ -80,6 +80,7 @@
             directory,
             components.targets,
             peers,
+            clocks,
             loads,
             metrics,
             System::currentTimeMillis,
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/StoppedHoldings.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/StoppedHoldings.kt
@@ -5,6 +5,7 @@
 import io.jackdawring.core.shard.HandOver
 import io.jackdawring.fleet.peer.HandOverMessage
 import io.jackdawring.fleet.peer.PeerClient
+import io.jackdawring.fleet.peer.PeerClocks
 import io.jackdawring.fleet.peer.PeerReply
 import io.jackdawring.fleet.shard.ShardHost
 
@@ -16,6 +17,7 @@
 internal class StoppedHoldings(
     private val directory: FleetDirectory,
     private val peers: PeerClient,
+    private val clocks: PeerClocks,
     private val loop: ControlLoop,
     private val findHost: (ShardId) -> ShardHost?,
 ) {
@@ -53,14 +55,16 @@
         val host = findHost(id)
         val current = host?.holding ?: directory.holdings[id]
         if (current == null || current.revision <= entry.toldRevision || entry.isInFlight) return
-        val agoMillis = loop.nowMillis() - entry.stoppedAtMillis
         if (host != null) {
             onTold(entry, current)
-            host.onHolderStopped(entry.message.revision, entry.message.toHandOver(), agoMillis)
+            host.onHolderStopped(entry.message.revision, entry.message.toHandOver(), entry.stoppedAtMillis)
             return
         }
         entry.isInFlight = true
-        peers.announceStop(current.holder, entry.message.copy(stoppedAgoMillis = agoMillis)) { reply ->
+        val now = loop.nowMillis()
+        val sentAtMillis = clocks.clockOf(current.holder, now)
+        val message = entry.message.copy(stoppedAgoMillis = now - entry.stoppedAtMillis, sentAtMillis = sentAtMillis)
+        peers.announceStop(current.holder, message) { reply ->
             entry.isInFlight = false
             if (reply is PeerReply.Answered && reply.message.taken) onTold(entry, current)
         }
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/StoreGossip.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/StoreGossip.kt
@@ -11,7 +11,10 @@
     private val configuration: StoreMirror,
 ) {
     /** A ping with the newest revisions that this instance knows. */
-    fun createPing(sender: String) = PingMessage(sender, newest(holdings()), newest(configuration.items))
+    fun createPing(
+        sender: String,
+        sentAtMillis: Long?,
+    ) = PingMessage(sender, newest(holdings()), newest(configuration.items), sentAtMillis)
 
     /** Items with later revisions than the sender of [ping] knows. */
     fun itemsNewerThan(ping: PingMessage): List<ItemMessage> {
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/peer/PeerApi.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/peer/PeerApi.kt
@@ -36,7 +36,7 @@
     private val loop: ControlLoop,
     private val loads: ShardLoads,
     private val itemsNewerThan: (PingMessage) -> List<ItemMessage>,
-    private val onPeerRequest: (InstanceId) -> Unit,
+    private val onPeerRequest: (sender: InstanceId, sentAtMillis: Long) -> Unit,
 ) {
     fun handle(exchange: HttpExchange) {
         try {
@@ -73,17 +73,22 @@
             exchange.respond(HttpResponseMessage(STATUS_NOT_HOLDER))
             return
         }
-        onPeerRequest(InstanceId(message.relay))
+        val ageMillis = ageMillis(message.sentAtMillis)
+        onPeerRequest(InstanceId(message.relay), loop.nowMillis() - ageMillis)
+        val request = message.request
+        val remainingMillis = maxOf(1, request.remainingMillis - ageMillis)
         val waiter =
-            host.submit(message.relay, message.request) { outcome ->
+            host.submit(message.relay, request.copy(remainingMillis = remainingMillis)) { outcome ->
                 exchange.respond(json(OutcomeMessage.serializer(), OutcomeMessage.of(outcome)))
             }
         exchange.onDisconnected { loop.execute { host.withdraw(waiter) } }
     }
 
+    private fun ageMillis(sentAtMillis: Long?): Long = sentAtMillis?.let { maxOf(0, loop.nowMillis() - it) } ?: 0
+
     /** Whether the network has held [message] up for so long that its caller may have sent the job again. */
     private fun isOutdated(message: JobMessage): Boolean {
-        val ageMillis = loop.nowMillis() - (message.sentAtMillis ?: return false)
+        val ageMillis = ageMillis(message.sentAtMillis)
         if (ageMillis <= MAX_JOB_AGE_MILLIS) return false
         val id = message.request.job.id.value
         logger.info { "rejected job $id of ${message.relay}, which arrived $ageMillis ms after it was sent" }
@@ -159,9 +164,16 @@
         exchange: HttpExchange,
         message: PingMessage,
     ) {
-        onPeerRequest(InstanceId(message.sender))
+        onPeerRequest(InstanceId(message.sender), loop.nowMillis() - ageMillis(message.sentAtMillis))
         val pong =
-            PongMessage(incarnation, shards.held.toList(), itemsNewerThan(message), loads.messages(), loop.nowMillis())
+            PongMessage(
+                incarnation,
+                shards.held.toList(),
+                itemsNewerThan(message),
+                loads.messages(),
+                loop.nowMillis(),
+                shards.unservedMillis(),
+            )
         exchange.respond(json(PongMessage.serializer(), pong))
     }
 
@@ -184,7 +196,7 @@
         exchange: HttpExchange,
         message: ConfirmationMessage,
     ) {
-        onPeerRequest(InstanceId(message.sender))
+        shards.election.onPeerRequest(InstanceId(message.sender), loop.nowMillis())
         val confirmed = shards.confirm(message.shardId, message.revision)
         exchange.respond(json(ConfirmationReply.serializer(), ConfirmationReply(confirmed)))
     }
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/peer/PeerClient.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/peer/PeerClient.kt
@@ -239,8 +239,8 @@
         }
     }
 
-    private companion object {
-        const val STATUS_OK = 200
+    companion object {
+        private const val STATUS_OK = 200
 
         /** Two pings fit into the time after which a holder is suspected. */
         const val PING_TIMEOUT_MILLIS = 300L
@@ -249,8 +249,8 @@
         const val HAND_OVER_TIMEOUT_MILLIS = 500L
 
         /** A cancellation is answered only when it is stored. */
-        const val STATE_TIMEOUT_MILLIS = 800L
-        val JSON_HEADERS = persistentMapOf("content-type" to "application/json")
+        private const val STATE_TIMEOUT_MILLIS = 800L
+        private val JSON_HEADERS = persistentMapOf("content-type" to "application/json")
     }
 }
 
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/peer/PeerClocks.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/peer/PeerClocks.kt
@@ -9,17 +9,29 @@
     private class Entry(
         val incarnation: String,
         val differenceMillis: Long,
+        val atMillis: Long,
     )
 
     private val entries = HashMap<InstanceId, Entry>()
 
-    /** Records that [peer] sent [pong] a moment ago. */
+    /**
+     * Records the answer [pong] of [peer] to a ping that was sent at [askedAtMillis].
+     *
+     * One that took long, for example because this process was paused, does not replace a recent estimate.
+     */
     fun onPong(
         peer: InstanceId,
         pong: PongMessage,
+        askedAtMillis: Long,
         nowMillis: Long,
     ) {
-        entries[peer] = Entry(pong.incarnation, pong.clockMillis - nowMillis)
+        val known =
+            entries[peer]?.takeIf {
+                it.incarnation == pong.incarnation &&
+                    nowMillis - it.atMillis < RECENT_MILLIS
+            }
+        if (known != null && nowMillis - askedAtMillis > SLOW_MILLIS) return
+        entries[peer] = Entry(pong.incarnation, pong.clockMillis - nowMillis, nowMillis)
     }
 
     /** Forgets the clock of [peer], whose estimate may be wrong. */
@@ -36,4 +48,12 @@
             nowMillis +
                 it.differenceMillis
         }
+
+    private companion object {
+        /** Several rounds of pings; the clocks of two machines differ little in that time. */
+        const val RECENT_MILLIS = 1_500L
+
+        /** Longer than round trips between failure domains. */
+        const val SLOW_MILLIS = 100L
+    }
 }
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/peer/PeerMessages.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/peer/PeerMessages.kt
@@ -5,11 +5,13 @@
 import io.jackdawring.core.fleet.ShardHolding
 import io.jackdawring.core.fleet.ShardId
 import io.jackdawring.core.shard.HandOver
+import io.jackdawring.core.shard.JobId
 import io.jackdawring.core.shard.JobOutcome
 import io.jackdawring.core.shard.JobRequest
 import io.jackdawring.core.shard.Resources
 import io.jackdawring.core.shard.ShardTarget
 import kotlinx.collections.immutable.toImmutableList
+import kotlinx.collections.immutable.toImmutableMap
 import kotlinx.collections.immutable.toImmutableSet
 import kotlinx.serialization.Serializable
 
@@ -77,6 +79,8 @@
     val sender: String,
     val fleetRevision: Long,
     val configurationRevision: Long,
+    /** Time of sending on the receiver's clock, or slightly earlier; null if the sender does not know it. */
+    val sentAtMillis: Long? = null,
 )
 
 /** Answer to a ping at [clockMillis] of the peer's monotonic clock: the [shards] that the peer holds, and the store items in [news] that the sender does not know. */
@@ -87,6 +91,8 @@
     val news: List<ItemMessage> = emptyList(),
     val loads: List<LoadMessage> = emptyList(),
     val clockMillis: Long = 0,
+    /** Longest time for which callers of runs in one of the [shards] may have been gone. */
+    val unservedMillis: Long = 0,
 )
 
 /** Load of a shard's targets by service in percent, as its holder reported it [ageMillis] ago. */
@@ -141,12 +147,28 @@
     val areDurableRunsOver: Boolean = true,
     /** Time since the holder stopped when this was sent; 0 for one that still holds the shard. */
     val stoppedAgoMillis: Long = 0,
+    /** Time for which callers of runs may have been gone, and the jobs that this does not include; see [HandOver]. */
+    val unservedMillis: Long = 0,
+    val abandonedJobs: Map<JobId, Long> = emptyMap(),
+    /** Time of sending on the receiver's clock, or slightly earlier; null if the sender does not know it. */
+    val sentAtMillis: Long? = null,
 ) {
     fun toHandOver(): HandOver {
         val known = targets.map { it.toTarget() }.toImmutableList()
-        return HandOver(known, areAllRunsThere, cutOffRevision, areDurableRunsOver)
+        val abandoned = abandonedJobs.toImmutableMap()
+        return HandOver(known, areAllRunsThere, cutOffRevision, areDurableRunsOver, unservedMillis, abandoned)
     }
 
+    /**
+     * Time to which the contents refer, on the receiver's clock, which is [nowMillis] now.
+     *
+     * Without an estimate of the sender, it is [longestMillis] ago, after which the sender gives the message up.
+     */
+    fun madeAtMillis(
+        nowMillis: Long,
+        longestMillis: Long,
+    ): Long = minOf(nowMillis, sentAtMillis ?: (nowMillis - longestMillis)) - stoppedAgoMillis
+
     companion object {
         fun of(
             holding: ShardHolding,
@@ -158,6 +180,8 @@
             handOver.areAllRunsThere,
             handOver.cutOffToken,
             handOver.areDurableRunsOver,
+            unservedMillis = handOver.unservedMillis,
+            abandonedJobs = handOver.abandonedJobs,
         )
     }
 }
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/shard/ShardHost.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/shard/ShardHost.kt
@@ -46,6 +46,8 @@
     partClient: PartClient,
     /** Whether all earlier holders have lost their ownership; asked until they have. */
     private val haveEarlierHoldersStopped: () -> Boolean,
+    /** Time at which the last message of a relay was sent; null if that is not known. */
+    private val lastSentMillis: (relay: String) -> Long?,
     private val ownership: DurableOwnership,
     createDurableStore: (DurableJobStore.Listener) -> DurableJobStore,
 ) : ShardEffects {
@@ -103,8 +105,12 @@
         graceMillis: Long,
     ) = dispatcher.updateEvacuated(isEvacuated, loop.nowMillis(), graceMillis)
 
-    /** Adds the targets that the previous holder knew. */
-    fun inherit(handOver: HandOver) = dispatcher.inherit(handOver, loop.nowMillis())
+    /** Adds what the predecessor with [holderToken] knew at [madeAtMillis]. */
+    fun inherit(
+        holderToken: Long,
+        handOver: HandOver,
+        madeAtMillis: Long,
+    ) = dispatcher.inherit(holderToken, handOver, madeAtMillis, loop.nowMillis())
 
     /** Records that earlier holders up to [holderToken] may be cut off; with [isPredecessor], there was none since. */
     fun onHoldersCutOff(
@@ -112,21 +118,36 @@
         isPredecessor: Boolean,
     ) = dispatcher.onHoldersCutOff(holderToken, isPredecessor)
 
-    /** Records that the earlier holder with [holderToken] stopped [agoMillis] ago, and what it knew then. */
+    /** Records that the earlier holder with [holderToken] stopped at [stoppedAtMillis], and what it knew then. */
     fun onHolderStopped(
         holderToken: Long,
         handOver: HandOver,
-        agoMillis: Long,
+        stoppedAtMillis: Long,
     ) {
-        log.holderStopped(holderToken, handOver, agoMillis)
-        dispatcher.onHolderStopped(holderToken, handOver, loop.nowMillis() - agoMillis, loop.nowMillis())
+        log.holderStopped(holderToken, handOver, loop.nowMillis() - stoppedAtMillis)
+        dispatcher.onHolderStopped(holderToken, handOver, stoppedAtMillis, loop.nowMillis())
     }
 
-    /** Records that the previous holder, which has failed since, was last known to hold the shard at [seenAtMillis]. */
-    fun onPreviousHolderSeen(seenAtMillis: Long) = dispatcher.onPreviousHolderSeen(seenAtMillis)
+    /** As [ShardDispatcher.onOthersCutOff]. */
+    fun onOthersCutOff() = dispatcher.onOthersCutOff()
+
+    /** As [ShardDispatcher.onPredecessorServed]. */
+    fun onPredecessorServed(servedAtMillis: Long) = dispatcher.onPredecessorServed(servedAtMillis)
 
     /** What a successor has to know; [cancelHandOver] follows if there is none. */
-    fun handOver(): HandOver = dispatcher.handOver(loop.nowMillis())
+    fun handOver(): HandOver {
+        val handOver = dispatcher.handOver(loop.nowMillis())
+        return handOver.copy(unservedMillis = maxOf(handOver.unservedMillis, relaysSilentMillis()))
+    }
+
+    /** Time for which callers of runs in this shard may have been gone. */
+    fun unservedMillis(): Long = maxOf(dispatcher.unservedMillis(loop.nowMillis()), relaysSilentMillis())
+
+    /** Time since the last message of the relay that has been silent for longest, of those that wait for jobs. */
+    private fun relaysSilentMillis(): Long {
+        val relays = waiters.values.map { it.relay }.toSet()
+        return relays.mapNotNull(lastSentMillis).minOrNull()?.let { maxOf(0, loop.nowMillis() - it) } ?: 0
+    }
 
     fun cancelHandOver() = dispatcher.cancelHandOver()
 
@@ -146,13 +167,15 @@
         if (waiters.remove(id) != null) dispatcher.withdraw(id, loop.nowMillis())
     }
 
-    /** Ends the requests of a failed relay. */
-    fun expireAll(relay: String) =
-        waiters
-            .filterValues { it.relay == relay }
-            .keys
-            .toList()
-            .forEach { dispatcher.expire(it, loop.nowMillis()) }
+    /** Ends the requests of [relay], which has sent nothing since [sinceMillis]. */
+    fun expireAll(
+        relay: String,
+        sinceMillis: Long,
+    ) = waiters
+        .filterValues { it.relay == relay }
+        .keys
+        .toList()
+        .forEach { dispatcher.expire(it, sinceMillis, loop.nowMillis()) }
 
     fun describe() =
         FleetStatus.HeldShard(
--- a/fleet/src/test/kotlin/io/jackdawring/fleet/HeldShardsTest.kt
+++ b/fleet/src/test/kotlin/io/jackdawring/fleet/HeldShardsTest.kt
@@ -15,6 +15,7 @@
 import io.jackdawring.fleet.metrics.FleetMetrics
 import io.jackdawring.fleet.peer.HandOverMessage
 import io.jackdawring.fleet.peer.PeerClient
+import io.jackdawring.fleet.peer.PeerClocks
 import io.jackdawring.fleet.store.FakeTransactionalStore
 import io.jackdawring.fleet.store.StoreMirror
 import kotlinx.collections.immutable.persistentListOf
@@ -38,6 +39,7 @@
             FleetDirectory(),
             NoTargets,
             PeerClient(FakeHttpClient()),
+            PeerClocks(),
             ShardLoads(loop),
             FleetMetrics(),
             { 0 },
--- a/fleet/src/test/kotlin/io/jackdawring/fleet/RealShardClientTest.kt
+++ b/fleet/src/test/kotlin/io/jackdawring/fleet/RealShardClientTest.kt
@@ -59,6 +59,7 @@
                 directory,
                 NoTargets,
                 peers,
+                PeerClocks(),
                 loads,
                 FleetMetrics(),
                 { 0 },
--- a/fleet/src/test/kotlin/io/jackdawring/fleet/model/FakeEntryInstance.kt
+++ b/fleet/src/test/kotlin/io/jackdawring/fleet/model/FakeEntryInstance.kt
@@ -64,6 +64,7 @@
             directory,
             FakeTargetClient(id, process, fleet),
             peers,
+            clocks,
             loads,
             metrics,
             { UNIX_MILLIS + fleet.clock.nowMillis },
--- a/fleet/src/test/kotlin/io/jackdawring/fleet/model/ResentJobAfterCutTest.kt
+++ b/fleet/src/test/kotlin/io/jackdawring/fleet/model/ResentJobAfterCutTest.kt
@@ -3,6 +3,7 @@
 import io.jackdawring.core.shard.JobId
 import io.jackdawring.fleet.FleetKeys
 import org.junit.jupiter.api.DynamicTest
+import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.TestFactory
 import java.util.SplittableRandom
 
@@ -66,10 +67,12 @@
         fun run() {
             cuts.forEach { cut -> at(cut.atMillis) { cutOff(cut) } }
             for (planned in faults) {
-                at(planned.cut.endMillis) {
+                at(planned.cut.endMillis + minOf(0, planned.afterEndMillis)) {
                     val domain = planned.cut.domain
                     val adopter = holderOf(domain)
-                    fleet.clock.schedule(planned.afterEndMillis) { planned.fault.inject(fleet, domain, adopter) }
+                    fleet.clock.schedule(maxOf(0, planned.afterEndMillis)) {
+                        planned.fault.inject(fleet, domain, adopter)
+                    }
                 }
             }
             while (nowMillis < cuts.maxOf { it.endMillis } + SUBMIT_AFTER_MILLIS) submitOrIdle()
@@ -245,13 +248,18 @@
             INSTANCES.flatMap { instances ->
                 Fault.entries.flatMap { fault ->
                     FAULT_AFTER_MILLIS.map { after ->
-                        val name = "$instances instances a domain, ${fault.text} $after ms after the end of the cut"
+                        val name = "$instances instances a domain, ${fault.text} $after ms from the end of the cut"
                         Row(name, instances, firstMillis = 14_500, fault = fault, faultAfterMillis = after)
                     }
                 }
             },
         )
 
+    /** Guards against a hand-over that leaves out a job whose last request was withdrawn a moment before. */
+    @Test
+    fun `runs of a job without a request end in time although its holder freezes and is replaced`() =
+        randomPlay(SplittableRandom(2_389)).run()
+
     /** Guards against the same under random cuts, jobs and faults. */
     @TestFactory
     fun `runs of given up jobs end in time after random cuts`() =
@@ -301,7 +309,7 @@
         val STORE_CUTS_MILLIS = listOf(9_500L, 12_500, 13_500, 14_500, 30_500)
         val SECOND_AFTER_MILLIS = listOf(200L, 500, 700, 900, 1_300)
         val SECOND_MILLIS = listOf(300L, 700, 1_200, 2_000, 14_000)
-        val FAULT_AFTER_MILLIS = listOf(100L, 400, 600, 700, 900)
+        val FAULT_AFTER_MILLIS = listOf(-700L, -500, -300, -100, 100, 400, 600, 700, 900)
         const val DOMAINS = 4
         const val TARGETS = 4
         const val CPU_MILLIS = 700
--- a/testing/src/main/kotlin/io/jackdawring/testing/shard/FakeShard.kt
+++ b/testing/src/main/kotlin/io/jackdawring/testing/shard/FakeShard.kt
@@ -145,7 +145,7 @@
         ) {
             if (!alive) return
             val fake = target(target)
-            val silent = fake.mode == FakeShardTarget.Mode.SILENT || fake.losesStops || isElsewhere(fake, target)
+            val silent = fake.mode == FakeShardTarget.Mode.SILENT || isElsewhere(fake, target) || fake.losesStop(task)
             if (!silent) schedule(LATENCY_MILLIS) { fake.stop(task, attempt, nowMillis) }
             val result = if (silent) StopResult.Unknown("timed out") else StopResult.Accepted
             val delay = if (silent) TIMEOUT_MILLIS else 2 * LATENCY_MILLIS
@@ -303,7 +303,7 @@
     private var holder = Holder()
 
     init {
-        holder.dispatcher.inherit(HandOver.NONE, nowMillis)
+        holder.dispatcher.inherit(holderToken = 0, HandOver.NONE, nowMillis, nowMillis)
         list(listed.map { it.registration })
         holder.dispatcher.recover(persistentListOf(), attemptBase = 0, nowMillis)
         tick()
@@ -337,23 +337,27 @@
         holder.alive = false
     }
 
+    /** Time at which, by the holder's answer to a ping now, all callers of its runs waited. */
+    fun servedAtMillis(): Long = nowMillis - holder.dispatcher.unservedMillis(nowMillis)
+
     /**
      * Replaces the holder by a new one that knows the [listed] targets.
      *
-     * With [handOver], the new holder also gets the targets that the old one knew. [seenAtMillis] is the time at which
-     * it last saw the old one, if it did.
+     * With [handOver], the new holder also gets what the old one knew, from an [offer] made at [madeAtMillis].
+     * [seenAtMillis] is the time at which it last saw the old one, if it did.
      */
     fun replaceHolder(
         listed: List<FakeShardTarget> = targets,
         handOver: Boolean = false,
         seenAtMillis: Long? = null,
+        offer: HandOver = holder.dispatcher.handOver(nowMillis),
+        madeAtMillis: Long = nowMillis,
     ) {
-        val offer = holder.dispatcher.handOver(nowMillis)
         holder.alive = false
         holder = Holder()
         list(listed.map { it.registration })
-        if (handOver) holder.dispatcher.inherit(offer, nowMillis)
-        seenAtMillis?.let(holder.dispatcher::onPreviousHolderSeen)
+        if (handOver) holder.dispatcher.inherit(holderToken = 0, offer, madeAtMillis, nowMillis)
+        seenAtMillis?.let(holder.dispatcher::onPredecessorServed)
         val reader = holder
         val attemptBase = ++holders * ATTEMPTS_PER_HOLDER
         schedule(readMillis) {
@@ -455,9 +459,20 @@
         return waiter
     }
 
-    fun expire(waiter: WaiterId) = holder.dispatcher.expire(waiter, nowMillis)
+    fun expire(waiter: WaiterId) = holder.dispatcher.expire(waiter, sinceMillis = nowMillis, nowMillis)
 
-    fun withdraw(waiter: WaiterId) = holder.dispatcher.withdraw(waiter, nowMillis)
+    /** Lets the caller leave; a paused holder reads that afterwards, before its timers run, and a killed one never. */
+    fun withdraw(waiter: WaiterId) {
+        if (!holder.alive) return
+        val reader = holder
+        if (nowMillis < pausedUntilMillis) {
+            schedule(pausedUntilMillis - nowMillis) {
+                if (reader.alive) reader.dispatcher.withdraw(waiter, nowMillis)
+            }
+        } else {
+            reader.dispatcher.withdraw(waiter, nowMillis)
+        }
+    }
 
     /** Lists only [listed] as targets. */
     fun list(listed: List<ShardTarget>) {
--- a/testing/src/main/kotlin/io/jackdawring/testing/shard/FakeShardTarget.kt
+++ b/testing/src/main/kotlin/io/jackdawring/testing/shard/FakeShardTarget.kt
@@ -68,6 +68,13 @@
     /** Whether stop requests are lost, while all other requests arrive. */
     var losesStops = false
 
+    /** Whether the first stop request for each run is lost. */
+    var losesFirstStops = false
+    private val lostStops = HashSet<TaskKey>()
+
+    /** Whether a stop request for [task] that is sent now is lost. */
+    internal fun losesStop(task: TaskKey): Boolean = losesStops || losesFirstStops && lostStops.add(task)
+
     /** Number of the next starts that are rejected as unhealthy. */
     var unhealthyStarts = 0
 
--- a/testing/src/test/kotlin/io/jackdawring/testing/shard/StartAnswerTest.kt
+++ b/testing/src/test/kotlin/io/jackdawring/testing/shard/StartAnswerTest.kt
@@ -256,7 +256,7 @@
     fun `runs of a cut off holder that has just stopped wait for their jobs`() {
         val holder = Holder()
         holder.dispatcher.onHoldersCutOff(holderToken = 1, isPredecessor = true)
-        holder.dispatcher.onPreviousHolderSeen(holder.nowMillis - 30_000)
+        holder.dispatcher.onPredecessorServed(holder.nowMillis - 30_000)
         holder.dispatcher.recover(persistentListOf(), attemptBase = 0, holder.nowMillis)
         val handOver = HandOver(TARGETS.toImmutableList(), areAllRunsThere = true)
         holder.dispatcher.onHolderStopped(1, handOver, stoppedAtMillis = holder.nowMillis, holder.nowMillis)
