Start nothing for a request that a cut has held up and whose caller has gone

What callers saw: a job that was sent during a cut and, without an answer, again elsewhere, ran in two failure domains at a time when the first request was delivered. On real processes with late delivery, the code before ran 20 tasks of 14 jobs twice in 13 cuts, for 23 to 191 ms, mostly on the only instance of a failure domain; the end of the connection was read 1 to 32 ms after the request, and the runs were stopped by order 150 ms after that.

Cause: a request shows no age, so a job of a caller that had gone was started at once; and the holder kept it for 150 ms in case its relay replaced the connection, although the relay, in the same process, knew that the caller had left.

Change: an instance whose peers were silent a moment ago starts callers' jobs 15 ms after their arrival, which is time for the end of the connection to follow. A relay in the process of the holder says that the caller has left, so that the runs are stopped at once.

--- a/core/src/main/kotlin/io/jackdawring/core/shard/RealShardDispatcher.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/RealShardDispatcher.kt
@@ -191,10 +191,11 @@
 
     override fun withdraw(
         waiter: WaiterId,
+        hasCallerLeft: Boolean,
         nowMillis: Long,
     ) {
         val job = lifecycle.leave(waiter, pauses.earliestArrivalMillis(nowMillis)) ?: return
-        if (!job.started) abandon(job, nowMillis)
+        if (hasCallerLeft || !job.started) abandon(job, nowMillis)
     }
 
     override fun expire(
--- a/core/src/main/kotlin/io/jackdawring/core/shard/ShardDispatcher.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/ShardDispatcher.kt
@@ -93,9 +93,14 @@
         nowMillis: Long,
     )
 
-    /** Removes a request whose connection has closed. */
+    /**
+     * Removes a request whose connection has closed.
+     *
+     * Unless it is known that the caller has left, its relay may replace the connection, and the job is kept for a moment.
+     */
     fun withdraw(
         waiter: WaiterId,
+        hasCallerLeft: Boolean,
         nowMillis: Long,
     )
 
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/PeerHealthMonitor.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/PeerHealthMonitor.kt
@@ -22,6 +22,7 @@
     private val onAnswered: () -> Unit,
 ) {
     private val relays = shards.relays
+    val silence = PeerSilence()
     private var lastRoundMillis = loop.nowMillis()
 
     /** Records that a request has arrived that [sender] sent at [sentAtMillis]. */
@@ -93,11 +94,13 @@
 
     private fun ping(holder: FleetMember) {
         val sentAtMillis = loop.nowMillis()
+        silence.onAsked(holder.instanceId, sentAtMillis)
         val message = gossip.createPing(self.instanceId.value, clocks.clockOf(holder, sentAtMillis))
         peers.ping(holder, message) { reply ->
             val now = loop.nowMillis()
             when (reply) {
                 is PeerReply.Answered -> {
+                    silence.onAnswered(holder.instanceId, reply.message.incarnation, now)
                     gossip.applyIfNewer(reply.message.news)
                     loads.applyIfNewer(reply.message.loads)
                     clocks.onPong(holder.instanceId, reply.message, sentAtMillis, now)
@@ -116,6 +119,7 @@
                 }
 
                 is PeerReply.NotSent -> {
+                    if (reply.refused) silence.onRefused(holder.instanceId)
                     onRefused(holder, reply, now)
                 }
 
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/RealFleetInstance.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/RealFleetInstance.kt
@@ -93,7 +93,7 @@
     private val peerHealth =
         PeerHealthMonitor(self, peers, shards, directory, gossip, loads, clocks, loop, ::openCallerListener)
     private val shardClient = RealShardClient(self, shards, directory, peers, loads, clocks, loop, evacuations)
-    private val relay = JobRelay(loop, shardClient, metrics, pauses)
+    private val relay = JobRelay(loop, shardClient, metrics, pauses, peerHealth.silence)
     private val durableJobClient =
         RealDurableJobClient(directory.shardsOf(self.failureDomain), shards, directory, shardClient, peers)
     private val durableRequests = DurableJobRequests(loop, durableJobClient, components.store)
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/RealShardClient.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/RealShardClient.kt
@@ -100,7 +100,8 @@
         val host = shards.host(holding.shardId)
         if (host != null) {
             val waiter = host.submit(self.instanceId.value, request) { onReply(HolderReply.Decided(it)) }
-            return ShardClient.PendingRequest { host.withdraw(waiter) }
+            // Without a network in between, only the caller ends a request that is not replaced.
+            return ShardClient.PendingRequest { host.withdraw(waiter, hasCallerLeft = true) }
         }
         val holder = holding.holder
         val sentAtMillis = clocks.clockOf(holder, loop.nowMillis())
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/peer/PeerApi.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/peer/PeerApi.kt
@@ -81,7 +81,7 @@
             host.submit(message.relay, request.copy(remainingMillis = remainingMillis)) { outcome ->
                 exchange.respond(json(OutcomeMessage.serializer(), OutcomeMessage.of(outcome)))
             }
-        exchange.onDisconnected { loop.execute { host.withdraw(waiter) } }
+        exchange.onDisconnected { loop.execute { host.withdraw(waiter, hasCallerLeft = false) } }
     }
 
     private fun ageMillis(sentAtMillis: Long?): Long = sentAtMillis?.let { maxOf(0, loop.nowMillis() - it) } ?: 0
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/relay/JobRelay.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/relay/JobRelay.kt
@@ -4,6 +4,7 @@
 import io.jackdawring.core.shard.JobSpec
 import io.jackdawring.fleet.CallerAnswer
 import io.jackdawring.fleet.ControlLoop
+import io.jackdawring.fleet.PeerSilence
 import io.jackdawring.fleet.metrics.FleetMetrics
 
 /** Relays jobs of callers to the holders of shards; confined to the control thread. */
@@ -12,11 +13,13 @@
     private val shards: ShardClient,
     private val metrics: FleetMetrics,
     private val pauses: PauseGuard,
+    private val silence: PeerSilence,
 ) {
     /**
      * Submits [job] for a caller that waits [waitMillis]; [onAnswer] is called at most once.
      *
-     * After a pause of this process, the caller may have gone, which shows only once its connection is read.
+     * After a pause of this process or a cut, the caller may have gone, which shows only once the end of its connection is
+     * read.
      */
     fun submit(
         job: JobSpec,
@@ -27,10 +30,11 @@
             metrics.jobAnswered(job.queue, answer, ageMillis)
             onAnswer(answer)
         }.also { relayed ->
-            if (pauses.isCatchingUp(loop.nowMillis())) {
-                loop.schedule(PauseGuard.SETTLE_MILLIS, relayed::start)
-            } else {
-                relayed.start()
+            val now = loop.nowMillis()
+            when {
+                pauses.isCatchingUp(now) -> loop.schedule(PauseGuard.SETTLE_MILLIS, relayed::start)
+                silence.mayHoldUp(now) -> loop.schedule(PeerSilence.SETTLE_MILLIS, relayed::start)
+                else -> relayed.start()
             }
         }
 }
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/shard/ShardHost.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/shard/ShardHost.kt
@@ -163,8 +163,12 @@
         return id
     }
 
-    fun withdraw(id: WaiterId) {
-        if (waiters.remove(id) != null) dispatcher.withdraw(id, loop.nowMillis())
+    /** As [ShardDispatcher.withdraw]. */
+    fun withdraw(
+        id: WaiterId,
+        hasCallerLeft: Boolean,
+    ) {
+        if (waiters.remove(id) != null) dispatcher.withdraw(id, hasCallerLeft, loop.nowMillis())
     }
 
     /** Ends the requests of [relay], which has sent nothing since [sinceMillis]. */
--- a/fleet/src/test/kotlin/io/jackdawring/fleet/model/FakeEntryInstance.kt
+++ b/fleet/src/test/kotlin/io/jackdawring/fleet/model/FakeEntryInstance.kt
@@ -83,7 +83,7 @@
         }
     private val peerApi =
         PeerApi(self.incarnation, shards, process, loads, gossip::itemsNewerThan, peerHealth::onPeerRequest)
-    val relay = JobRelay(process, shardClient, metrics, pauses)
+    val relay = JobRelay(process, shardClient, metrics, pauses, peerHealth.silence)
     private val durableJobClient =
         RealDurableJobClient(directory.shardsOf(self.failureDomain), shards, directory, shardClient, peers)
     val durableJobs = DurableJobRequests(process, durableJobClient, store)
--- a/fleet/src/test/kotlin/io/jackdawring/fleet/relay/RelayedJobTest.kt
+++ b/fleet/src/test/kotlin/io/jackdawring/fleet/relay/RelayedJobTest.kt
@@ -15,6 +15,7 @@
 import io.jackdawring.core.shard.StepSpec
 import io.jackdawring.fleet.CallerAnswer
 import io.jackdawring.fleet.FakeControlLoop
+import io.jackdawring.fleet.PeerSilence
 import io.jackdawring.fleet.metrics.FleetMetrics
 import org.junit.jupiter.api.DynamicTest
 import org.junit.jupiter.api.TestFactory
@@ -79,7 +80,11 @@
         var answer: CallerAnswer? = null
         val sentTo get() = shards.sentJobs.map { it.domain }
 
-        fun submit() = JobRelay(loop, shards, FleetMetrics(), pauses).submit(JOB, WAIT_MILLIS) { answer = it }
+        fun submit() =
+            JobRelay(loop, shards, FleetMetrics(), pauses, PeerSilence()).submit(JOB, WAIT_MILLIS) {
+                answer =
+                    it
+            }
 
         fun reply(reply: HolderReply) = shards.sentJobs.last().onReply(reply)
 
--- a/testing/src/main/kotlin/io/jackdawring/testing/shard/FakeShard.kt
+++ b/testing/src/main/kotlin/io/jackdawring/testing/shard/FakeShard.kt
@@ -467,10 +467,10 @@
         val reader = holder
         if (nowMillis < pausedUntilMillis) {
             schedule(pausedUntilMillis - nowMillis) {
-                if (reader.alive) reader.dispatcher.withdraw(waiter, nowMillis)
+                if (reader.alive) reader.dispatcher.withdraw(waiter, hasCallerLeft = false, nowMillis)
             }
         } else {
-            reader.dispatcher.withdraw(waiter, nowMillis)
+            reader.dispatcher.withdraw(waiter, hasCallerLeft = false, nowMillis)
         }
     }
 
