Tell a successor of targets that were held back

What callers saw: a task ran twice at a time within a failure domain, after its adopter had paused during the hand-back.

Cause: while a holder offers its shard, targets that become known get no starts. It left these targets out of its statements, but said that all runs were on the others. The stop news of a cut off holder, which names targets with runs, arrived in that state, and the successor started a task again that ran on one of them.

Change: all known targets are handed over.

Evidence: seed 5003 of ResentJobAfterCutTest, with an adopter that freezes 100 or 400 ms after the end of the cut, failed before; both plays are tests of their own and pass.

--- a/core/src/main/kotlin/io/jackdawring/core/shard/TargetControl.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/TargetControl.kt
@@ -106,7 +106,8 @@
     /** What a successor has to know; targets that are listed later get no starts until [cancelHandOver]. */
     fun handOver(nowMillis: Long): HandOver {
         registry.isHandingOver = true
-        val registrations = targets.filterNot { it.isHeldBack }.map { it.confirmedRegistration }.toImmutableList()
+        // Those that are held back have no runs of this holder, but perhaps of earlier ones.
+        val registrations = targets.map { it.confirmedRegistration }.toImmutableList()
         val areLaterRunsKnown = previousRunsCheck.awaitedState(Long.MAX_VALUE, nowMillis) != PreviousRuns.UNCERTAIN
         val areAllRunsThere = registry.knowsAllWithRuns && cutOffHolders.areRunsKnown || areLaterRunsKnown
         val areDurableRunsOver = previousRunsCheck.areDurableRunsOver(nowMillis)
--- a/fleet/src/test/kotlin/io/jackdawring/fleet/model/ResentJobAfterCutTest.kt
+++ b/fleet/src/test/kotlin/io/jackdawring/fleet/model/ResentJobAfterCutTest.kt
@@ -255,6 +255,21 @@
             },
         )
 
+    /** Guards against a holder that is about to hand the shard over and conceals targets that it was told of meanwhile. */
+    @TestFactory
+    fun `runs of a cut off holder are known although its adopter freezes during the hand-back`() =
+        listOf(100L, 400L).map { after ->
+            DynamicTest.dynamicTest("the adopter is frozen $after ms after the end of the cut") {
+                Row(
+                    "",
+                    2,
+                    firstMillis = 14_500,
+                    fault = Fault.ADOPTER_FROZEN,
+                    faultAfterMillis = after,
+                ).play(seed = 5_003)
+            }
+        }
+
     /** Guards against a hand-over that leaves out a job whose last request was withdrawn a moment before. */
     @Test
     fun `runs of a job without a request end in time although its holder freezes and is replaced`() =
