Reject job messages that may be as old as a pause or a cut

What callers saw: a job ran in two failure domains at a time. A holder that woke, or whose paths were whole again, got a message of a relay whose caller had given up and sent the job elsewhere.

Cause: a message is rejected when it was sent over 1 s ago, but its age is not known if the relay does not know the clock of the holder, and counts as 0 if that clock has stood still since the relay learned it.

--- a/fleet/src/main/kotlin/io/jackdawring/fleet/RealFleetInstance.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/RealFleetInstance.kt
@@ -104,7 +104,16 @@
         }
     private val callerApi = CallerApi(components.callerCodec, relay, loop, durableRequests)
     private val peerApi =
-        PeerApi(self.incarnation, shards, loop, loads, gossip::itemsNewerThan, peerHealth::onPeerRequest)
+        PeerApi(
+            self.incarnation,
+            shards,
+            loop,
+            loads,
+            gossip::itemsNewerThan,
+            pauses,
+            { now -> pauses.isCatchingUp(now) || peerHealth.silence.mayHoldUp(now) },
+            peerHealth::onPeerRequest,
+        )
 
     @Volatile
     private var draining = false
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/RealShardClient.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/RealShardClient.kt
@@ -27,12 +27,18 @@
 ) : ShardClient {
     private val pendingRequestCounts = HashMap<InstanceId, Int>()
 
-    /** Remote holders that have not answered a job of this relay yet. */
+    /** Times of the last requests to holders whose clocks are not known, and who may reject such requests. */
+    private val undatedRequestMillis = HashMap<InstanceId, Long>()
+
+    /** Remote holders that have not answered a job of this relay yet, or whose clock it needs. */
     val holdersWithPendingRequests: List<FleetMember>
         get() =
             directory.holdings.values
                 .map { it.holder }
-                .filter { (pendingRequestCounts[it.instanceId] ?: 0) > 0 }
+                .filter { (pendingRequestCounts[it.instanceId] ?: 0) > 0 || needsClockOf(it.instanceId) }
+
+    private fun needsClockOf(holder: InstanceId): Boolean =
+        undatedRequestMillis[holder]?.let { loop.nowMillis() - it < PeerHealthMonitor.PING_INTERVAL_MILLIS } == true
 
     override fun findLocalHolder(job: JobSpec): ShardHolding? = findHolding(localShard(job))
 
@@ -105,6 +111,7 @@
         }
         val holder = holding.holder
         val sentAtMillis = clocks.clockOf(holder, loop.nowMillis())
+        if (sentAtMillis == null) undatedRequestMillis[holder.instanceId] = loop.nowMillis()
         val message = JobMessage(self.instanceId.value, holding.shardId, request, sentAtMillis, holding.revision)
         pendingRequestCounts.merge(holder.instanceId, 1, Int::plus)
         val call =
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/peer/PeerApi.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/peer/PeerApi.kt
@@ -2,6 +2,7 @@
 
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.jackdawring.core.InstanceId
+import io.jackdawring.core.PauseGuard
 import io.jackdawring.core.fleet.ShardId
 import io.jackdawring.core.shard.JobId
 import io.jackdawring.core.shard.JobState
@@ -36,6 +37,9 @@
     private val loop: ControlLoop,
     private val loads: ShardLoads,
     private val itemsNewerThan: (PingMessage) -> List<ItemMessage>,
+    private val pauses: PauseGuard,
+    /** Whether the network may deliver what it has held up. */
+    private val mayHoldUp: (nowMillis: Long) -> Boolean,
     private val onPeerRequest: (sender: InstanceId, sentAtMillis: Long) -> Unit,
 ) {
     fun handle(exchange: HttpExchange) {
@@ -69,7 +73,7 @@
         message: JobMessage,
     ) {
         val host = hostOrReject(exchange, message.shardId) ?: return
-        if (host.holding.revision < message.revision || isOutdated(message)) {
+        if (host.holding.revision < message.revision || isOutdated(message) || mayBeHeldUp(message)) {
             exchange.respond(HttpResponseMessage(STATUS_NOT_HOLDER))
             return
         }
@@ -95,6 +99,14 @@
         return true
     }
 
+    /** Whether [message] may be as old as a pause or a cut that has just ended; its relay sends it again if it still waits. */
+    private fun mayBeHeldUp(message: JobMessage): Boolean {
+        val now = loop.nowMillis()
+        val sentAtMillis = message.sentAtMillis ?: return mayHoldUp(now)
+        // The relay knows a lower bound of this clock, which can only be ahead if the clock has stood still meanwhile.
+        return pauses.isCatchingUp(now) || sentAtMillis > now + MAX_CLOCK_ERROR_MILLIS
+    }
+
     private fun hostOrReject(
         exchange: HttpExchange,
         shardId: ShardId,
@@ -209,6 +221,9 @@
     private companion object {
         /** Below the time after which callers send a job again, above the delays of a busy network and holder. */
         const val MAX_JOB_AGE_MILLIS = 1_000L
+
+        /** Far above the drift of two clocks between two pings. */
+        const val MAX_CLOCK_ERROR_MILLIS = 100L
         const val STATUS_OK = 200
         const val STATUS_INVALID = 400
         const val STATUS_NOT_FOUND = 404
--- a/fleet/src/test/kotlin/io/jackdawring/fleet/model/FakeEntryInstance.kt
+++ b/fleet/src/test/kotlin/io/jackdawring/fleet/model/FakeEntryInstance.kt
@@ -82,7 +82,16 @@
             fleetMirror.applyIfNewer(entry)
         }
     private val peerApi =
-        PeerApi(self.incarnation, shards, process, loads, gossip::itemsNewerThan, peerHealth::onPeerRequest)
+        PeerApi(
+            self.incarnation,
+            shards,
+            process,
+            loads,
+            gossip::itemsNewerThan,
+            pauses,
+            { now -> pauses.isCatchingUp(now) || peerHealth.silence.mayHoldUp(now) },
+            peerHealth::onPeerRequest,
+        )
     val relay = JobRelay(process, shardClient, metrics, pauses, peerHealth.silence)
     private val durableJobClient =
         RealDurableJobClient(directory.shardsOf(self.failureDomain), shards, directory, shardClient, peers)
--- a/fleet/src/test/kotlin/io/jackdawring/fleet/model/ResubmissionModelTest.kt
+++ b/fleet/src/test/kotlin/io/jackdawring/fleet/model/ResubmissionModelTest.kt
@@ -18,6 +18,13 @@
     @TestFactory
     fun `a fleet under random faults`() = schedules(FleetSchedule.RECOVERABLE)
 
+    /** Guards against jobs that a holder gets after a pause or a cut, from relays whose callers have gone elsewhere. */
+    @TestFactory
+    fun `a holder that gets old messages of relays starts nothing`() =
+        listOf(71_025L, 71_064, 71_090, 71_114, 71_175, 71_202, 71_232).map { seed ->
+            DynamicTest.dynamicTest("seed $seed") { FleetSchedule(seed).play() }
+        }
+
     @TestFactory
     fun `durable jobs of a fleet under random faults`() = schedules(FleetSchedule.RECOVERABLE, areDurable = true)
 
--- a/fleet/src/test/kotlin/io/jackdawring/fleet/peer/HeldUpMessageTest.kt
+++ b/fleet/src/test/kotlin/io/jackdawring/fleet/peer/HeldUpMessageTest.kt
@@ -140,7 +140,17 @@
             ) {}
         private val gossip = StoreGossip(mirror, mirror)
         val monitor = PeerHealthMonitor(SELF, peers, shards, directory, gossip, loads, clocks, loop) {}
-        private val api = PeerApi("1", shards, loop, loads, gossip::itemsNewerThan, monitor::onPeerRequest)
+        private val api =
+            PeerApi(
+                "1",
+                shards,
+                loop,
+                loads,
+                gossip::itemsNewerThan,
+                PauseGuard(),
+                monitor.silence::mayHoldUp,
+                monitor::onPeerRequest,
+            )
 
         init {
             // Times before the start of the clock would be those of messages that are sent early in a test.
