Derive the statements of cut off holders, and share what was written twice

AdoptionWindow kept its own list of stopped holders beside that of CutOffHolders, with the same bound; it reads them there now, and the result of onStopped, which nobody used any more, is gone. The two searches for jobs with runs are one, PeerApi asks PauseGuard once, a test target delegates to NoTargets, and three tests share their beginning. An answer to a ping no longer looks through all targets when no statement is open. Behaviour and assertions are unchanged.

--- a/core/src/main/kotlin/io/jackdawring/core/fleet/ShardElection.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/fleet/ShardElection.kt
@@ -24,7 +24,7 @@
         /** Time of the last message from the member; null before the first one. */
         var lastContactMillis: Long? = null,
         /** Time at which callers of its runs waited by its last reply that it holds its shards; own pauses do not shift it. */
-        var lastHoldingMillis: Long? = null,
+        var lastServedMillis: Long? = null,
     ) {
         /** What was known of the member before its claim of a shard is outdated. */
         fun onClaimed(nowMillis: Long) {
@@ -65,7 +65,7 @@
     ) {
         val memberState = recordContact(instanceId, nowMillis)
         memberState.consecutiveDenials = if (holds) 0 else memberState.consecutiveDenials + 1
-        if (holds) memberState.lastHoldingMillis = servedAtMillis
+        if (holds) memberState.lastServedMillis = servedAtMillis
     }
 
     /** Records the holder of a shard according to the store; a change of it shows that the new holder is alive. */
@@ -94,7 +94,7 @@
         val succession = successions[shardId] ?: return null
         val isRecent = nowMillis - succession.sinceMillis < RECENT_MILLIS
         if (isRecent && succession.hasPredecessor) return succession.predecessorSeenAtMillis
-        return memberStates[succession.holder]?.lastHoldingMillis
+        return memberStates[succession.holder]?.lastServedMillis
     }
 
     /** Records a request from [instanceId], which shows that it is alive. */
--- a/core/src/main/kotlin/io/jackdawring/core/shard/AdoptionWindow.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/AdoptionWindow.kt
@@ -12,24 +12,17 @@
     private val maxLeaseMillis: Long,
     private val cutOff: CutOffHolders,
 ) {
-    /** What a holder knew at [madeAtMillis]: all callers of its runs waited at [servedAtMillis]. */
-    private class Statement(
-        val holderToken: Long?,
-        val servedAtMillis: Long,
-        val madeAtMillis: Long,
-    )
-
     /** Covers the runs of all holders before the predecessor that were not cut off. */
-    private var predecessor: Statement? = null
+    private var predecessor: ServiceStatement? = null
 
-    /** Statements of other holders that have stopped; they count if the holder was cut off. */
-    private val stopped = ArrayList<Statement>()
+    /** Fencing token of the predecessor; null if it has not handed the shard over. */
+    var predecessorToken: Long? = null
 
     /** Whether the predecessor knew of holders that were cut off, and whose runs its statement does not cover. */
     var mayOthersBeCutOff = false
 
-    private val statements: List<Statement>
-        get() = listOfNotNull(predecessor) + stopped.filter { cutOff.wasCutOff(checkNotNull(it.holderToken)) }
+    private val statements: List<ServiceStatement>
+        get() = listOfNotNull(predecessor) + cutOff.statements(exceptToken = predecessorToken)
 
     /** Whether a holder that was cut off may have run jobs until now, and has stated nothing. */
     private val isUnknown: Boolean get() = mayOthersBeCutOff && cutOff.upToToken != null || statements.isEmpty()
@@ -41,22 +34,12 @@
     ) {
         val known = predecessor
         if (known != null && known.servedAtMillis >= servedAtMillis) return
-        predecessor = Statement(holderToken = null, servedAtMillis, madeAtMillis)
-    }
-
-    /** Records the same of another holder that has stopped. */
-    fun onHolderStopped(
-        holderToken: Long,
-        servedAtMillis: Long,
-        stoppedAtMillis: Long,
-    ) {
-        stopped.add(Statement(holderToken, servedAtMillis, stoppedAtMillis))
-        if (stopped.size > MAX_STATEMENTS) stopped.removeFirst()
+        predecessor = ServiceStatement(servedAtMillis, madeAtMillis)
     }
 
     /** Whether runs that a holder knew when it made [statement] can go on at [atMillis]. */
     private fun isRelevant(
-        statement: Statement,
+        statement: ServiceStatement,
         atMillis: Long,
     ): Boolean {
         val backAtMillis = statement.servedAtMillis + options.resendAfterMillis
@@ -110,8 +93,5 @@
 
         /** Covers a tick, the network and one lost stop request. */
         const val STOP_MARGIN_MILLIS = 100L
-
-        /** Far more than the holders of a shard within the time for which their runs can go on. */
-        const val MAX_STATEMENTS = 16
     }
 }
--- a/core/src/main/kotlin/io/jackdawring/core/shard/CutOffHolders.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/CutOffHolders.kt
@@ -14,16 +14,12 @@
     )
 
     private val stops = ArrayDeque<Stop>()
+    private var highestToken: Long? = null
 
     /** Fencing token up to which earlier holders may go on; null if all have stopped. */
     var upToToken: Long? = null
         private set
 
-    private var highestToken: Long? = null
-
-    /** Whether the holder with [holderToken] was, or may have been, cut off. */
-    fun wasCutOff(holderToken: Long): Boolean = highestToken?.let { holderToken <= it } == true
-
     /** Whether the holders that have stopped knew all runs of the shard. */
     var areRunsKnown = true
         private set
@@ -32,6 +28,14 @@
     fun lastStopMillis(holderToken: Long): Long? =
         stops.filter { it.holderToken >= holderToken }.maxOfOrNull { it.atMillis }
 
+    /** What the holders that were possibly cut off, apart from that with [exceptToken], said of their callers. */
+    fun statements(exceptToken: Long?): List<ServiceStatement> {
+        val upTo = highestToken ?: return emptyList()
+        return stops
+            .filter { it.holderToken <= upTo && it.holderToken != exceptToken }
+            .map { ServiceStatement(it.atMillis - it.handOver.unservedMillis, it.atMillis) }
+    }
+
     /** Records that holders up to [holderToken] may be cut off. */
     fun onCutOff(holderToken: Long) {
         upToToken = maxOf(upToToken ?: 0, holderToken)
@@ -39,21 +43,15 @@
         applyStops()
     }
 
-    /**
-     * Records that the holder with [holderToken] stopped at [stoppedAtMillis], and what it knew then.
-     *
-     * Returns whether that was a holder that may have been cut off.
-     */
+    /** Records that the holder with [holderToken] stopped at [stoppedAtMillis], and what it knew then. */
     fun onStopped(
         holderToken: Long,
         handOver: HandOver,
         stoppedAtMillis: Long,
-    ): Boolean {
-        val before = upToToken
+    ) {
         stops.addLast(Stop(holderToken, handOver, stoppedAtMillis))
         if (stops.size > MAX_STOPS) stops.removeFirst()
         applyStops()
-        return upToToken != before
     }
 
     private fun applyStops() {
--- a/core/src/main/kotlin/io/jackdawring/core/shard/ShardDispatcher.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/ShardDispatcher.kt
@@ -47,8 +47,8 @@
     /**
      * Adds the targets that the predecessor, which held the shard with [holderToken], knew at [madeAtMillis].
      *
-     * The list of targets may lack some of them for a while. Without this call, or if runs may be on other targets too, jobs that may already run wait until every lease of
-     * the previous holder has expired.
+     * The list of targets may lack some of them for a while. Without this call, or if runs may be on other targets too,
+     * jobs that may already run wait until every lease of the previous holder has expired.
      */
     fun inherit(
         holderToken: Long,
--- a/core/src/main/kotlin/io/jackdawring/core/shard/TargetControl.kt
+++ b/core/src/main/kotlin/io/jackdawring/core/shard/TargetControl.kt
@@ -69,11 +69,8 @@
         nowMillis: Long,
     ) {
         cutOffHolders.onStopped(holderToken, handOver, stoppedAtMillis)
-        val servedAtMillis = stoppedAtMillis - handOver.unservedMillis
-        if (holderToken == predecessorToken) {
-            adoption.onPredecessorServed(servedAtMillis, stoppedAtMillis)
-        } else {
-            adoption.onHolderStopped(holderToken, servedAtMillis, stoppedAtMillis)
+        if (holderToken == adoption.predecessorToken) {
+            adoption.onPredecessorServed(stoppedAtMillis - handOver.unservedMillis, stoppedAtMillis)
         }
         registry.add(handOver.targets, nowMillis)
         targets.forEach { poller.poll(it, nowMillis) }
@@ -135,8 +132,6 @@
         }
     }
 
-    private var predecessorToken: Long? = null
-
     /** Adds the targets that the predecessor knew; see [ShardDispatcher.inherit]. */
     fun inherit(
         holderToken: Long,
@@ -144,7 +139,7 @@
         madeAtMillis: Long,
         nowMillis: Long,
     ) {
-        predecessorToken = holderToken
+        adoption.predecessorToken = holderToken
         adoption.onPredecessorServed(madeAtMillis - handOver.unservedMillis, madeAtMillis)
         if (handOver.cutOffToken != null) adoption.mayOthersBeCutOff = true
         handOver.cutOffToken?.let(cutOffHolders::onCutOff)
@@ -648,26 +643,21 @@
     }
 
     /** Jobs of [jobIds] of which runs go on that no job has claimed. */
-    fun withUnclaimedRuns(jobIds: Collection<JobId>): Set<JobId> {
-        val unclaimed =
-            targets.flatMap { target ->
-                target.runs.values
-                    .filter(::isUnclaimed)
-                    .map { it.key.jobId }
-            }
-        return unclaimed.filter { it in jobIds }.toSet()
-    }
+    fun withUnclaimedRuns(jobIds: Collection<JobId>): Set<JobId> = withRuns(jobIds, ::isUnclaimed)
 
-    /** Jobs of [jobIds] of which runs may go on. */
-    fun withRuns(jobIds: Collection<JobId>): Set<JobId> {
+    /** Jobs of [jobIds] of which runs may go on that fulfil [isCounted]. */
+    fun withRuns(
+        jobIds: Collection<JobId>,
+        isCounted: (TrackedRun) -> Boolean = { true },
+    ): Set<JobId> {
         if (jobIds.isEmpty()) return emptySet()
-        val running = targets.flatMap { target -> target.runs.keys.map { it.jobId } }.toSet()
-        return jobIds.filter { it in running }.toSet()
+        val counted = targets.flatMap { it.runs.values }.filter(isCounted)
+        return counted.map { it.key.jobId }.toSet() intersect jobIds.toSet()
     }
 
     /** Time since which callers of unclaimed runs of earlier holders may have gone; null if there can be no such run. */
     fun unclaimedSinceMillis(nowMillis: Long): Long? =
-        adoption.openSinceMillis(nowMillis).takeUnless { previousRunsCheck.areAllListed && hasNoUnclaimedRuns }
+        adoption.openSinceMillis(nowMillis)?.takeUnless { previousRunsCheck.areAllListed && hasNoUnclaimedRuns }
 
     private val hasNoUnclaimedRuns: Boolean get() = targets.none { it.runs.values.any(::isUnclaimed) }
 
--- a/core/src/test/kotlin/io/jackdawring/core/shard/AdoptionWindowTest.kt
+++ b/core/src/test/kotlin/io/jackdawring/core/shard/AdoptionWindowTest.kt
@@ -30,8 +30,13 @@
 
         fun onCutOffHolderServed(atMillis: Long) {
             cutOff.onCutOff(CUT_OFF_TOKEN)
-            window.onHolderStopped(CUT_OFF_TOKEN, atMillis, atMillis)
+            onHolderStopped(CUT_OFF_TOKEN, atMillis)
         }
+
+        fun onHolderStopped(
+            holderToken: Long,
+            atMillis: Long,
+        ) = cutOff.onStopped(holderToken, HandOver.NONE, atMillis)
     }
 
     private val rows =
@@ -79,7 +84,7 @@
             },
             Row("a stopped holder that was never cut off, and is covered by the predecessor", 5_000, 5_900, 5_000) {
                 onPredecessorServed(5_000)
-                window.onHolderStopped(holderToken = 3, servedAtMillis = 4_600, stoppedAtMillis = 4_600)
+                onHolderStopped(holderToken = 3, atMillis = 4_600)
             },
             Row(
                 "the predecessor knew of a holder that is cut off: as if nothing was known",
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/RealFleetInstance.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/RealFleetInstance.kt
@@ -111,7 +111,7 @@
             loads,
             gossip::itemsNewerThan,
             pauses,
-            { now -> pauses.isCatchingUp(now) || peerHealth.silence.mayHoldUp(now) },
+            peerHealth.silence,
             peerHealth::onPeerRequest,
         )
 
--- a/fleet/src/main/kotlin/io/jackdawring/fleet/peer/PeerApi.kt
+++ b/fleet/src/main/kotlin/io/jackdawring/fleet/peer/PeerApi.kt
@@ -8,6 +8,7 @@
 import io.jackdawring.core.shard.JobState
 import io.jackdawring.fleet.ControlLoop
 import io.jackdawring.fleet.HeldShards
+import io.jackdawring.fleet.PeerSilence
 import io.jackdawring.fleet.ShardLoads
 import io.jackdawring.fleet.durable.DelaysMessage
 import io.jackdawring.fleet.durable.DelaysReply
@@ -38,8 +39,7 @@
     private val loads: ShardLoads,
     private val itemsNewerThan: (PingMessage) -> List<ItemMessage>,
     private val pauses: PauseGuard,
-    /** Whether the network may deliver what it has held up. */
-    private val mayHoldUp: (nowMillis: Long) -> Boolean,
+    private val silence: PeerSilence,
     private val onPeerRequest: (sender: InstanceId, sentAtMillis: Long) -> Unit,
 ) {
     fun handle(exchange: HttpExchange) {
@@ -102,9 +102,10 @@
     /** Whether [message] may be as old as a pause or a cut that has just ended; its relay sends it again if it still waits. */
     private fun mayBeHeldUp(message: JobMessage): Boolean {
         val now = loop.nowMillis()
-        val sentAtMillis = message.sentAtMillis ?: return mayHoldUp(now)
+        if (pauses.isCatchingUp(now)) return true
+        val sentAtMillis = message.sentAtMillis ?: return silence.mayHoldUp(now)
         // The relay knows a lower bound of this clock, which can only be ahead if the clock has stood still meanwhile.
-        return pauses.isCatchingUp(now) || sentAtMillis > now + MAX_CLOCK_ERROR_MILLIS
+        return sentAtMillis > now + MAX_CLOCK_ERROR_MILLIS
     }
 
     private fun hostOrReject(
--- a/fleet/src/test/kotlin/io/jackdawring/fleet/model/FakeEntryInstance.kt
+++ b/fleet/src/test/kotlin/io/jackdawring/fleet/model/FakeEntryInstance.kt
@@ -89,7 +89,7 @@
             loads,
             gossip::itemsNewerThan,
             pauses,
-            { now -> pauses.isCatchingUp(now) || peerHealth.silence.mayHoldUp(now) },
+            peerHealth.silence,
             peerHealth::onPeerRequest,
         )
     val relay = JobRelay(process, shardClient, metrics, pauses, peerHealth.silence)
--- a/fleet/src/test/kotlin/io/jackdawring/fleet/peer/HeldUpMessageTest.kt
+++ b/fleet/src/test/kotlin/io/jackdawring/fleet/peer/HeldUpMessageTest.kt
@@ -15,8 +15,6 @@
 import io.jackdawring.core.shard.Resources
 import io.jackdawring.core.shard.RunningRun
 import io.jackdawring.core.shard.ShardTarget
-import io.jackdawring.core.shard.StartRequest
-import io.jackdawring.core.shard.StartResult
 import io.jackdawring.core.shard.StepSpec
 import io.jackdawring.core.shard.StopResult
 import io.jackdawring.core.shard.TaskKey
@@ -25,6 +23,7 @@
 import io.jackdawring.fleet.FleetDirectory
 import io.jackdawring.fleet.FleetKeys
 import io.jackdawring.fleet.HeldShards
+import io.jackdawring.fleet.NoTargets
 import io.jackdawring.fleet.PeerHealthMonitor
 import io.jackdawring.fleet.ShardLoads
 import io.jackdawring.fleet.StoreGossip
@@ -58,16 +57,9 @@
     /** A target with one run of an earlier holder, which notes when that is stopped. */
     private class FakeTarget(
         private val loop: FakeControlLoop,
-    ) : TargetClient {
+    ) : TargetClient by NoTargets {
         var stoppedAtMillis: Long? = null
 
-        override fun start(
-            target: ShardTarget,
-            request: StartRequest,
-            fencingToken: Long,
-            onResult: (StartResult) -> Unit,
-        ) = error("nothing is to start")
-
         override fun stop(
             target: ShardTarget,
             task: TaskKey,
@@ -148,7 +140,7 @@
                 loads,
                 gossip::itemsNewerThan,
                 PauseGuard(),
-                monitor.silence::mayHoldUp,
+                monitor.silence,
                 monitor::onPeerRequest,
             )
 
--- a/testing/src/test/kotlin/io/jackdawring/testing/shard/HolderChainTest.kt
+++ b/testing/src/test/kotlin/io/jackdawring/testing/shard/HolderChainTest.kt
@@ -184,6 +184,17 @@
     private fun FakeShard.submitLong(mayRun: Boolean = false) =
         submit(job("a", tasks = 4, estimateMillis = 8_000), remainingMillis = 10_000, mayRun = mayRun)
 
+    /** Lets the caller of a long job leave while stops are lost; returns when, [afterMillis] later. */
+    private fun FakeShard.leaveWithLostStops(afterMillis: Long): Long {
+        val waiter = submitLong()
+        runFor(500)
+        val leftAtMillis = nowMillis
+        withdraw(waiter)
+        targets.forEach { it.losesStops = true }
+        runFor(afterMillis)
+        return leftAtMillis
+    }
+
     /** Asserts that nothing runs [RESEND_MILLIS] after [leftAtMillis] and later. */
     private fun FakeShard.assertOverInTime(leftAtMillis: Long) {
         runFor(maxOf(0, leftAtMillis + RESEND_MILLIS - nowMillis))
@@ -200,12 +211,7 @@
             listOf(1, 2).map { handOvers ->
                 DynamicTest.dynamicTest("$handOvers hand-overs, the first $afterMillis ms after the caller left") {
                     val shard = shard()
-                    val waiter = shard.submitLong()
-                    shard.runFor(500)
-                    val leftAtMillis = shard.nowMillis
-                    shard.withdraw(waiter)
-                    shard.targets.forEach { it.losesStops = true }
-                    shard.runFor(afterMillis)
+                    val leftAtMillis = shard.leaveWithLostStops(afterMillis)
                     repeat(handOvers) {
                         shard.replaceHolder(handOver = true)
                         shard.runFor(50)
@@ -222,12 +228,7 @@
         listOf(200L, 300, 400, 500, 600, 700).map { afterMillis ->
             DynamicTest.dynamicTest("handed over $afterMillis ms after the caller left") {
                 val shard = shard()
-                val waiter = shard.submitLong()
-                shard.runFor(500)
-                val leftAtMillis = shard.nowMillis
-                shard.withdraw(waiter)
-                shard.targets.forEach { it.losesStops = true }
-                shard.runFor(afterMillis)
+                val leftAtMillis = shard.leaveWithLostStops(afterMillis)
                 shard.replaceHolder(handOver = true)
                 shard.runFor(50)
                 val seenAtMillis = shard.servedAtMillis()
@@ -333,12 +334,7 @@
                 val name = "$afterMillis ms after the caller left, for $pauseMillis ms"
                 DynamicTest.dynamicTest(name) {
                     val shard = shard()
-                    val waiter = shard.submitLong()
-                    shard.runFor(500)
-                    val leftAtMillis = shard.nowMillis
-                    shard.withdraw(waiter)
-                    shard.targets.forEach { it.losesStops = true }
-                    shard.runFor(afterMillis)
+                    val leftAtMillis = shard.leaveWithLostStops(afterMillis)
                     shard.replaceHolder(handOver = true)
                     shard.runFor(5)
                     shard.pauseHolder(pauseMillis)
